--- /dev/null
+++ b/cmd/micahill/main.go
@@ -0,0 +1,141 @@
+// Command micahill is a cluster scheduler's controller: it takes users' jobs,
+// rents machines and runs the jobs' tasks on them.
+package main
+
+import (
+	"context"
+	crand "crypto/rand"
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"log/slog"
+	"math/rand/v2"
+	"os"
+	"runtime"
+	"runtime/debug"
+
+	"github.com/micahill/micahill/internal/api"
+	"github.com/micahill/micahill/internal/cloud"
+	"github.com/micahill/micahill/internal/config"
+	"github.com/micahill/micahill/internal/core"
+	"github.com/micahill/micahill/internal/peer"
+	"github.com/micahill/micahill/internal/server"
+	"github.com/micahill/micahill/internal/state"
+	"github.com/micahill/micahill/internal/worker"
+	"github.com/spf13/cobra"
+)
+
+const (
+	// memoryPart of the process's memory is left to Go's heap: well below the
+	// limit, above which the process is killed.
+	memoryPart = 0.6
+	// gcPercent trades memory, of which there is enough, for processor time,
+	// which is short.
+	gcPercent = 300
+)
+
+var version = "0.1.0"
+
+func main() {
+	if err := command().Execute(); err != nil {
+		fmt.Fprintln(os.Stderr, "micahill:", err)
+		os.Exit(1)
+	}
+}
+
+func command() *cobra.Command {
+	var path string
+	root := &cobra.Command{
+		Use:           "micahill --config FILE",
+		Short:         "A cluster scheduler for rented machines",
+		Long:          "micahill runs one controller: it takes jobs from users, rents machines from the\ncloud and runs the jobs' tasks on them. Logs go to standard error; LOG_LEVEL is\nerror, info or debug.",
+		Args:          cobra.NoArgs,
+		SilenceUsage:  true,
+		SilenceErrors: true,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			if path == "" {
+				return errors.New("--config FILE is missing; see --help")
+			}
+			return serve(cmd.Context(), path)
+		},
+	}
+	root.Flags().StringVar(&path, "config", "", "settings file (TOML)")
+	check := &cobra.Command{
+		Use: "check", Short: "Check a settings file and say what is wrong with it", Args: cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			if path == "" {
+				return errors.New("--config FILE is missing; see --help")
+			}
+			c, err := config.Load(path)
+			if err != nil {
+				return err
+			}
+			fmt.Fprintf(cmd.OutOrStdout(), "%s: controller %s of %d, %d team(s): ok\n", path, c.HostName, len(c.Seeds)+1, len(c.Deployment.Teams))
+			return nil
+		},
+	}
+	check.Flags().StringVar(&path, "config", "", "settings file (TOML)")
+	root.AddCommand(check, &cobra.Command{
+		Use: "version", Short: "Print the version", Args: cobra.NoArgs,
+		Run: func(cmd *cobra.Command, _ []string) { fmt.Fprintln(cmd.OutOrStdout(), "micahill", version) },
+	})
+	return root
+}
+
+func logLevel() slog.Level {
+	switch os.Getenv("LOG_LEVEL") {
+	case "debug":
+		return slog.LevelDebug
+	case "error":
+		return slog.LevelError
+	}
+	return slog.LevelInfo
+}
+
+func serve(ctx context.Context, path string) error {
+	if ctx == nil {
+		ctx = context.Background()
+	}
+	slog.SetDefault(slog.New(slog.NewTextHandler(os.Stderr, &slog.HandlerOptions{Level: logLevel()})))
+	c, err := config.Load(path)
+	if err != nil {
+		return err
+	}
+	// One thread at a time runs here anyway; more would only switch.
+	runtime.GOMAXPROCS(1)
+	debug.SetMemoryLimit(int64(c.Deployment.Quota.RAMMB * memoryPart * (1 << 20)))
+	debug.SetGCPercent(gcPercent)
+
+	var seed [32]byte
+	if _, err := crand.Read(seed[:]); err != nil {
+		return fmt.Errorf("seed: %w", err)
+	}
+	nonce := fmt.Sprintf("%x", binary.LittleEndian.Uint64(seed[:8]))
+	set := c.Core(core.DefaultPolicy(), nonce)
+	node := core.New(set, rand.New(rand.NewChaCha8(seed)))
+
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	peers := map[string]string{}
+	for _, p := range c.Seeds {
+		peers[p.HostName] = p.Address
+	}
+	d := &c.Deployment
+	st := state.New(c.Outside.State, d.State.RPS, d.State.WriteRPS, len(c.Seeds)+1)
+	pn := peer.Start(ctx, peers)
+	srv := server.New(node, server.Outside{
+		State:  st.Do,
+		Cloud:  cloud.New(c.Outside.Cloud, d.Cloud.RPS).Do,
+		Worker: worker.New().Do,
+		Peer:   pn.Send,
+		Role:   func(r core.Role) { st.SetMain(r.Owner) },
+	})
+	if err := peer.Listen(ctx, c.Back, func(n core.PeerNews) { srv.Post(n) }); err != nil {
+		return err
+	}
+	slog.Info("micahill starts", "version", version, "host", c.HostName, "nonce", nonce)
+	errs := make(chan error, 2)
+	go func() { errs <- api.Serve(ctx, c.APIAddr, d.Quota.Sockets, srv) }()
+	go func() { errs <- srv.Run(ctx) }()
+	return <-errs
+}
--- /dev/null
+++ b/internal/api/api.go
@@ -0,0 +1,211 @@
+// Package api serves users, workers and health checks over HTTP.
+package api
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"math"
+	"net"
+	"net/http"
+	"regexp"
+	"strconv"
+	"time"
+
+	"github.com/labstack/echo/v4"
+	"github.com/micahill/micahill/internal/core"
+	"github.com/micahill/micahill/internal/worker"
+	"github.com/vmihailenco/msgpack/v5"
+	"golang.org/x/net/netutil"
+)
+
+const (
+	// maxBody is the protocol's limit for request bodies.
+	maxBody = 64 << 10
+	// patience bounds the wait for the core, which answers earlier by itself.
+	patience = 1900 * time.Millisecond
+	// headerTimeout, idleTimeout and writeTimeout keep slow or silent peers
+	// from holding sockets for ever.
+	headerTimeout = 10 * time.Second
+	idleTimeout   = 90 * time.Second
+	writeTimeout  = 10 * time.Second
+	// userSockets is the part of the sockets that incoming connections may
+	// take; the rest is for workers' orders, the state service and peers.
+	userSockets = 0.8
+	// maxAmount bounds amounts and durations in the settings of a job, so
+	// that adding them up can't overflow.
+	maxAmount = 1e8
+)
+
+// idForm is what job ids look like.
+var idForm = regexp.MustCompile(`^job-[0-9A-Za-z_-]{1,64}$`)
+
+// Core is what the handlers need of the server.
+type Core interface {
+	Ask(ctx context.Context, mk func(reply uint64) core.Command) (core.Effect, error)
+	Healthy() bool
+}
+
+type handlers struct{ core Core }
+
+// Serve listens on addr until the context ends.
+func Serve(ctx context.Context, addr string, sockets int, c Core) error {
+	h := &handlers{c}
+	e := echo.New()
+	e.HideBanner, e.HidePort = true, true
+	e.POST("/v2/runs", h.submit)
+	e.GET("/v2/runs/:id", h.query)
+	e.POST("/v2/runs/:id/abort", h.abort)
+	e.GET("/healthz", h.health)
+	e.POST("/v1/report", h.report)
+	e.HTTPErrorHandler = func(err error, c echo.Context) {
+		if c.Response().Committed {
+			return
+		}
+		status := http.StatusInternalServerError
+		var he *echo.HTTPError
+		if errors.As(err, &he) {
+			status = he.Code
+		}
+		if err := fail(c, status, http.StatusText(status)); err != nil {
+			slog.Debug("answer not sent", "err", err)
+		}
+	}
+	ln, err := (&net.ListenConfig{}).Listen(ctx, "tcp", addr)
+	if err != nil {
+		return fmt.Errorf("api: %w", err)
+	}
+	srv := &http.Server{
+		Handler: e, ReadHeaderTimeout: headerTimeout, ReadTimeout: headerTimeout,
+		WriteTimeout: writeTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: 16 << 10,
+		ErrorLog: slog.NewLogLogger(slog.Default().Handler(), slog.LevelDebug),
+	}
+	go func() {
+		<-ctx.Done()
+		srv.Close()
+	}()
+	if err := srv.Serve(netutil.LimitListener(ln, max(8, int(float64(sockets)*userSockets)))); !errors.Is(err, http.ErrServerClosed) {
+		return fmt.Errorf("api: %w", err)
+	}
+	return nil
+}
+
+func answer(c echo.Context, status int, v any) error {
+	b, err := msgpack.Marshal(v)
+	if err != nil {
+		return fmt.Errorf("api: encode: %w", err)
+	}
+	return c.Blob(status, "application/msgpack", b)
+}
+
+func fail(c echo.Context, status int, why string) error {
+	return answer(c, status, map[string]any{"error": why})
+}
+
+func busy(c echo.Context) error {
+	c.Response().Header().Set(echo.HeaderRetryAfter, "1")
+	return fail(c, http.StatusServiceUnavailable, "busy")
+}
+
+// body reads a request's body, or answers itself.
+func body(c echo.Context) ([]byte, error) {
+	b, err := io.ReadAll(io.LimitReader(c.Request().Body, maxBody+1))
+	if err != nil {
+		return nil, echo.NewHTTPError(http.StatusBadRequest)
+	}
+	if len(b) > maxBody {
+		return nil, echo.NewHTTPError(http.StatusRequestEntityTooLarge)
+	}
+	return b, nil
+}
+
+func (h *handlers) health(c echo.Context) error {
+	if !h.core.Healthy() {
+		return busy(c)
+	}
+	return answer(c, http.StatusOK, map[string]any{"status": "ok"})
+}
+
+// ask passes a user's request to the core and renders the reply.
+func (h *handlers) ask(c echo.Context, mk func(reply uint64) core.Command) error {
+	ctx, cancel := context.WithTimeout(c.Request().Context(), patience)
+	defer cancel()
+	e, err := h.core.Ask(ctx, mk)
+	if err != nil {
+		return busy(c)
+	}
+	r, ok := e.(core.UserReply)
+	if !ok {
+		return busy(c)
+	}
+	if r.RetryAfter > 0 {
+		c.Response().Header().Set(echo.HeaderRetryAfter, strconv.Itoa(max(1, int((r.RetryAfter+time.Second-1)/time.Second))))
+	}
+	if r.State == "" {
+		return fail(c, r.Status, r.Message)
+	}
+	m := map[string]any{"id": r.ID, "status": r.State}
+	if c.Request().Method == http.MethodGet {
+		m["done"], m["running"] = r.Done, r.Running
+	}
+	return answer(c, r.Status, m)
+}
+
+func (h *handlers) query(c echo.Context) error {
+	id := c.Param("id")
+	if !idForm.MatchString(id) {
+		return fail(c, http.StatusNotFound, "no such job")
+	}
+	return h.ask(c, func(r uint64) core.Command { return core.Query{Reply: r, ID: id} })
+}
+
+func (h *handlers) abort(c echo.Context) error {
+	id := c.Param("id")
+	if !idForm.MatchString(id) {
+		return fail(c, http.StatusNotFound, "no such job")
+	}
+	return h.ask(c, func(r uint64) core.Command { return core.Abort{Reply: r, ID: id} })
+}
+
+func (h *handlers) submit(c echo.Context) error {
+	b, err := body(c)
+	if err != nil {
+		return err
+	}
+	spec, bad := parseRun(b)
+	if spec.ID == "" {
+		return fail(c, http.StatusBadRequest, bad)
+	}
+	return h.ask(c, func(r uint64) core.Command { return core.Submit{Reply: r, Spec: spec, Bad: bad} })
+}
+
+func (h *handlers) report(c echo.Context) error {
+	b, err := body(c)
+	if err != nil {
+		return err
+	}
+	var r worker.Report
+	if err := msgpack.Unmarshal(b, &r); err != nil || r.Host == "" {
+		return fail(c, http.StatusBadRequest, "not a report")
+	}
+	ctx, cancel := context.WithTimeout(c.Request().Context(), patience)
+	defer cancel()
+	e, err := h.core.Ask(ctx, func(reply uint64) core.Command { return core.WorkerReport{Reply: reply, Report: r.Core()} })
+	a, ok := e.(core.ReportReply)
+	switch {
+	case err != nil || !ok:
+		return busy(c)
+	case a.Status == http.StatusOK:
+		return answer(c, http.StatusOK, map[string]any{"epoch": a.Epoch, "orders": worker.Wire(a.Orders)})
+	case a.Steward != "":
+		return answer(c, a.Status, map[string]any{"steward": a.Steward})
+	}
+	return fail(c, a.Status, "not the steward")
+}
+
+// finite says whether an amount is a number that can be reckoned with.
+func finite(f float64) bool {
+	return !math.IsNaN(f) && !math.IsInf(f, 0) && f >= 0 && f <= maxAmount
+}
--- /dev/null
+++ b/internal/api/run.go
@@ -0,0 +1,98 @@
+package api
+
+import (
+	"errors"
+	"math"
+	"reflect"
+
+	"github.com/go-playground/validator/v10"
+	"github.com/micahill/micahill/internal/core"
+	"github.com/vmihailenco/msgpack/v5"
+)
+
+// run is a submission on the wire. Pointers tell a missing field from a zero.
+// Counts come as decimal numbers too, so that 2.5 tasks can be told from 2.
+type run struct {
+	ID        *string  `msgpack:"id" validate:"required,runid"`
+	Workload  *string  `msgpack:"workload" validate:"required,min=1,max=100"`
+	Owner     *string  `msgpack:"owner" validate:"required,min=1,max=100"`
+	Shape     *string  `msgpack:"shape" validate:"required,oneof=array standing"`
+	Urgency   *string  `msgpack:"urgency" validate:"required,oneof=critical urgent normal best_effort"`
+	Pieces    *float64 `msgpack:"pieces" validate:"required,whole,gte=1,lte=100000"`
+	VCPUs     *float64 `msgpack:"vcpus" validate:"required,amount"`
+	GPUs      *float64 `msgpack:"gpus" validate:"required,amount"`
+	MemoryGB  *float64 `msgpack:"memory_gb" validate:"required,amount"`
+	Bundle    *string  `msgpack:"bundle" validate:"required,max=200"`
+	ImageGB   *float64 `msgpack:"image_gb" validate:"required,amount"`
+	Flavours  []string `msgpack:"flavours" validate:"omitempty,dive,min=1,max=100"`
+	Site      *string  `msgpack:"site" validate:"omitempty,min=1,max=100"`
+	SamePlace *bool    `msgpack:"same_place" validate:"required"`
+	Apart     *bool    `msgpack:"apart" validate:"required"`
+	Loaner    *bool    `msgpack:"loaner" validate:"required"`
+	ExpectedS *float64 `msgpack:"expected_s" validate:"required,amount"`
+	EveryS    *float64 `msgpack:"snapshot_every_s" validate:"required,amount"`
+	CostS     *float64 `msgpack:"snapshot_cost_s" validate:"required,amount"`
+	DueS      *float64 `msgpack:"due_s" validate:"omitempty,amount"`
+}
+
+var check = newCheck()
+
+func newCheck() *validator.Validate {
+	v := validator.New(validator.WithRequiredStructEnabled())
+	v.RegisterTagNameFunc(func(f reflect.StructField) string { return f.Tag.Get("msgpack") })
+	for tag, fn := range map[string]validator.Func{
+		"runid":  func(fl validator.FieldLevel) bool { return idForm.MatchString(fl.Field().String()) },
+		"whole":  func(fl validator.FieldLevel) bool { f := fl.Field().Float(); return f == math.Trunc(f) },
+		"amount": func(fl validator.FieldLevel) bool { return finite(fl.Field().Float()) },
+	} {
+		if err := v.RegisterValidation(tag, fn); err != nil {
+			panic("api: " + err.Error())
+		}
+	}
+	return v
+}
+
+var urgencies = map[string]core.Urgency{
+	"critical": core.Critical, "urgent": core.Urgent, "normal": core.Normal, "best_effort": core.BestEffort,
+}
+
+// parseRun reads a submission. A reason comes with whatever of the id could be
+// read: a known job is answered with its state, whatever the body.
+func parseRun(b []byte) (core.Spec, string) {
+	var r run
+	if err := msgpack.Unmarshal(b, &r); err != nil {
+		var only struct {
+			ID string `msgpack:"id"`
+		}
+		if msgpack.Unmarshal(b, &only) == nil && idForm.MatchString(only.ID) {
+			return core.Spec{ID: only.ID}, "malformed: " + err.Error()
+		}
+		return core.Spec{}, "not a MessagePack map with a job's fields"
+	}
+	if r.ID == nil || !idForm.MatchString(*r.ID) {
+		return core.Spec{}, "field id is missing or malformed"
+	}
+	if err := check.Struct(&r); err != nil {
+		var ve validator.ValidationErrors
+		why := err.Error()
+		if errors.As(err, &ve) {
+			why = "field " + ve[0].Field() + " is missing or invalid"
+		}
+		return core.Spec{ID: *r.ID}, why
+	}
+	s := core.Spec{
+		ID: *r.ID, Workload: *r.Workload, Team: *r.Owner, Standing: *r.Shape == "standing",
+		Urgency: urgencies[*r.Urgency], Tasks: int(*r.Pieces),
+		Need:  core.Resources{CPU: *r.VCPUs, GPU: *r.GPUs, Memory: *r.MemoryGB},
+		Image: *r.Bundle, ImageGB: *r.ImageGB, Flavours: r.Flavours,
+		SamePlace: *r.SamePlace, Apart: *r.Apart, Spot: *r.Loaner,
+		Expected: core.Seconds(*r.ExpectedS), SaveEvery: core.Seconds(*r.EveryS), SaveCost: core.Seconds(*r.CostS),
+	}
+	if r.Site != nil {
+		s.Zone = *r.Site
+	}
+	if r.DueS != nil {
+		s.Due = core.Seconds(*r.DueS)
+	}
+	return s, ""
+}
--- /dev/null
+++ b/internal/core/effects.go
@@ -0,0 +1,264 @@
+package core
+
+import "time"
+
+// Command is an input to the core. Effect is an output.
+type (
+	Command interface{ command() }
+	Effect  interface{ effect() }
+)
+
+// Submit, Query and Abort come from users; Reply names the waiting request.
+type Submit struct {
+	Reply uint64
+	Spec  Spec
+	// Bad is the reason for a 400, when the body was malformed but its id
+	// could be read.
+	Bad string
+}
+
+// Query asks for the state of a job.
+type Query struct {
+	Reply uint64
+	ID    string
+}
+
+// Abort cancels a job.
+type Abort struct {
+	Reply uint64
+	ID    string
+}
+
+// WorkerReport is a report that waits for its answer.
+type WorkerReport struct {
+	Reply  uint64
+	Report Report
+}
+
+// StateDone, CloudDone and WorkerDone answer effects by their ID.
+type StateDone struct {
+	ID        uint64
+	Status    StateStatus
+	Sent      time.Time
+	Items     []Item
+	Truncated bool
+	Rev       uint64
+	Failed    []string
+	Grant     uint64
+}
+
+// CloudDone answers a CloudOp.
+type CloudDone struct {
+	ID        uint64
+	Status    CloudStatus
+	Flavours  []Flavour
+	Machines  []Listed
+	Rented    []string
+	Truncated bool
+}
+
+// WorkerDone answers a WorkerOp. Report is nil when no answer came.
+type WorkerDone struct {
+	ID     uint64
+	OK     bool
+	Report *Report
+}
+
+// PeerNews is what another controller says of the jobs it runs.
+type PeerNews struct {
+	From     string
+	Progress []Progress
+	Wants    []Want
+	Idle     []string
+}
+
+// Progress is a job's count of tasks, for display.
+type Progress struct {
+	ID      string
+	Done    int
+	Running int
+}
+
+func (Submit) command()       {}
+func (Query) command()        {}
+func (Abort) command()        {}
+func (WorkerReport) command() {}
+func (StateDone) command()    {}
+func (CloudDone) command()    {}
+func (WorkerDone) command()   {}
+func (PeerNews) command()     {}
+
+// StateStatus is the outcome of a request to the state service.
+type StateStatus int
+
+// Outcomes. Refused: surely not executed. Unknown: perhaps executed, perhaps
+// still to be executed later.
+const (
+	StateOK StateStatus = iota
+	StateNotFound
+	StateConflict
+	StateGone
+	StateNoGrant
+	StateRefused
+	StateBad
+	StateUnknown
+)
+
+// CloudStatus is the outcome of a request to the cloud.
+type CloudStatus int
+
+// Outcomes of cloud requests.
+const (
+	CloudOK CloudStatus = iota
+	CloudNoCapacity
+	CloudRefused
+	CloudBad
+	CloudUnknown
+)
+
+// StateKind is the kind of a request to the state service.
+type StateKind int
+
+// The requests.
+const (
+	OpGet StateKind = iota
+	OpList
+	OpTxn
+	OpFollow
+	OpGrantNew
+	OpGrantRenew
+	OpGrantDrop
+)
+
+// Item is a key with its value; Removed marks a deletion in a watch.
+type Item struct {
+	Key     string
+	Value   []byte
+	Stamp   uint64
+	Removed bool
+}
+
+// Cond is a condition of a transaction: the key has this stamp, 0 for absent.
+type Cond struct {
+	Key   string
+	Stamp uint64
+}
+
+// Change is a put, or a removal when Value is nil.
+type Change struct {
+	Key   string
+	Value []byte
+	Grant uint64
+}
+
+// Priority orders requests to the state service when the rate is short.
+type Priority int
+
+// Priorities, most important first.
+const (
+	PrioSession Priority = iota
+	PrioUser
+	PrioStart
+	PrioLazy
+)
+
+// StateOp asks the state service.
+type StateOp struct {
+	ID    uint64
+	Kind  StateKind
+	Prio  Priority
+	Key   string
+	From  string
+	Rev   uint64
+	Hold  time.Duration
+	When  []Cond
+	Apply []Change
+	Grant uint64
+	TTL   time.Duration
+}
+
+// CloudKind is the kind of a request to the cloud.
+type CloudKind int
+
+// The requests.
+const (
+	CloudTypes CloudKind = iota
+	CloudList
+	CloudRent
+	CloudReturn
+)
+
+// CloudOp asks the cloud.
+type CloudOp struct {
+	ID       uint64
+	Kind     CloudKind
+	Booking  string
+	Flavour  string
+	Zone     string
+	Spot     bool
+	Count    int
+	Machines []string
+	From     string
+}
+
+// WorkerOp sends orders to a worker, or asks for its status when Ask is set.
+type WorkerOp struct {
+	ID      uint64
+	Machine string
+	Addr    string
+	Ask     bool
+	Epoch   uint64
+	Tenure  uint64
+	Orders  []Order
+}
+
+// UserReply answers a user.
+type UserReply struct {
+	Reply uint64
+	// Status is the HTTP status.
+	Status  int
+	ID      string
+	State   string
+	Done    int
+	Running int
+	Message string
+	// RetryAfter goes with a refusal.
+	RetryAfter time.Duration
+}
+
+// ReportReply answers a worker's report.
+type ReportReply struct {
+	Reply   uint64
+	Status  int
+	Steward string
+	Epoch   uint64
+	Orders  []Order
+}
+
+// PeerSend tells another controller.
+type PeerSend struct {
+	To   string
+	News PeerNews
+}
+
+// Role tells the shell what this node is, for rates and metrics.
+type Role struct {
+	Leader bool
+	Owner  bool
+}
+
+// Log is a line for the operator.
+type Log struct {
+	Debug bool
+	Text  string
+	Args  []any
+}
+
+func (StateOp) effect()     {}
+func (CloudOp) effect()     {}
+func (WorkerOp) effect()    {}
+func (UserReply) effect()   {}
+func (ReportReply) effect() {}
+func (PeerSend) effect()    {}
+func (Role) effect()        {}
+func (Log) effect()         {}
--- /dev/null
+++ b/internal/core/fleet.go
@@ -0,0 +1,621 @@
+package core
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+	"time"
+)
+
+const (
+	// leaderPeriod is how often the leader looks at the fleet.
+	leaderPeriod = time.Second
+	// typesEvery is how often prices are read again.
+	typesEvery = 30 * time.Second
+	// refusedPause keeps from asking again at once for a kind of machine the
+	// cloud has just refused.
+	refusedPause = 12 * time.Second
+	// bootPatience, times ready_s, plus bootSlack: when a machine that has not
+	// come up is given up. Some machines take several times as long.
+	bootPatience = 3
+	bootSlack    = 20 * time.Second
+	// rentMost and returnMost are the cloud's limits for one request.
+	rentMost   = 50
+	returnMost = 100
+	// settleTime after a takeover: nobody is taken for silent or idle before.
+	settleTime = 8 * time.Second
+)
+
+// Want is a wish for machines of one kind.
+type Want struct {
+	Flavour string
+	Zone    string
+	Spot    bool
+	Count   int
+}
+
+type kind struct {
+	flavour string
+	zone    string
+	spot    bool
+}
+
+type peerWants struct {
+	at    time.Time
+	wants []Want
+	idle  []string
+}
+
+// rental is a machine as the cloud knows it.
+type rental struct {
+	kind
+	id        string
+	addr      string
+	since     time.Time
+	status    string
+	returning bool
+	listed    time.Time
+}
+
+// leader owns the dealings with the cloud and writes the shares.
+type leader struct {
+	stamp    uint64
+	gen      int
+	since    time.Time
+	wake     time.Time
+	looked   time.Time
+	rentals  map[string]*rental
+	listedOK bool
+	listing  bool
+	listAt   time.Time
+	blocked  map[kind]time.Time
+	renting  map[kind]int
+	booked   uint64
+	sharing  bool
+	news     map[string]peerWants
+}
+
+func (n *Node) loadTypes() {
+	n.askCloud(CloudOp{Kind: CloudTypes}, func(d CloudDone) {
+		if d.Status == CloudOK {
+			n.types = map[string]Flavour{}
+			for _, f := range d.Flavours {
+				n.types[f.Name] = f
+			}
+			if n.owner != nil {
+				for _, m := range n.owner.machines {
+					if f, ok := n.types[m.flavour]; ok {
+						m.size, m.disk = f.Size, f.DiskGB
+					}
+				}
+			}
+			n.after(n.jitter(typesEvery), n.loadTypes)
+			return
+		}
+		n.after(n.jitter(time.Second), n.loadTypes)
+	})
+}
+
+func (n *Node) becomeLeader() {
+	if n.leader != nil && n.leader.stamp == n.sess.leadStamp {
+		n.share()
+		return
+	}
+	n.leader = &leader{
+		stamp: n.sess.leadStamp, gen: int(n.id()), since: n.now,
+		rentals: map[string]*rental{}, blocked: map[kind]time.Time{}, renting: map[kind]int{},
+		news: map[string]peerWants{},
+	}
+	n.info("leader", "stamp", n.sess.leadStamp)
+	n.share()
+}
+
+func (n *Node) dropLead() {
+	if n.leader != nil {
+		n.info("leader no more")
+		n.leader = nil
+	}
+}
+
+// share writes the shares when they are not as they should be.
+func (n *Node) share() {
+	l := n.leader
+	s := &n.sess
+	if l.sharing {
+		return
+	}
+	want := n.division()
+	op := StateOp{Kind: OpTxn, Prio: PrioSession, When: []Cond{{leadKey, l.stamp}}}
+	hosts := map[string]bool{}
+	for h := range want {
+		hosts[h] = true
+	}
+	for h := range s.shares {
+		hosts[h] = true
+	}
+	type write struct {
+		key string
+		rec []byte
+	}
+	var writes []write
+	// A fresh leader rewrites all shares: whoever held a team before is
+	// deposed by the new stamp.
+	for _, h := range sortedKeys(hosts) {
+		w, ok := want[h]
+		have, had := s.shares[h]
+		fresh := s.stamps[sharePrefix+h] < l.stamp
+		same := ok == had && slices.Equal(w.Teams, have.Teams) && w.Rest == have.Rest && slices.Equal(w.Machines, have.Machines)
+		if same && (!fresh || !ok) {
+			continue
+		}
+		key := sharePrefix + h
+		op.When = append(op.When, Cond{key, s.shareStamp(h)})
+		var rec []byte
+		if ok {
+			rec = encode(w)
+		}
+		op.Apply = append(op.Apply, Change{Key: key, Value: rec})
+		writes = append(writes, write{key, rec})
+	}
+	if len(writes) == 0 {
+		return
+	}
+	l.sharing = true
+	gen := l.gen
+	n.ask(op, func(d StateDone) {
+		if n.leader == nil || n.leader.gen != gen {
+			return
+		}
+		n.leader.sharing = false
+		switch d.Status {
+		case StateOK:
+			for _, w := range writes {
+				n.ctlItem(Item{Key: w.key, Value: w.rec, Stamp: d.Rev, Removed: w.rec == nil})
+			}
+			n.ownerCheck()
+		case StateConflict:
+			// The watch is behind; look again.
+			n.after(n.jitter(retryPause), func() {
+				if n.leader != nil && n.leader.gen == gen {
+					n.loadCtl()
+				}
+			})
+		default:
+			n.after(n.jitter(retryPause), func() {
+				if n.leader != nil && n.leader.gen == gen {
+					n.share()
+				}
+			})
+		}
+	})
+}
+
+// division says which controller runs which teams.
+func (n *Node) division() map[string]shareRecord {
+	var teams []string
+	for _, t := range n.set.Teams {
+		teams = append(teams, t.Name)
+	}
+	slices.Sort(teams)
+	return map[string]shareRecord{n.set.Host: {Teams: teams, Rest: true}}
+}
+
+func (n *Node) leaderTick() {
+	l := n.leader
+	if n.now.Sub(l.looked) < leaderPeriod {
+		l.wake = l.looked.Add(leaderPeriod)
+		return
+	}
+	l.looked = n.now
+	l.wake = n.now.Add(leaderPeriod)
+	if !l.listing && n.now.Sub(l.listAt) >= max(n.set.ListLag/2, 2*time.Second) {
+		n.list("", nil)
+	}
+	if n.owner == nil || !n.owner.ready || !l.listedOK {
+		return
+	}
+	n.returns()
+	n.rent()
+}
+
+func (n *Node) list(from string, got []Listed) {
+	l := n.leader
+	gen := l.gen
+	l.listing = true
+	n.askCloud(CloudOp{Kind: CloudList, From: from}, func(d CloudDone) {
+		l := n.leader
+		if l == nil || l.gen != gen {
+			return
+		}
+		if d.Status != CloudOK {
+			l.listing = false
+			l.listAt = n.now
+			return
+		}
+		got = append(got, d.Machines...)
+		if d.Truncated && len(d.Machines) > 0 {
+			n.list(got[len(got)-1].ID, got)
+			return
+		}
+		l.listing, l.listAt, l.listedOK = false, n.now, true
+		n.listed(got)
+	})
+}
+
+// listed takes in a list, which may be older than the one before.
+func (n *Node) listed(ms []Listed) {
+	l := n.leader
+	for _, x := range ms {
+		if n.returned[x.ID] {
+			continue
+		}
+		r := l.rentals[x.ID]
+		if r == nil {
+			r = &rental{id: x.ID, kind: kind{x.Flavour, x.Zone, x.Spot}, since: n.now.Add(-x.Held)}
+			l.rentals[x.ID] = r
+		}
+		r.addr, r.listed = x.Addr, n.now
+		if x.Status == "failed" && r.status != "failed" && n.owner != nil {
+			if m := n.owner.machines[x.ID]; m != nil {
+				n.dropMachine(m, "failed")
+			}
+		}
+		r.status = x.Status
+		n.adopt(r)
+	}
+	for _, id := range sortedKeys(l.rentals) {
+		r := l.rentals[id]
+		// Once listed, a machine stays listed until it is gone. A list can be
+		// older than the one before, so wait some lists before forgetting;
+		// absence is no proof for its tasks, which go on by reports, lease or
+		// the answer to a return.
+		if !r.listed.IsZero() && n.now.Sub(r.listed) > 4*n.set.ListLag+5*time.Second {
+			if n.owner != nil {
+				if m := n.owner.machines[id]; m != nil && (len(m.attempts) > 0 || !n.silent(m)) {
+					continue
+				}
+				delete(n.owner.machines, id)
+			}
+			delete(l.rentals, id)
+		}
+	}
+}
+
+// adopt makes a rental known to the owner of the pool.
+func (n *Node) adopt(r *rental) {
+	o := n.owner
+	if o == nil || r.status == "failed" || r.returning || !o.ready {
+		return
+	}
+	m := n.machine(r.id)
+	if m.flavour == "" || m.addr == "" {
+		n.describe(m, r.addr, r.flavour, r.zone, r.spot)
+	}
+	if !m.heard && r.status == "running" && r.addr != "" && len(m.attempts) > 0 {
+		n.contact(m)
+	}
+}
+
+// returns gives machines back: failed ones, such as never came up, silent
+// ones, faulty ones and idle ones that are not needed.
+func (n *Node) returns() {
+	l, o := n.leader, n.owner
+	settled := n.now.Sub(l.since) > settleTime && n.now.Sub(o.since) > settleTime
+	heard, silent := 0, 0
+	for _, m := range o.machines {
+		if m.heard {
+			heard++
+			if n.silent(m) {
+				silent++
+			}
+		}
+	}
+	// When all fall silent together, the fault is likely ours.
+	ours := silent > 0 && silent == heard && heard > 1
+	spare := n.spare()
+	var gone []string
+	for _, id := range sortedKeys(l.rentals) {
+		r := l.rentals[id]
+		m := o.machines[id]
+		if r.returning {
+			continue
+		}
+		why := ""
+		switch {
+		case r.status == "failed":
+			why = "failed"
+		case m == nil:
+		case !m.heard && settled && n.now.Sub(r.since) > bootPatience*n.types[r.flavour].Ready+bootSlack && len(m.attempts) == 0:
+			why = "never came up"
+		case m.heard && n.silent(m) && settled && !ours:
+			why = "silent"
+		case m.bad && len(m.attempts) == 0:
+			why = "faulty"
+		case settled && m.heard && len(m.attempts) == 0 && spare[id]:
+			why = "idle"
+		}
+		if why != "" && len(gone) < returnMost {
+			gone = append(gone, id)
+			n.info("return", "machine", id, "why", why)
+		}
+	}
+	if len(gone) > 0 {
+		n.giveBack(gone)
+	}
+}
+
+func (n *Node) giveBack(ids []string) {
+	l := n.leader
+	for _, id := range ids {
+		n.returned[id] = true
+		if r := l.rentals[id]; r != nil {
+			r.returning = true
+		}
+		if m := n.owner.machines[id]; m != nil {
+			m.returning = true
+		}
+	}
+	gen := l.gen
+	n.askCloud(CloudOp{Kind: CloudReturn, Machines: ids}, func(d CloudDone) {
+		if n.leader == nil || n.leader.gen != gen {
+			return
+		}
+		if d.Status != CloudOK {
+			// Executed or not, they get no more work; ask until it is sure.
+			n.after(n.jitter(time.Second), func() {
+				if n.leader != nil && n.leader.gen == gen && n.owner != nil {
+					n.giveBack(ids)
+				}
+			})
+			return
+		}
+		for _, id := range ids {
+			if n.owner != nil {
+				if m := n.owner.machines[id]; m != nil {
+					n.dropMachine(m, "returned")
+				}
+			}
+			delete(n.leader.rentals, id)
+		}
+	})
+}
+
+// spare picks the idle machines that are not needed.
+func (n *Node) spare() map[string]bool {
+	o := n.owner
+	out := map[string]bool{}
+	var free []*machine
+	for _, id := range sortedKeys(o.machines) {
+		m := o.machines[id]
+		if n.usable(m) && len(m.attempts) == 0 && n.now.Sub(m.idleSince) > n.set.Policy.IdleKeep {
+			free = append(free, m)
+		}
+	}
+	if len(free) == 0 {
+		return out
+	}
+	// Warm room is kept: drop the dearest idle machines while enough is free.
+	slices.SortStableFunc(free, func(a, b *machine) int {
+		return cmp.Compare(n.unitPrice(b), n.unitPrice(a))
+	})
+	room := n.warmRoom()
+	var have float64
+	for _, m := range o.machines {
+		if n.usable(m) {
+			have += m.size.CPU - m.used.CPU
+		}
+	}
+	for _, m := range free {
+		if have-m.size.CPU >= room {
+			have -= m.size.CPU
+			out[m.id] = true
+		}
+	}
+	return out
+}
+
+func (n *Node) price(k kind) float64 {
+	f := n.types[k.flavour]
+	p := f.Price
+	if k.spot {
+		p = f.SpotPrice
+	}
+	if w, ok := n.set.Policy.Prefer[k.flavour]; ok && w > 0 {
+		p *= w
+	}
+	return p
+}
+
+func (n *Node) unitPrice(m *machine) float64 {
+	return n.price(kind{m.flavour, m.zone, m.spot}) / max(m.size.CPU, 1)
+}
+
+// warmWindow is how far back arrivals are looked at.
+const warmWindow = 90 * time.Second
+
+// warmRoom is the processor room to keep free for work that has to start
+// within seconds: what arrives of it, on the average, while a machine boots.
+func (n *Node) warmRoom() float64 {
+	room := 0.0
+	for _, ob := range n.set.Objectives {
+		if ob.Kind != "wait" {
+			continue
+		}
+		as := n.owner.arrivals[ob.Workload]
+		for len(as) > 0 && n.now.Sub(as[0].at) > warmWindow {
+			as = as[1:]
+		}
+		n.owner.arrivals[ob.Workload] = as
+		sum := 0.0
+		for _, a := range as {
+			sum += float64(a.tasks) * a.need.CPU
+		}
+		span := min(warmWindow, max(n.now.Sub(n.owner.since), 15*time.Second))
+		var run time.Duration
+		if len(as) > 0 {
+			run = as[len(as)-1].spec.Expected
+		}
+		// Work arriving during half a run time: the rest of what is kept
+		// comes from work that ends meanwhile.
+		room += n.set.Policy.WarmRoom * sum / span.Seconds() * max(run.Seconds()/2, 5)
+	}
+	return room
+}
+
+// rent asks the cloud for what the waiting tasks need beyond the room there
+// is and what is booting.
+func (n *Node) rent() {
+	l, o := n.leader, n.owner
+	type virtual struct {
+		k    kind
+		free Resources
+	}
+	var vs []*virtual
+	for _, id := range sortedKeys(l.rentals) {
+		r := l.rentals[id]
+		m := o.machines[id]
+		if r.returning || r.status == "failed" || m != nil && m.heard {
+			continue
+		}
+		if f, ok := n.types[r.flavour]; ok && n.now.Sub(r.since) < 2*f.Ready+bootSlack {
+			vs = append(vs, &virtual{r.kind, f.Size})
+		}
+	}
+	for k, c := range l.renting {
+		for range c {
+			vs = append(vs, &virtual{k, n.types[k.flavour].Size})
+		}
+	}
+	wants := map[kind]int{}
+	add := func(j *job, count int) {
+		for _, v := range vs {
+			if count == 0 {
+				return
+			}
+			if !j.allows(v.k.flavour, v.k.zone, v.k.spot) {
+				continue
+			}
+			fit := min(count, v.free.Times(j.Need))
+			v.free = v.free.Plus(j.Need, -float64(fit))
+			count -= fit
+		}
+		for count > 0 {
+			k, ok := n.bestKind(j, count)
+			if !ok {
+				return
+			}
+			v := &virtual{k, n.types[k.flavour].Size}
+			vs = append(vs, v)
+			wants[k]++
+			fit := min(count, v.free.Times(j.Need))
+			v.free = v.free.Plus(j.Need, -float64(fit))
+			count -= fit
+		}
+	}
+	for _, j := range n.order() {
+		add(j, j.pending())
+	}
+	// Warm room beyond what is free now.
+	room := n.warmRoom()
+	for _, m := range o.machines {
+		if n.usable(m) {
+			room -= m.size.CPU - m.used.CPU
+		}
+	}
+	if room > 0 {
+		for _, ob := range n.set.Objectives {
+			if as := o.arrivals[ob.Workload]; ob.Kind == "wait" && len(as) > 0 {
+				s := *as[len(as)-1].spec
+				add(&job{Spec: s}, int(room/max(s.Need.CPU, 0.1)))
+			}
+		}
+	}
+	for _, k := range sortedKinds(wants) {
+		if l.renting[k] == 0 {
+			n.rentKind(k, min(wants[k], rentMost), "")
+		}
+	}
+}
+
+func sortedKinds(m map[kind]int) []kind {
+	ks := make([]kind, 0, len(m))
+	for k := range m {
+		ks = append(ks, k)
+	}
+	slices.SortFunc(ks, func(a, b kind) int {
+		return cmp.Or(cmp.Compare(a.flavour, b.flavour), cmp.Compare(a.zone, b.zone), cmp.Compare(b2f(a.spot), b2f(b.spot)))
+	})
+	return ks
+}
+
+// bestKind is the cheapest kind for some tasks of a job, among those the cloud
+// has not just refused.
+func (n *Node) bestKind(j *job, count int) (kind, bool) {
+	var best kind
+	var bestCost float64
+	found := false
+	for _, name := range sortedKeys(n.types) {
+		f := n.types[name]
+		fit := f.Size.Times(j.Need)
+		if fit == 0 {
+			continue
+		}
+		for _, z := range f.Zones {
+			for _, spot := range [...]bool{true, false} {
+				k := kind{name, z, spot}
+				if !j.allows(name, z, spot) || n.leader.blocked[k].After(n.now) {
+					continue
+				}
+				cost := n.price(k) / float64(min(fit, max(count, 1)))
+				if !found || cost < bestCost {
+					best, bestCost, found = k, cost, true
+				}
+			}
+		}
+	}
+	return best, found
+}
+
+// rentKind sends one booking. A booking without an answer is repeated under
+// the same name, which rents nothing twice.
+func (n *Node) rentKind(k kind, count int, booking string) {
+	l := n.leader
+	if booking == "" {
+		l.booked++
+		booking = fmt.Sprintf("%d-%s-%s-%d", l.stamp, n.set.Host, n.set.Nonce, l.booked)
+		n.debug("rent", "flavour", k.flavour, "spot", k.spot, "count", count)
+	}
+	l.renting[k] = count
+	gen := l.gen
+	n.askCloud(CloudOp{Kind: CloudRent, Booking: booking, Flavour: k.flavour, Zone: k.zone, Spot: k.spot, Count: count}, func(d CloudDone) {
+		l := n.leader
+		if l == nil || l.gen != gen {
+			return
+		}
+		switch d.Status {
+		case CloudOK:
+			delete(l.renting, k)
+			for _, id := range d.Rented {
+				r := &rental{id: id, kind: k, since: n.now, status: "booting"}
+				l.rentals[id] = r
+				n.adopt(r)
+			}
+			if len(d.Rented) < count {
+				l.blocked[k] = n.now.Add(n.jitter(refusedPause))
+			}
+		case CloudNoCapacity:
+			delete(l.renting, k)
+			l.blocked[k] = n.now.Add(n.jitter(refusedPause))
+		case CloudBad:
+			delete(l.renting, k)
+			l.blocked[k] = n.now.Add(time.Minute)
+			n.info("the cloud calls a booking malformed", "flavour", k.flavour)
+		default:
+			n.after(n.jitter(time.Second), func() {
+				if n.leader != nil && n.leader.gen == gen {
+					n.rentKind(k, count, booking)
+				}
+			})
+		}
+	})
+}
--- /dev/null
+++ b/internal/core/jobs.go
@@ -0,0 +1,270 @@
+package core
+
+import (
+	"slices"
+	"sort"
+	"strconv"
+	"time"
+)
+
+// stopWhy is why a live attempt is to be stopped.
+type stopWhy uint8
+
+const (
+	stopNone stopWhy = iota
+	stopCancel
+	stopRelaunch
+	stopPreempt
+	stopDrain
+)
+
+// task is one task of a job. Its attempt is live while m is set: from the
+// decision to start it there until there is proof that it is gone.
+type task struct {
+	try   uint64
+	m     *machine
+	group int64
+	// ver is the chunk version at which the task last changed.
+	ver       uint64
+	started   time.Time
+	avoid     string
+	notBefore time.Time
+	fails     int
+	status    TaskStatus
+	// sent: a start may be on its way. seen: the worker has reported it.
+	sent       bool
+	seen       bool
+	stop       stopWhy
+	relaunched bool
+	done       bool
+}
+
+// group is the tasks of a job that were started together.
+type group struct {
+	start  time.Time
+	tasks  []int
+	marked bool
+}
+
+// chunk is the durable record of some consecutive tasks.
+type chunk struct {
+	n       int
+	stamp   uint64
+	ver     uint64
+	saved   uint64
+	writing uint64
+	busy    bool
+	// urgent: a start waits for the write; otherwise it may wait and share.
+	urgent bool
+	since  time.Time
+}
+
+type job struct {
+	Spec
+	at        time.Time
+	stamp     uint64
+	cancelled bool
+	ending    bool
+	per       int
+	tasks     []task
+	chunks    map[int]*chunk
+	fresh     int
+	again     []int
+	done      int
+	live      int
+	groups    map[int64]*group
+	times     []time.Duration
+	// failed counts distinct failures, to retry a job that fails everywhere
+	// ever more slowly.
+	failed    int
+	notBefore time.Time
+	zone      string
+	zoneLive  map[string]int
+	lastTold  Progress
+}
+
+func newJob(spec Spec, at time.Time, stamp uint64, valueBytes int) *job {
+	return &job{
+		Spec: spec, at: at, stamp: stamp, per: chunkTasks(valueBytes),
+		tasks:  make([]task, spec.Tasks),
+		chunks: map[int]*chunk{}, groups: map[int64]*group{}, zoneLive: map[string]int{},
+	}
+}
+
+func (j *job) progress() Progress {
+	p := Progress{ID: j.ID, Done: j.done}
+	if j.live > 0 {
+		for i := range j.tasks[:j.fresh] {
+			t := &j.tasks[i]
+			if t.m != nil && t.seen && t.status == Running {
+				p.Running++
+			}
+		}
+	}
+	return p
+}
+
+func (j *job) chunkOf(i int) *chunk {
+	c := j.chunks[i/j.per]
+	if c == nil {
+		c = &chunk{n: i / j.per}
+		j.chunks[c.n] = c
+	}
+	return c
+}
+
+func (c *chunk) key(id string) string { return taskPrefix + id + "/" + strconv.Itoa(c.n) }
+
+// touch notes that task i changed and has to be written.
+func (j *job) touch(i int, now time.Time, urgent bool) {
+	c := j.chunkOf(i)
+	if c.ver == c.writing || c.ver == c.saved {
+		c.since = now
+	}
+	c.ver++
+	c.urgent = c.urgent || urgent
+	j.tasks[i].ver = c.ver
+}
+
+// durable says whether the last change of task i is in the state service.
+func (j *job) durable(i int) bool {
+	c := j.chunks[i/j.per]
+	return c != nil && j.tasks[i].ver <= c.saved
+}
+
+// pending counts the tasks that wait for a place.
+func (j *job) pending() int {
+	if j.cancelled || j.ending {
+		return 0
+	}
+	return len(j.tasks) - j.fresh + len(j.again)
+}
+
+// nextPending returns the next task to place, or -1.
+func (j *job) nextPending(now time.Time) int {
+	for k, i := range j.again {
+		if !j.tasks[i].notBefore.After(now) {
+			j.again = slices.Delete(j.again, k, k+1)
+			return i
+		}
+	}
+	if j.fresh < len(j.tasks) {
+		j.fresh++
+		return j.fresh - 1
+	}
+	return -1
+}
+
+// record is the chunk in durable form.
+func (j *job) record(c *chunk, writer string) chunkRecord {
+	r := chunkRecord{Writer: writer}
+	lo, hi := c.n*j.per, min((c.n+1)*j.per, len(j.tasks))
+	groups := map[int64]bool{}
+	for i := lo; i < hi; i++ {
+		t := &j.tasks[i]
+		switch {
+		case t.done:
+			if k := len(r.Runs); k > 0 && r.Runs[k-1] == i-1 {
+				r.Runs[k-1] = i
+			} else {
+				r.Runs = append(r.Runs, i, i)
+			}
+		case t.try > 0:
+			row := taskRow{Index: i, Try: t.try, Group: t.group, Relaunched: t.relaunched}
+			if t.m != nil {
+				row.Machine = t.m.id
+			}
+			r.Rows = append(r.Rows, row)
+			groups[t.group] = true
+		}
+	}
+	for g := range groups {
+		if gr := j.groups[g]; gr != nil && gr.marked {
+			r.Marks = append(r.Marks, g)
+		}
+	}
+	slices.Sort(r.Marks)
+	// The last few run times are enough for a successor's median.
+	const keptTimes = 16
+	for _, d := range j.times[max(0, len(j.times)-keptTimes):] {
+		r.Times = append(r.Times, d.Milliseconds())
+	}
+	return r
+}
+
+// median is the middle of the job's finished run times.
+func (j *job) median() (time.Duration, bool) {
+	if len(j.times) == 0 {
+		return 0, false
+	}
+	s := slices.Clone(j.times)
+	sort.Slice(s, func(a, b int) bool { return s[a] < s[b] })
+	return s[len(s)/2], true
+}
+
+// due is the deadline, or zero.
+func (j *job) due() time.Time {
+	if j.Due <= 0 {
+		return time.Time{}
+	}
+	return j.at.Add(j.Due)
+}
+
+// allows says whether a task of the job may ever start on such a machine.
+func (j *job) allows(flavour, zone string, spot bool) bool {
+	if len(j.Flavours) > 0 && !slices.Contains(j.Flavours, flavour) {
+		return false
+	}
+	if j.Zone != "" && j.Zone != zone {
+		return false
+	}
+	return j.Spot || !spot
+}
+
+// zoneOK judges same_place and apart against the job's live tasks.
+func (j *job) zoneOK(zone string) bool {
+	if j.SamePlace && j.live > 0 {
+		for z, k := range j.zoneLive {
+			if k > 0 && z != zone {
+				return false
+			}
+		}
+	}
+	return !j.Apart || j.zoneLive[zone] < (len(j.tasks)+1)/2
+}
+
+// estimate learns how wrong a workload's estimates have lately been.
+type estimate struct {
+	ratio float64
+	n     int
+}
+
+// estimateWeight is the weight of the newest finished task in the average.
+const estimateWeight = 0.08
+
+func (n *Node) learn(j *job, ran time.Duration) {
+	if j.Expected <= 0 {
+		return
+	}
+	e := n.errs[j.Workload]
+	if e == nil {
+		e = &estimate{ratio: 1}
+		n.errs[j.Workload] = e
+	}
+	e.n++
+	r := ran.Seconds() / j.Expected.Seconds()
+	w := max(estimateWeight, 1/float64(e.n+1))
+	e.ratio += w * (min(r, 4) - e.ratio)
+}
+
+// expects is the corrected estimate of a task's run time.
+func (n *Node) expects(j *job) time.Duration {
+	if m, ok := j.median(); ok {
+		return m
+	}
+	d := j.Expected
+	if e := n.errs[j.Workload]; e != nil {
+		d = time.Duration(float64(d) * e.ratio)
+	}
+	return d
+}
--- /dev/null
+++ b/internal/core/machines.go
@@ -0,0 +1,581 @@
+package core
+
+import (
+	"slices"
+	"time"
+)
+
+const (
+	// clockDrift bounds how far steady clocks of two machines run apart, with
+	// room to spare over the 0.05 % of the protocol.
+	clockDrift = 0.002
+	// leaseMargin absorbs rounding and scheduling on both sides of a lease.
+	leaseMargin = time.Second
+	// silentReports is after how many missed report intervals a machine is
+	// taken for lost and returned rather than waited for.
+	silentReports = 4
+	// errorsBad is how many tasks of different jobs must fail on a machine
+	// before it is taken for faulty.
+	errorsBad = 2
+)
+
+type taskKey struct {
+	job   string
+	index int
+}
+
+// machine is a rented machine as its owner knows it.
+type machine struct {
+	id      string
+	addr    string
+	flavour string
+	zone    string
+	spot    bool
+	size    Resources
+	disk    float64
+
+	attempts map[taskKey]*task
+	used     Resources
+	// pieces is the newest report's list.
+	pieces map[taskKey]TaskReport
+	images map[string]*image
+
+	heard     bool
+	tenure    uint64
+	tick      uint64
+	seenEpoch uint64
+	lastHeard time.Time
+	leaseEnd  time.Time
+	recall    bool
+	recallAt  time.Time
+	returning bool
+	bad       bool
+	badJobs   map[string]bool
+	idleSince time.Time
+
+	// dirty: orders may be due.
+	dirty    bool
+	inFlight bool
+	// unacked is the epoch of an order with a start that got no answer and
+	// may be executed minutes later, until a higher epoch is reported.
+	unacked uint64
+	// replyTick: a report answered with starts; until a later report they
+	// count as on their way. An answer from /orders can overtake them.
+	replyTick uint64
+	// noDirect: the last direct order got no answer; wait for a report.
+	noDirect bool
+	// speed is how its finished tasks compared with what was expected.
+	speed  float64
+	speedN int
+}
+
+type image struct {
+	gb     float64
+	last   time.Time
+	cached bool
+}
+
+func (n *Node) machine(id string) *machine {
+	o := n.owner
+	m := o.machines[id]
+	if m == nil {
+		m = &machine{id: id, attempts: map[taskKey]*task{}, images: map[string]*image{}, badJobs: map[string]bool{}, idleSince: n.now}
+		o.machines[id] = m
+	}
+	return m
+}
+
+func (n *Node) describe(m *machine, addr, flavour, zone string, spot bool) {
+	if m.flavour == "" {
+		for k := range m.attempts {
+			j := n.owner.jobs[k.job]
+			j.zoneLive[m.zone]--
+			j.zoneLive[zone]++
+		}
+		m.zone = zone
+	}
+	m.addr, m.flavour, m.spot = addr, flavour, spot
+	if f, ok := n.types[flavour]; ok {
+		m.size, m.disk = f.Size, f.DiskGB
+	}
+}
+
+func (n *Node) leaseAfter(t time.Time) time.Time {
+	return t.Add(time.Duration(float64(n.set.Lease)*(1+clockDrift)) + leaseMargin)
+}
+
+// workerReport takes a report that waits for its answer.
+func (n *Node) workerReport(c WorkerReport) {
+	o := n.owner
+	s := &n.sess
+	switch {
+	case o == nil:
+		st := ""
+		if s.leadStamp != 0 {
+			st = n.steward(c.Report.Machine)
+		}
+		n.emit(ReportReply{Reply: c.Reply, Status: 421, Steward: st})
+		return
+	case c.Report.Epoch > o.epoch:
+		// Somebody has a higher epoch: this node was deposed or its watch is
+		// late. A worker drops a lower epoch and would sit here while its
+		// lease runs out, so send it on.
+		st := n.steward(c.Report.Machine)
+		if st == n.set.Host {
+			st = ""
+		}
+		n.emit(ReportReply{Reply: c.Reply, Status: 421, Steward: st})
+		return
+	case n.now.After(s.sureUntil.Add(n.grace())):
+		n.emit(ReportReply{Reply: c.Reply, Status: 503})
+		return
+	case !o.ready:
+		// Renew the lease, order nothing: what runs there is not known yet.
+		n.emit(ReportReply{Reply: c.Reply, Status: 200, Epoch: o.epoch})
+		return
+	}
+	if st := n.steward(c.Report.Machine); st != n.set.Host {
+		n.emit(ReportReply{Reply: c.Reply, Status: 421, Steward: st})
+		return
+	}
+	r := &c.Report
+	if n.returned[r.Machine] {
+		// Never given work again, and about to go.
+		n.emit(ReportReply{Reply: c.Reply, Status: 503})
+		return
+	}
+	m := n.machine(r.Machine)
+	n.hear(m, r, true)
+	m.leaseEnd = later(m.leaseEnd, n.leaseAfter(n.now))
+	orders := n.reconcile(m)
+	for _, or := range orders {
+		if or.Verb == Start {
+			m.replyTick = r.Tick
+		}
+	}
+	n.emit(ReportReply{Reply: c.Reply, Status: 200, Epoch: o.epoch, Orders: orders})
+}
+
+// hear takes in what a worker says, unless something newer was heard.
+func (n *Node) hear(m *machine, r *Report, report bool) {
+	if m.heard && (r.Tenure < m.tenure || r.Tenure == m.tenure && r.Tick <= m.tick) {
+		return
+	}
+	n.describe(m, r.Addr, r.Flavour, r.Zone, r.Spot)
+	if m.heard && r.Tenure > m.tenure {
+		// A later tenure: the worker has killed and forgotten everything.
+		n.debug("lease ran out", "machine", m.id, "tenure", r.Tenure)
+		n.loseAll(m, r)
+	}
+	if !m.heard {
+		m.idleSince = n.now
+	}
+	if !m.heard || r.Tenure > m.tenure {
+		m.replyTick, m.unacked = 0, 0
+	}
+	m.heard, m.tenure, m.tick = true, r.Tenure, r.Tick
+	m.seenEpoch = max(m.seenEpoch, r.Epoch)
+	m.lastHeard = n.now
+	m.noDirect = false
+	if r.Recall >= 0 && !m.recall {
+		m.recall = true
+		m.recallAt = n.now.Add(r.Recall)
+		n.debug("notice", "machine", m.id, "in", r.Recall)
+	}
+	if report && m.replyTick != 0 && r.Tick > m.replyTick {
+		m.replyTick = 0
+	}
+	if m.unacked != 0 && m.seenEpoch > m.unacked {
+		m.unacked = 0
+	}
+	m.pieces = make(map[taskKey]TaskReport, len(r.Tasks))
+	for _, p := range r.Tasks {
+		k := taskKey{p.Job, p.Index}
+		// Of several attempts of a task on one machine the living one counts.
+		if q, ok := m.pieces[k]; !ok || q.Status == Ended {
+			m.pieces[k] = p
+		}
+		n.piece(m, k, p)
+	}
+	for _, k := range sortedAttempts(m) {
+		t := m.attempts[k]
+		if _, ok := m.pieces[k]; !ok && t.stop != stopNone && n.provenAbsent(m) {
+			// To be stopped, and not there: the proof that it is gone.
+			n.gone(n.owner.jobs[k.job], k.index, false)
+		}
+	}
+}
+
+func sortedAttempts(m *machine) []taskKey {
+	keys := make([]taskKey, 0, len(m.attempts))
+	for k := range m.attempts {
+		keys = append(keys, k)
+	}
+	slices.SortFunc(keys, func(a, b taskKey) int {
+		if a.job != b.job {
+			if a.job < b.job {
+				return -1
+			}
+			return 1
+		}
+		return a.index - b.index
+	})
+	return keys
+}
+
+// quiet says that no start for m is on its way anywhere.
+func (n *Node) quiet(m *machine) bool {
+	return m.seenEpoch >= n.owner.epoch && m.unacked == 0 && m.replyTick == 0 && !m.inFlight
+}
+
+// provenAbsent says that what the newest report does not list is not there and
+// will not come.
+func (n *Node) provenAbsent(m *machine) bool { return n.quiet(m) }
+
+// stuck says that a start without an answer keeps m from being settled.
+func (m *machine) stuck() bool {
+	for _, t := range m.attempts {
+		if t.stop != stopNone {
+			return true
+		}
+	}
+	for _, p := range m.pieces {
+		if p.Status == Ended {
+			return true
+		}
+	}
+	return false
+}
+
+// owes says that the newest report lists an ended task of the job.
+func (m *machine) owes(job string) bool {
+	for k, p := range m.pieces {
+		if k.job == job && p.Status == Ended {
+			return true
+		}
+	}
+	return false
+}
+
+// piece takes in one line of a report.
+func (n *Node) piece(m *machine, k taskKey, p TaskReport) {
+	j := n.owner.jobs[k.job]
+	if j == nil || k.index < 0 || k.index >= len(j.tasks) {
+		return
+	}
+	t := &j.tasks[k.index]
+	if t.m != m || t.try != p.Try {
+		return
+	}
+	t.seen, t.status = true, p.Status
+	switch p.Status {
+	case Fetching:
+		m.image(j, n.now, false)
+	case Running, Flushing:
+		m.image(j, n.now, true)
+		if t.started.IsZero() {
+			t.started = n.now
+		}
+	case Ended:
+		switch p.Cause {
+		case "done":
+			m.image(j, n.now, true)
+			if !t.started.IsZero() {
+				ran := n.now.Sub(t.started)
+				n.compare(m, j, ran)
+				j.times = append(j.times, ran)
+				n.learn(j, ran)
+			}
+			n.gone(j, k.index, true)
+		case "error":
+			n.failed(m, j, t)
+			n.gone(j, k.index, false)
+		case "unknown":
+			// The worker says no such job: try again, not at once.
+			t.notBefore = n.now.Add(n.jitter(2 * time.Second))
+			n.gone(j, k.index, false)
+		default:
+			n.gone(j, k.index, false)
+		}
+	}
+}
+
+// image notes that m fetches or holds the image of j, dropping what a cache
+// that keeps the most recently used would have dropped.
+func (m *machine) image(j *job, now time.Time, cached bool) {
+	if j.Image == "" {
+		return
+	}
+	im := m.images[j.Image]
+	if im == nil {
+		im = &image{gb: j.ImageGB}
+		m.images[j.Image] = im
+	}
+	im.last = now
+	im.cached = im.cached || cached
+	if m.disk <= 0 {
+		return
+	}
+	for {
+		sum, oldest := 0.0, ""
+		for _, name := range sortedKeys(m.images) {
+			x := m.images[name]
+			sum += x.gb
+			if name != j.Image && (oldest == "" || x.last.Before(m.images[oldest].last)) {
+				oldest = name
+			}
+		}
+		if sum <= m.disk || oldest == "" {
+			return
+		}
+		delete(m.images, oldest)
+	}
+}
+
+// compare keeps a running ratio of run time against what was expected.
+func (n *Node) compare(m *machine, j *job, ran time.Duration) {
+	ref, ok := j.median()
+	if !ok || len(j.times) < 2 {
+		return
+	}
+	m.speedN++
+	r := ran.Seconds() / max(ref.Seconds(), 0.1)
+	if m.speedN == 1 {
+		m.speed = r
+		return
+	}
+	m.speed += 0.3 * (r - m.speed)
+}
+
+// failed tells a faulty machine from a job that fails everywhere: a machine is
+// bad when tasks of several jobs failed on it; a job whose tasks fail is
+// retried elsewhere, ever more slowly.
+func (n *Node) failed(m *machine, j *job, t *task) {
+	t.fails++
+	j.failed++
+	t.avoid = m.id
+	pause := time.Second
+	for i := 1; i < min(t.fails, 6); i++ {
+		pause *= 2
+	}
+	if t.fails > 1 {
+		t.notBefore = n.now.Add(n.jitter(pause))
+	}
+	m.badJobs[j.ID] = true
+	n.debug("task failed", "task", j.ID, "machine", m.id, "fails", t.fails)
+	if len(m.badJobs) >= errorsBad && !m.bad {
+		m.bad = true
+		n.info("machine is faulty", "machine", m.id)
+	}
+}
+
+// loseAll notes that everything on m is gone. What the new report lists has
+// been started since, and stays.
+func (n *Node) loseAll(m *machine, r *Report) {
+	for _, k := range sortedAttempts(m) {
+		t := m.attempts[k]
+		if r != nil {
+			kept := slices.ContainsFunc(r.Tasks, func(p TaskReport) bool {
+				return p.Job == k.job && p.Index == k.index && p.Try == t.try
+			})
+			if kept {
+				continue
+			}
+		}
+		n.gone(n.owner.jobs[k.job], k.index, false)
+	}
+	m.pieces = nil
+	m.images = map[string]*image{}
+}
+
+// reconcile is what the worker has to be told, from its newest report and what
+// should be there. Repeating an order does no harm but for a start after its
+// clear, so clear waits until no start can be on its way.
+func (n *Node) reconcile(m *machine) []Order {
+	o := n.owner
+	m.dirty = false
+	var orders []Order
+	quiet := n.quiet(m)
+	for _, k := range sortedPieces(m) {
+		p := m.pieces[k]
+		j := o.jobs[k.job]
+		var t *task
+		if j != nil && k.index < len(j.tasks) {
+			t = &j.tasks[k.index]
+		}
+		ours := t != nil && t.m == m && t.try == p.Try
+		switch {
+		case ours && t.stop != stopNone && p.Status == Flushing && n.windDown(m, j, t) > 0:
+			// It saves already.
+		case ours && t.stop != stopNone && p.Status != Ended:
+			orders = append(orders, Order{Verb: Halt, Job: k.job, Index: k.index, Try: p.Try, WindDown: n.windDown(m, j, t)})
+		case ours:
+		case p.Status != Ended:
+			orders = append(orders, Order{Verb: Halt, Job: k.job, Index: k.index, Try: p.Try})
+		case quiet && (t == nil || j.durable(k.index)):
+			orders = append(orders, Order{Verb: Clear, Job: k.job, Index: k.index, Try: p.Try})
+		}
+	}
+	for _, k := range sortedAttempts(m) {
+		t := m.attempts[k]
+		j := o.jobs[k.job]
+		if t.stop != stopNone || !j.durable(k.index) || j.cancelled {
+			continue
+		}
+		if p, ok := m.pieces[k]; ok && p.Try == t.try {
+			continue
+		} else if ok && p.Status != Ended {
+			continue
+		}
+		t.sent = true
+		orders = append(orders, Order{Verb: Start, Job: k.job, Index: k.index, Try: t.try})
+	}
+	return orders
+}
+
+func sortedPieces(m *machine) []taskKey {
+	keys := make([]taskKey, 0, len(m.pieces))
+	for k := range m.pieces {
+		keys = append(keys, k)
+	}
+	slices.SortFunc(keys, func(a, b taskKey) int {
+		if a.job != b.job {
+			if a.job < b.job {
+				return -1
+			}
+			return 1
+		}
+		return a.index - b.index
+	})
+	return keys
+}
+
+// windDown is the time a stopped task gets to save.
+func (n *Node) windDown(m *machine, j *job, t *task) time.Duration {
+	if j.SaveEvery <= 0 || t.stop == stopCancel {
+		return 0
+	}
+	if m.recall && n.now.Add(j.SaveCost).After(m.recallAt) {
+		return 0
+	}
+	// A little over the cost, so that rounding does not lose the work.
+	return j.SaveCost + time.Second
+}
+
+// direct sends orders to the worker at once, without waiting for its report.
+func (n *Node) direct(m *machine) {
+	o := n.owner
+	if m.inFlight || m.noDirect || m.returning || m.addr == "" || !m.heard {
+		return
+	}
+	if n.now.After(n.sess.sureUntil) {
+		// Perhaps deposed already; reports go on being answered for a while.
+		return
+	}
+	orders := n.reconcile(m)
+	if len(orders) == 0 {
+		return
+	}
+	if !slices.ContainsFunc(orders, func(o Order) bool { return o.Verb != Clear }) {
+		// Clearing up can wait for the next report's answer.
+		return
+	}
+	starts := slices.ContainsFunc(orders, func(o Order) bool { return o.Verb == Start })
+	m.inFlight = true
+	epoch, gen := o.epoch, o.gen
+	n.call(WorkerOp{Machine: m.id, Addr: m.addr, Epoch: epoch, Tenure: m.tenure, Orders: orders}, func(d WorkerDone) {
+		if n.owner == nil || n.owner.gen != gen {
+			return
+		}
+		m.inFlight = false
+		if d.Report == nil {
+			m.noDirect = true
+			if starts {
+				m.unacked = max(m.unacked, epoch)
+			}
+			return
+		}
+		if d.OK {
+			m.seenEpoch = max(m.seenEpoch, epoch)
+		}
+		n.hear(m, d.Report, false)
+	})
+}
+
+// contact asks a machine of a former owner for its status and so learns its
+// tenure, which orders need; the orders carry the higher epoch.
+func (n *Node) contact(m *machine) {
+	if m.heard || m.addr == "" || m.inFlight || m.returning {
+		return
+	}
+	m.inFlight = true
+	gen := n.owner.gen
+	n.call(WorkerOp{Machine: m.id, Addr: m.addr, Ask: true}, func(d WorkerDone) {
+		if n.owner == nil || n.owner.gen != gen {
+			return
+		}
+		m.inFlight = false
+		if d.Report == nil || d.Report.Machine != m.id {
+			return
+		}
+		n.hear(m, d.Report, false)
+		if m.seenEpoch < n.owner.epoch {
+			n.claimMachine(m)
+		}
+	})
+}
+
+// claimMachine shows the worker the current epoch with an empty order.
+func (n *Node) claimMachine(m *machine) {
+	gen, epoch := n.owner.gen, n.owner.epoch
+	m.inFlight = true
+	n.call(WorkerOp{Machine: m.id, Addr: m.addr, Epoch: epoch, Tenure: m.tenure}, func(d WorkerDone) {
+		if n.owner == nil || n.owner.gen != gen {
+			return
+		}
+		m.inFlight = false
+		if d.Report != nil {
+			if d.OK {
+				m.seenEpoch = max(m.seenEpoch, epoch)
+			}
+			n.hear(m, d.Report, false)
+			m.dirty = true
+		}
+	})
+}
+
+// dropMachine forgets a machine that is proven gone.
+func (n *Node) dropMachine(m *machine, why string) {
+	if n.owner == nil || n.owner.machines[m.id] != m {
+		return
+	}
+	n.debug("machine gone", "machine", m.id, "why", why, "attempts", len(m.attempts))
+	n.loseAll(m, nil)
+	delete(n.owner.machines, m.id)
+}
+
+// sweep looks for leases that ran out and for attempts that were never sent.
+func (n *Node) sweep() {
+	o := n.owner
+	for _, id := range sortedKeys(o.machines) {
+		m := o.machines[id]
+		if len(m.attempts) > 0 && !m.leaseEnd.IsZero() && n.now.After(m.leaseEnd) {
+			n.info("lease surely over", "machine", m.id, "attempts", len(m.attempts))
+			n.loseAll(m, nil)
+			// Nothing more until it is heard of, in a later tenure.
+			m.tick = ^uint64(0)
+		}
+		for _, k := range sortedAttempts(m) {
+			t := m.attempts[k]
+			if t.stop != stopNone && !t.sent {
+				// Never told to anybody, so it is nowhere.
+				n.gone(o.jobs[k.job], k.index, false)
+			}
+		}
+	}
+}
+
+// silent says that a machine has missed several reports.
+func (n *Node) silent(m *machine) bool {
+	return m.heard && n.now.Sub(m.lastHeard) > time.Duration(silentReports)*n.set.ReportEvery*5/4
+}
--- /dev/null
+++ b/internal/core/node.go
@@ -0,0 +1,194 @@
+package core
+
+import (
+	"math/rand/v2"
+	"time"
+)
+
+// Node is one controller. All of its state belongs to the goroutine that
+// calls Step.
+type Node struct {
+	set  Settings
+	rng  *rand.Rand
+	now  time.Time
+	out  []Effect
+	next uint64
+
+	state  map[uint64]func(StateDone)
+	clouds map[uint64]func(CloudDone)
+	calls  map[uint64]func(WorkerDone)
+	timers []timer
+
+	sess    session
+	users   users
+	owner   *owner
+	leader  *leader
+	types   map[string]Flavour
+	display map[string]Progress
+	// accuracy of the workloads' estimates outlives a loss of the owner role.
+	errs map[string]*estimate
+	role Role
+	// returned remembers machines whose return was asked for: neither an old
+	// list nor a late report may bring them back.
+	returned map[string]bool
+}
+
+type timer struct {
+	at time.Time
+	fn func()
+}
+
+// New makes a controller that knows nothing yet. Step starts it.
+func New(set Settings, rng *rand.Rand) *Node {
+	n := &Node{
+		set: set, rng: rng,
+		state:    map[uint64]func(StateDone){},
+		clouds:   map[uint64]func(CloudDone){},
+		calls:    map[uint64]func(WorkerDone){},
+		display:  map[string]Progress{},
+		errs:     map[string]*estimate{},
+		returned: map[string]bool{},
+	}
+	n.users.init()
+	return n
+}
+
+// Step takes a batch of commands at one moment and returns what is to be done.
+func (n *Node) Step(now time.Time, cmds []Command) []Effect {
+	n.now = now
+	n.out = nil
+	if !n.sess.started {
+		n.sessionStart()
+	}
+	for _, c := range cmds {
+		n.command(c)
+	}
+	n.runTimers()
+	n.usersFlush()
+	if n.owner != nil {
+		n.ownerTick()
+	}
+	if n.leader != nil {
+		n.leaderTick()
+	}
+	if r := (Role{Leader: n.leader != nil, Owner: n.owner != nil}); r != n.role {
+		n.role = r
+		n.emit(r)
+	}
+	return n.out
+}
+
+func (n *Node) command(c Command) {
+	switch c := c.(type) {
+	case Submit:
+		n.submit(c)
+	case Query:
+		n.query(c)
+	case Abort:
+		n.abort(c)
+	case WorkerReport:
+		n.workerReport(c)
+	case StateDone:
+		if c.Status != StateUnknown && c.Status != StateRefused {
+			n.sess.stateOK = n.now
+			n.sess.stateBad = time.Time{}
+		} else if n.sess.stateBad.IsZero() {
+			n.sess.stateBad = n.now
+		}
+		if fn := n.state[c.ID]; fn != nil {
+			delete(n.state, c.ID)
+			fn(c)
+		}
+	case CloudDone:
+		if fn := n.clouds[c.ID]; fn != nil {
+			delete(n.clouds, c.ID)
+			fn(c)
+		}
+	case WorkerDone:
+		if fn := n.calls[c.ID]; fn != nil {
+			delete(n.calls, c.ID)
+			fn(c)
+		}
+	case PeerNews:
+		for _, p := range c.Progress {
+			n.display[p.ID] = p
+		}
+		if n.leader != nil {
+			n.leader.news[c.From] = peerWants{at: n.now, wants: c.Wants, idle: c.Idle}
+		}
+	}
+}
+
+// Deadline is when Step wants to be called at the latest, if nothing comes.
+func (n *Node) Deadline() time.Time {
+	var t time.Time
+	earliest := func(o time.Time) {
+		if !o.IsZero() && (t.IsZero() || o.Before(t)) {
+			t = o
+		}
+	}
+	for _, tm := range n.timers {
+		earliest(tm.at)
+	}
+	if n.owner != nil {
+		earliest(n.owner.wake)
+	}
+	if n.leader != nil {
+		earliest(n.leader.wake)
+	}
+	return t
+}
+
+// Healthy says whether this node can take requests now.
+func (n *Node) Healthy(now time.Time) bool { return n.sess.ready && !n.stateDown(now) }
+
+func (n *Node) after(d time.Duration, fn func()) {
+	n.timers = append(n.timers, timer{n.now.Add(d), fn})
+}
+
+func (n *Node) runTimers() {
+	var due []timer
+	keep := n.timers[:0]
+	for _, t := range n.timers {
+		if t.at.After(n.now) {
+			keep = append(keep, t)
+		} else {
+			due = append(due, t)
+		}
+	}
+	n.timers = keep
+	for _, t := range due {
+		t.fn()
+	}
+}
+
+func (n *Node) emit(e Effect) { n.out = append(n.out, e) }
+
+func (n *Node) id() uint64 { n.next++; return n.next }
+
+func (n *Node) ask(op StateOp, fn func(StateDone)) {
+	op.ID = n.id()
+	n.state[op.ID] = fn
+	n.emit(op)
+}
+
+func (n *Node) askCloud(op CloudOp, fn func(CloudDone)) {
+	op.ID = n.id()
+	n.clouds[op.ID] = fn
+	n.emit(op)
+}
+
+func (n *Node) call(op WorkerOp, fn func(WorkerDone)) {
+	op.ID = n.id()
+	n.calls[op.ID] = fn
+	n.emit(op)
+}
+
+func (n *Node) info(text string, args ...any)  { n.emit(Log{Text: text, Args: args}) }
+func (n *Node) debug(text string, args ...any) { n.emit(Log{Debug: true, Text: text, Args: args}) }
+
+// jitter spreads d by a quarter either way, so that controllers that fell
+// over together do not come back in step.
+func (n *Node) jitter(d time.Duration) time.Duration {
+	return time.Duration(float64(d) * (0.75 + n.rng.Float64()/2))
+}
--- /dev/null
+++ b/internal/core/owner.go
@@ -0,0 +1,754 @@
+package core
+
+import (
+	"slices"
+	"strings"
+	"time"
+)
+
+const (
+	// lazyWrite is how long progress that costs only repeated work when lost
+	// may wait to share a write.
+	lazyWrite = time.Second
+	// chunkTxns bounds the owner's transactions in flight.
+	chunkTxns = 3
+	// ownerPeriod is how often the owner looks round without being asked.
+	ownerPeriod = 500 * time.Millisecond
+	// raiseEvery bounds how often an owner raises its epoch by itself.
+	raiseEvery = 3 * time.Second
+)
+
+// owner runs the teams and machines of this controller's share.
+type owner struct {
+	epoch    uint64
+	share    shareRecord
+	since    time.Time
+	ready    bool
+	gen      int
+	jobs     map[string]*job
+	machines map[string]*machine
+	used     map[string]Resources
+	rev      uint64
+	inFlight int
+	wake     time.Time
+	swept    time.Time
+	place    bool
+	raised   time.Time
+	raising  bool
+	// orphans are task/ records whose job is over.
+	orphans []string
+	// arrivals remember when work of each workload came, for warm room.
+	arrivals map[string][]arrival
+	told     time.Time
+}
+
+type arrival struct {
+	at    time.Time
+	tasks int
+	need  Resources
+	spec  *Spec
+}
+
+// grace is H: how long an owner goes on answering its workers after its grant
+// may have ended. A full lease, so that a long outage of the state service
+// costs no work; a successor that reaches the workers needs not wait for it,
+// because the higher epoch reaches them at once.
+func (n *Node) grace() time.Duration { return n.set.Lease }
+
+// ownerCheck takes up, updates or drops the owner role as ctl/ says.
+func (n *Node) ownerCheck() {
+	s := &n.sess
+	share, ok := s.shares[n.set.Host]
+	if !ok || len(share.Teams) == 0 || s.grant == 0 || s.leadStamp == 0 {
+		if s.leadStamp != 0 || s.grant == 0 {
+			n.dropOwner("no share")
+		}
+		return
+	}
+	stamp := s.stamps[sharePrefix+n.set.Host]
+	if o := n.owner; o != nil {
+		if o.epoch == stamp {
+			return
+		}
+		if slices.Equal(o.share.Teams, share.Teams) {
+			o.epoch, o.share = stamp, share
+			for _, m := range o.machines {
+				m.dirty = true
+			}
+			return
+		}
+		n.dropOwner("teams changed")
+	}
+	n.owner = &owner{
+		epoch: stamp, share: share, since: n.now, gen: int(n.id()),
+		jobs: map[string]*job{}, machines: map[string]*machine{}, used: map[string]Resources{},
+		arrivals: map[string][]arrival{},
+	}
+	n.info("owner", "epoch", stamp, "teams", share.Teams)
+	n.load()
+}
+
+func (n *Node) dropOwner(why string) {
+	if n.owner == nil {
+		return
+	}
+	n.info("owner no more", "why", why, "epoch", n.owner.epoch)
+	n.owner = nil
+}
+
+// load reads all that is alive: open/, then task/. Chunks are written only by
+// the owner, so none changes in between but those of a deposed owner, whose
+// writes fail by the stamp of its share.
+func (n *Node) load() {
+	o := n.owner
+	gen := o.gen
+	var tasks []Item
+	var open []Item
+	var listTasks, listOpen func(from string)
+	again := func(fn func(string), from string) {
+		n.after(n.jitter(retryPause), func() {
+			if n.owner != nil && n.owner.gen == gen {
+				fn(from)
+			}
+		})
+	}
+	listOpen = func(from string) {
+		n.ask(StateOp{Kind: OpList, Prio: PrioSession, Key: openPrefix, From: from}, func(d StateDone) {
+			if n.owner == nil || n.owner.gen != gen {
+				return
+			}
+			if d.Status != StateOK {
+				again(listOpen, from)
+				return
+			}
+			if from == "" {
+				o.rev = d.Rev
+			}
+			open = append(open, d.Items...)
+			if d.Truncated && len(d.Items) > 0 {
+				listOpen(d.Items[len(d.Items)-1].Key)
+				return
+			}
+			listTasks("")
+		})
+	}
+	listTasks = func(from string) {
+		n.ask(StateOp{Kind: OpList, Prio: PrioSession, Key: taskPrefix, From: from}, func(d StateDone) {
+			if n.owner == nil || n.owner.gen != gen {
+				return
+			}
+			if d.Status != StateOK {
+				again(listTasks, from)
+				return
+			}
+			tasks = append(tasks, d.Items...)
+			if d.Truncated && len(d.Items) > 0 {
+				listTasks(d.Items[len(d.Items)-1].Key)
+				return
+			}
+			n.loaded(open, tasks)
+		})
+	}
+	listOpen("")
+}
+
+func (n *Node) loaded(open, tasks []Item) {
+	o := n.owner
+	for _, it := range open {
+		n.openItem(it)
+	}
+	for _, it := range tasks {
+		id := jobID(it.Key, taskPrefix)
+		j := o.jobs[id]
+		if j == nil {
+			if !n.otherTeams(open, id) {
+				o.orphans = append(o.orphans, it.Key)
+			}
+			continue
+		}
+		var r chunkRecord
+		if !decode(it.Value, &r) {
+			n.info("unreadable record", "key", it.Key)
+			continue
+		}
+		n.restore(j, it, &r)
+	}
+	for _, j := range o.jobs {
+		n.settleRestored(j)
+	}
+	o.ready, o.place = true, true
+	n.info("owner ready", "jobs", len(o.jobs), "machines", len(o.machines), "after", n.now.Sub(o.since))
+	n.ownerFollow(o.gen)
+	// Reach the machines with living attempts at once: the higher epoch ends
+	// what a former owner may still order, and their reports are the proof.
+	for _, id := range sortedKeys(o.machines) {
+		n.contact(o.machines[id])
+	}
+}
+
+func (n *Node) otherTeams(open []Item, id string) bool {
+	for _, it := range open {
+		if it.Key == openPrefix+id {
+			return true
+		}
+	}
+	return false
+}
+
+func (n *Node) restore(j *job, it Item, r *chunkRecord) {
+	var k int
+	for _, ch := range strings.TrimPrefix(it.Key, taskPrefix+j.ID+"/") {
+		k = k*10 + int(ch-'0')
+	}
+	c := &chunk{n: k, stamp: it.Stamp, ver: 1, saved: 1, writing: 1}
+	if j.cancelled && len(j.tasks) < (k+1)*j.per {
+		j.tasks = append(j.tasks, make([]task, (k+1)*j.per-len(j.tasks))...)
+	}
+	j.chunks[k] = c
+	for i := 0; i+1 < len(r.Runs); i += 2 {
+		for x := r.Runs[i]; x <= r.Runs[i+1] && x < len(j.tasks); x++ {
+			t := &j.tasks[x]
+			t.done, t.ver, t.try = true, 1, 1
+			j.done++
+			j.fresh = max(j.fresh, x+1)
+		}
+	}
+	marks := map[int64]bool{}
+	for _, g := range r.Marks {
+		marks[g] = true
+	}
+	for _, row := range r.Rows {
+		if row.Index >= len(j.tasks) {
+			continue
+		}
+		t := &j.tasks[row.Index]
+		t.try, t.group, t.relaunched, t.ver = row.Try, row.Group, row.Relaunched, 1
+		j.fresh = max(j.fresh, row.Index+1)
+		if row.Machine != "" {
+			m := n.machine(row.Machine)
+			// A former owner may have gone on answering for its grace.
+			m.leaseEnd = later(m.leaseEnd, n.leaseAfter(n.now.Add(n.grace())))
+			n.attach(j, row.Index, m)
+			t.sent = true
+			g := j.groups[row.Group]
+			if g == nil {
+				g = &group{start: time.UnixMilli(row.Group), marked: marks[row.Group]}
+				j.groups[row.Group] = g
+			}
+			g.tasks = append(g.tasks, row.Index)
+		}
+	}
+	if len(j.times) == 0 {
+		for _, ms := range r.Times {
+			j.times = append(j.times, time.Duration(ms)*time.Millisecond)
+		}
+	}
+}
+
+// settleRestored queues what is neither done nor live.
+func (n *Node) settleRestored(j *job) {
+	for i := range j.tasks[:j.fresh] {
+		if t := &j.tasks[i]; !t.done && t.m == nil {
+			j.again = append(j.again, i)
+		}
+		if t := &j.tasks[i]; j.cancelled && t.m != nil {
+			t.stop = stopCancel
+		}
+	}
+}
+
+func (n *Node) ownerFollow(gen int) {
+	if n.owner == nil || n.owner.gen != gen {
+		return
+	}
+	n.ask(StateOp{Kind: OpFollow, Prio: PrioSession, Key: openPrefix, Rev: n.owner.rev, Hold: watchHold}, func(d StateDone) {
+		o := n.owner
+		if o == nil || o.gen != gen {
+			return
+		}
+		switch d.Status {
+		case StateOK:
+			o.rev = max(o.rev, d.Rev)
+			for _, it := range d.Items {
+				n.openItem(it)
+			}
+			n.ownerFollow(gen)
+		case StateGone:
+			// Too old: read everything again, as after a takeover.
+			n.dropOwner("watch too old")
+			n.ownerCheck()
+		default:
+			n.after(n.jitter(retryPause), func() { n.ownerFollow(gen) })
+		}
+	})
+}
+
+// ownerSees tells the owner at once of a change this node wrote itself.
+func (n *Node) ownerSees(it Item) {
+	if n.owner != nil && n.owner.ready {
+		n.openItem(it)
+	}
+}
+
+func (n *Node) openItem(it Item) {
+	o := n.owner
+	id := jobID(it.Key, openPrefix)
+	j := o.jobs[id]
+	if it.Removed {
+		return
+	}
+	if j != nil && it.Stamp <= j.stamp {
+		return
+	}
+	if _, ended := n.users.final[id]; ended && j == nil && n.users.final[id] == Done {
+		return
+	}
+	var r openRecord
+	if !decode(it.Value, &r) {
+		n.info("unreadable record", "key", it.Key)
+		return
+	}
+	if j == nil {
+		if !r.Cancelled && !slices.Contains(o.share.Teams, r.Team) {
+			return
+		}
+		spec := r.spec(id)
+		if r.Cancelled {
+			spec.Tasks = r.Tasks
+		}
+		j = newJob(spec, time.UnixMilli(r.At), it.Stamp, n.set.ValueBytes)
+		o.jobs[id] = j
+		if !r.Cancelled {
+			o.arrivals[j.Workload] = append(o.arrivals[j.Workload], arrival{n.now, j.Tasks, j.Need, &j.Spec})
+		}
+	}
+	j.stamp = it.Stamp
+	if r.Cancelled && !j.cancelled {
+		j.cancelled = true
+		n.setFinal(id, Cancelled)
+		for i := range j.tasks[:j.fresh] {
+			if t := &j.tasks[i]; t.m != nil {
+				t.stop = stopCancel
+				t.m.dirty = true
+			}
+		}
+	}
+	o.place = true
+}
+
+// attach makes the attempt of task i live on m.
+func (n *Node) attach(j *job, i int, m *machine) {
+	t := &j.tasks[i]
+	t.m = m
+	j.live++
+	j.zoneLive[m.zone]++
+	m.attempts[taskKey{j.ID, i}] = t
+	m.used = m.used.Plus(j.Need, 1)
+	u := n.owner.used[j.Team]
+	n.owner.used[j.Team] = u.Plus(j.Need, 1)
+}
+
+// gone takes note of the proof that a live attempt is over.
+func (n *Node) gone(j *job, i int, done bool) {
+	t := &j.tasks[i]
+	m := t.m
+	if m == nil {
+		return
+	}
+	o := n.owner
+	delete(m.attempts, taskKey{j.ID, i})
+	m.used = m.used.Plus(j.Need, -1)
+	o.used[j.Team] = o.used[j.Team].Plus(j.Need, -1)
+	j.live--
+	j.zoneLive[m.zone]--
+	if len(m.attempts) == 0 {
+		m.idleSince = n.now
+		m.used = Resources{}
+	}
+	t.m, t.seen, t.started = nil, false, time.Time{}
+	if t.stop == stopRelaunch {
+		t.avoid = m.id
+	}
+	t.stop = stopNone
+	if done {
+		t.done = true
+		j.done++
+	} else if !j.cancelled {
+		j.again = append(j.again, i)
+	}
+	j.touch(i, n.now, done && j.done == len(j.tasks))
+	o.place = true
+}
+
+// ownerTick does what is due: sweep the machines, relaunch, place, write, and
+// send orders.
+func (n *Node) ownerTick() {
+	o := n.owner
+	if !o.ready {
+		o.wake = n.now.Add(ownerPeriod)
+		return
+	}
+	if n.now.Sub(o.swept) >= ownerPeriod {
+		o.swept = n.now
+		n.sweep()
+		if n.owner != o {
+			return
+		}
+		n.relaunch()
+		n.maybeRaise()
+		n.tellPeers()
+		o.place = true
+	}
+	if o.place {
+		o.place = false
+		n.placeAll()
+	}
+	n.endJobs()
+	n.writeChunks()
+	for _, id := range sortedKeys(o.machines) {
+		if m := o.machines[id]; m.dirty {
+			n.direct(m)
+		}
+	}
+	o.wake = o.swept.Add(ownerPeriod)
+}
+
+// writeChunks writes changed chunks, the urgent ones now and the others with
+// them or when they have waited long enough.
+func (n *Node) writeChunks() {
+	o := n.owner
+	for o.inFlight < chunkTxns {
+		op := StateOp{Kind: OpTxn, Prio: PrioLazy, When: []Cond{{sharePrefix + n.set.Host, o.epoch}}}
+		type part struct {
+			j   *job
+			c   *chunk
+			ver uint64
+		}
+		var parts []part
+		size := 0
+		based := map[string]bool{}
+		add := func(lazy bool) {
+			for _, id := range sortedKeys(o.jobs) {
+				j := o.jobs[id]
+				// A cancelled job's records only go; see endJob.
+				if j.ending || j.cancelled {
+					continue
+				}
+				for _, k := range sortedInts(j.chunks) {
+					c := j.chunks[k]
+					if c.busy || c.ver == c.saved || len(op.Apply) >= n.set.TxnOps {
+						continue
+					}
+					if !lazy && !c.urgent && n.now.Sub(c.since) < lazyWrite {
+						continue
+					}
+					val := encode(j.record(c, n.set.Nonce))
+					// The limit counts JSON; that is at most about three times
+					// the length of these short rows.
+					if size += 3 * len(val); size > 48<<10 && len(op.Apply) > 0 {
+						return
+					}
+					if !based[id] {
+						based[id] = true
+						op.When = append(op.When, Cond{openPrefix + id, j.stamp})
+					}
+					op.When = append(op.When, Cond{c.key(id), c.stamp})
+					op.Apply = append(op.Apply, Change{Key: c.key(id), Value: val})
+					if c.urgent {
+						op.Prio = PrioStart
+					}
+					c.busy, c.urgent, c.writing = true, false, c.ver
+					parts = append(parts, part{j, c, c.ver})
+				}
+			}
+		}
+		add(false)
+		if len(parts) == 0 {
+			return
+		}
+		// Progress that is not due yet shares the write.
+		add(true)
+		o.inFlight++
+		gen := o.gen
+		n.ask(op, func(d StateDone) {
+			o := n.owner
+			if o == nil || o.gen != gen {
+				return
+			}
+			o.inFlight--
+			for _, p := range parts {
+				switch d.Status {
+				case StateOK:
+					p.c.busy = false
+					p.c.stamp, p.c.saved = d.Rev, p.ver
+					n.chunkSaved(p.j)
+				case StateConflict:
+					n.settle(p.j, p.c, d.Failed)
+				case StateRefused:
+					n.retryChunk(p.j, p.c)
+				case StateUnknown:
+					// Perhaps applied, perhaps later: read what stands there.
+					n.reread(p.j, p.c)
+				default:
+					n.info("write refused as malformed", "job", p.j.ID, "chunk", p.c.n)
+					n.retryChunk(p.j, p.c)
+				}
+			}
+		})
+	}
+}
+
+func (n *Node) retryChunk(j *job, c *chunk) {
+	c.urgent = true
+	n.after(n.jitter(retryPause), func() { c.busy = false })
+}
+
+// settle deals with a write whose conditions failed. If the share or the job
+// changed, the watches tell the rest; if the chunk did, it was an earlier
+// write of our own, applied late, and all it holds is still meant.
+func (n *Node) settle(j *job, c *chunk, failed []string) {
+	if slices.Contains(failed, c.key(j.ID)) {
+		n.reread(j, c)
+		return
+	}
+	n.retryChunk(j, c)
+}
+
+func (n *Node) reread(j *job, c *chunk) {
+	gen := n.owner.gen
+	n.ask(StateOp{Kind: OpGet, Prio: PrioStart, Key: c.key(j.ID)}, func(d StateDone) {
+		if n.owner == nil || n.owner.gen != gen {
+			return
+		}
+		switch d.Status {
+		case StateOK:
+			var r chunkRecord
+			if !decode(d.Items[0].Value, &r) || r.Writer != n.set.Nonce {
+				if d.Items[0].Stamp == c.stamp {
+					n.retryChunk(j, c)
+					return
+				}
+				// Another owner wrote here: what we know is out of date.
+				n.dropOwner("chunk written by another")
+				n.ownerCheck()
+				return
+			}
+			// Ours. Whether it is the newest of our writes is not told, so
+			// write again on top of it.
+			c.stamp, c.busy, c.urgent = d.Items[0].Stamp, false, true
+		case StateNotFound:
+			c.stamp = 0
+			n.retryChunk(j, c)
+		default:
+			n.after(n.jitter(retryPause), func() {
+				if n.owner != nil && n.owner.gen == gen {
+					n.reread(j, c)
+				}
+			})
+		}
+	})
+}
+
+// chunkSaved sends what waited for the write.
+func (n *Node) chunkSaved(j *job) {
+	for _, m := range n.owner.machines {
+		for k := range m.attempts {
+			if k.job == j.ID {
+				m.dirty = true
+				break
+			}
+		}
+		if m.owes(j.ID) {
+			m.dirty = true
+		}
+	}
+}
+
+// endJobs writes the end of jobs whose tasks are all done, and clears away
+// cancelled ones whose tasks are all gone.
+func (n *Node) endJobs() {
+	o := n.owner
+	for _, id := range sortedKeys(o.jobs) {
+		j := o.jobs[id]
+		over := j.cancelled && j.live == 0 || !j.cancelled && j.done == len(j.tasks)
+		if !over || j.ending || o.inFlight >= chunkTxns+2 {
+			continue
+		}
+		n.endJob(j)
+	}
+	if len(o.orphans) > 0 && o.inFlight < chunkTxns {
+		n.dropOrphans()
+	}
+}
+
+func (n *Node) endJob(j *job) {
+	o := n.owner
+	j.ending = true
+	op := StateOp{Kind: OpTxn, Prio: PrioStart, When: []Cond{{sharePrefix + n.set.Host, o.epoch}, {openPrefix + j.ID, j.stamp}}}
+	if !j.cancelled {
+		op.Apply = append(op.Apply, Change{Key: jobPrefix + j.ID, Value: encode(jobRecord{Status: Done, Tasks: len(j.tasks)})})
+	}
+	op.Apply = append(op.Apply, Change{Key: openPrefix + j.ID})
+	var rest []string
+	for _, k := range sortedInts(j.chunks) {
+		c := j.chunks[k]
+		if len(op.Apply) < n.set.TxnOps {
+			if c.stamp != 0 || c.busy {
+				op.Apply = append(op.Apply, Change{Key: c.key(j.ID)})
+			}
+		} else {
+			rest = append(rest, c.key(j.ID))
+		}
+	}
+	o.inFlight++
+	gen := o.gen
+	n.ask(op, func(d StateDone) {
+		o := n.owner
+		if d.Status == StateOK && !j.cancelled {
+			n.setFinal(j.ID, Done)
+		}
+		if o == nil || o.gen != gen {
+			return
+		}
+		o.inFlight--
+		switch d.Status {
+		case StateOK:
+			n.jobOver(j, rest)
+		case StateConflict:
+			n.ask(StateOp{Kind: OpGet, Prio: PrioStart, Key: jobPrefix + j.ID}, func(d StateDone) {
+				var r jobRecord
+				if d.Status == StateOK && decode(d.Items[0].Value, &r) && r.Status == Done {
+					n.setFinal(j.ID, Done)
+					if n.owner != nil && n.owner.gen == gen {
+						n.jobOver(j, rest)
+					}
+					return
+				}
+				if j.cancelled && d.Status == StateOK {
+					// An earlier try that got no answer may have removed it.
+					n.ask(StateOp{Kind: OpGet, Prio: PrioStart, Key: openPrefix + j.ID}, func(d StateDone) {
+						if d.Status == StateNotFound && n.owner != nil && n.owner.gen == gen {
+							n.jobOver(j, rest)
+							return
+						}
+						n.after(n.jitter(retryPause), func() { j.ending = false })
+					})
+					return
+				}
+				n.after(n.jitter(retryPause), func() { j.ending = false })
+			})
+		default:
+			n.after(n.jitter(retryPause), func() { j.ending = false })
+		}
+	})
+}
+
+func (n *Node) jobOver(j *job, rest []string) {
+	o := n.owner
+	delete(o.jobs, j.ID)
+	o.orphans = append(o.orphans, rest...)
+	for _, m := range o.machines {
+		if m.owes(j.ID) {
+			m.dirty = true
+		}
+	}
+}
+
+func (n *Node) dropOrphans() {
+	o := n.owner
+	k := min(len(o.orphans), max(1, n.set.TxnOps/2))
+	keys := o.orphans[:k]
+	o.orphans = slices.Clone(o.orphans[k:])
+	op := StateOp{Kind: OpTxn, Prio: PrioLazy, When: []Cond{{sharePrefix + n.set.Host, o.epoch}}}
+	for _, key := range keys {
+		op.Apply = append(op.Apply, Change{Key: key})
+	}
+	o.inFlight++
+	gen := o.gen
+	n.ask(op, func(d StateDone) {
+		if n.owner == nil || n.owner.gen != gen {
+			return
+		}
+		n.owner.inFlight--
+		if d.Status != StateOK && d.Status != StateBad {
+			n.after(n.jitter(retryPause), func() {
+				if n.owner != nil && n.owner.gen == gen {
+					n.owner.orphans = append(n.owner.orphans, keys...)
+				}
+			})
+		}
+	})
+}
+
+// maybeRaise rewrites the share when a start without an answer stands in the
+// way: under a higher epoch it can no longer be executed.
+func (n *Node) maybeRaise() {
+	o := n.owner
+	if o.raising || n.now.Sub(o.raised) < raiseEvery {
+		return
+	}
+	need := false
+	for _, m := range o.machines {
+		if m.unacked == o.epoch && m.stuck() {
+			need = true
+		}
+	}
+	if !need {
+		return
+	}
+	o.raising, o.raised = true, n.now
+	gen := o.gen
+	rec := encode(o.share)
+	key := sharePrefix + n.set.Host
+	n.ask(StateOp{Kind: OpTxn, Prio: PrioStart, When: []Cond{{key, o.epoch}}, Apply: []Change{{Key: key, Value: rec}}}, func(d StateDone) {
+		if n.owner == nil || n.owner.gen != gen {
+			return
+		}
+		n.owner.raising = false
+		if d.Status == StateOK {
+			n.ctlItem(Item{Key: key, Value: rec, Stamp: d.Rev})
+			n.ownerCheck()
+		}
+	})
+}
+
+// tellPeers shows the progress of open jobs to the other controllers.
+func (n *Node) tellPeers() {
+	o := n.owner
+	if n.now.Sub(o.told) < time.Second {
+		return
+	}
+	o.told = n.now
+	var news PeerNews
+	news.From = n.set.Host
+	for _, id := range sortedKeys(o.jobs) {
+		j := o.jobs[id]
+		p := j.progress()
+		if p != j.lastTold {
+			j.lastTold = p
+			news.Progress = append(news.Progress, p)
+		}
+	}
+	if len(news.Progress) == 0 {
+		return
+	}
+	for _, p := range n.set.Peers {
+		n.emit(PeerSend{To: p, News: news})
+	}
+}
+
+func sortedInts[V any](m map[int]V) []int {
+	keys := make([]int, 0, len(m))
+	for k := range m {
+		keys = append(keys, k)
+	}
+	slices.Sort(keys)
+	return keys
+}
+
+func later(a, b time.Time) time.Time {
+	if b.After(a) {
+		return b
+	}
+	return a
+}
--- /dev/null
+++ b/internal/core/place.go
@@ -0,0 +1,323 @@
+package core
+
+import (
+	"slices"
+	"time"
+)
+
+const (
+	// relaunchShare is the design's tenth: a group is relaunched only if at
+	// most this share of it is unfinished.
+	relaunchShare = 0.1
+	// lonelyFactor multiplies w for tasks whose job has no median of its own:
+	// the reference is then an estimate, often wrong by half.
+	lonelyFactor = 1.5
+	// releaseMost spreads many simultaneous releases: how many stragglers are
+	// stopped in one look round.
+	releaseMost = 8
+	// slowMachine is how much slower than expected a machine's tasks must run,
+	// over slowSeen tasks at least, before it is avoided.
+	slowMachine = 1.7
+	slowSeen    = 2
+)
+
+// latest is when a task of the job should start at the latest, by deadline or
+// by the objective of its workload. Jobs are placed in this order.
+func (n *Node) latest(j *job) time.Time {
+	d := n.expects(j)
+	if due := j.due(); !due.IsZero() {
+		return due.Add(-d)
+	}
+	for _, o := range n.set.Objectives {
+		if o.Workload == j.Workload && o.Kind == "finished" && o.Within > 0 {
+			return j.at.Add(o.Within - d)
+		}
+	}
+	// Without any aim: as if ten run times were allowed.
+	const patience = 10
+	return j.at.Add(patience * d)
+}
+
+func (n *Node) team(name string) *Team {
+	for i := range n.set.Teams {
+		if n.set.Teams[i].Name == name {
+			return &n.set.Teams[i]
+		}
+	}
+	return nil
+}
+
+// withinLimit says whether one more task keeps its team within the limit.
+func (n *Node) withinLimit(j *job) bool {
+	t := n.team(j.Team)
+	if t == nil {
+		return false
+	}
+	u := n.owner.used[j.Team].Plus(j.Need, 1)
+	return (t.Limit.CPU <= 0 || u.CPU <= t.Limit.CPU+slack) && (t.Limit.GPU <= 0 || u.GPU <= t.Limit.GPU+slack)
+}
+
+// guaranteed says whether the job's next task lies within its team's guarantee.
+func (n *Node) guaranteed(j *job) bool {
+	t := n.team(j.Team)
+	if t == nil || t.Guarantee.CPU <= 0 && t.Guarantee.GPU <= 0 {
+		return false
+	}
+	u := n.owner.used[j.Team].Plus(j.Need, 1)
+	return u.CPU <= t.Guarantee.CPU+slack && u.GPU <= t.Guarantee.GPU+slack
+}
+
+// order sorts the jobs that wait for places.
+func (n *Node) order() []*job {
+	type ranked struct {
+		j      *job
+		g      bool
+		latest time.Time
+		weight float64
+	}
+	var rs []ranked
+	for _, id := range sortedKeys(n.owner.jobs) {
+		j := n.owner.jobs[id]
+		if j.pending() == 0 || j.notBefore.After(n.now) {
+			continue
+		}
+		w := n.set.Policy.Weight[j.Workload]
+		rs = append(rs, ranked{j, n.guaranteed(j), n.latest(j), w})
+	}
+	slices.SortStableFunc(rs, func(a, b ranked) int {
+		switch {
+		case a.g != b.g:
+			if a.g {
+				return -1
+			}
+			return 1
+		case a.j.Urgency != b.j.Urgency:
+			return int(b.j.Urgency) - int(a.j.Urgency)
+		case a.weight != b.weight:
+			if a.weight > b.weight {
+				return -1
+			}
+			return 1
+		}
+		return a.latest.Compare(b.latest)
+	})
+	out := make([]*job, len(rs))
+	for i, r := range rs {
+		out[i] = r.j
+	}
+	return out
+}
+
+// usable says whether tasks may be placed on m now.
+func (n *Node) usable(m *machine) bool {
+	if !m.heard || m.recall || m.returning || m.bad || m.size.CPU <= 0 || n.silent(m) || m.tick == ^uint64(0) {
+		return false
+	}
+	for k, p := range m.pieces {
+		if p.Status != Ended && m.attempts[k] == nil {
+			// Something runs there that should not; its size is not known.
+			return false
+		}
+	}
+	return true
+}
+
+// placeAll places what waits, in order.
+func (n *Node) placeAll() {
+	o := n.owner
+	jobs := n.order()
+	if len(jobs) == 0 {
+		return
+	}
+	var ms []*machine
+	for _, id := range sortedKeys(o.machines) {
+		if m := o.machines[id]; n.usable(m) {
+			ms = append(ms, m)
+		}
+	}
+	if n.now.After(n.sess.sureUntil) {
+		return
+	}
+	for _, j := range jobs {
+		n.placeJob(j, ms)
+	}
+}
+
+func (n *Node) placeJob(j *job, ms []*machine) {
+	var g *group
+	id := n.now.UnixMilli()
+	for j.pending() > 0 && n.withinLimit(j) {
+		i := j.nextPending(n.now)
+		if i < 0 {
+			return
+		}
+		t := &j.tasks[i]
+		m := n.pick(j, t, ms)
+		if m == nil {
+			j.again = append([]int{i}, j.again...)
+			return
+		}
+		if g == nil {
+			g = j.groups[id]
+			if g == nil {
+				g = &group{start: n.now}
+				j.groups[id] = g
+			}
+		}
+		g.tasks = append(g.tasks, i)
+		t.try++
+		t.group = id
+		t.sent, t.seen = false, false
+		n.attach(j, i, m)
+		m.image(j, n.now, false)
+		j.touch(i, n.now, true)
+		n.debug("placed", "job", j.ID, "task", i, "try", t.try, "machine", m.id)
+	}
+}
+
+// pick chooses the machine for a task: first where the image is, then where it
+// is coming, then the fullest, so that machines go empty.
+func (n *Node) pick(j *job, t *task, ms []*machine) *machine {
+	var best *machine
+	var bestScore float64
+	for _, m := range ms {
+		if m.id == t.avoid && t.fails < 4 {
+			continue
+		}
+		free := m.size.Plus(m.used, -1)
+		if !j.Need.Fits(free) || !j.allows(m.flavour, m.zone, m.spot) || !j.zoneOK(m.zone) {
+			continue
+		}
+		s := n.fetchTime(m, j).Seconds()
+		if m.speedN >= slowSeen && m.speed > slowMachine {
+			s += n.expects(j).Seconds() * (m.speed - 1)
+		}
+		left := (free.CPU - j.Need.CPU) / max(m.size.CPU, 1)
+		s += left
+		if best == nil || s < bestScore {
+			best, bestScore = m, s
+		}
+	}
+	return best
+}
+
+// fetchTime is how long m needs to have the image of j.
+func (n *Node) fetchTime(m *machine, j *job) time.Duration {
+	if j.Image == "" || j.ImageGB <= 0 {
+		return 0
+	}
+	im := m.images[j.Image]
+	if im != nil && im.cached {
+		return 0
+	}
+	rate := n.types[m.flavour].PullRate
+	if rate <= 0 {
+		rate = 1
+	}
+	if im != nil {
+		// Already coming.
+		return time.Duration(j.ImageGB / rate / 2 * float64(time.Second))
+	}
+	others := 1.0
+	for _, o := range m.images {
+		if !o.cached {
+			others++
+		}
+	}
+	return time.Duration(others * j.ImageGB / rate * float64(time.Second))
+}
+
+// relaunch is the paper's: when a group's timer of w times the median of the
+// job's finished run times has expired with at most a tenth unfinished, those
+// tasks are stopped and started once more elsewhere.
+func (n *Node) relaunch() {
+	o := n.owner
+	released := 0
+	for _, id := range sortedKeys(o.jobs) {
+		j := o.jobs[id]
+		if j.cancelled || j.ending || j.Standing || j.live == 0 {
+			continue
+		}
+		med, own := j.median()
+		factor := n.set.Policy.RelaunchFactor
+		if !own || j.done*2 < len(j.tasks) {
+			// No timer runs before half of the tasks have finished. An
+			// extension: a job of one task never has such a half, so its
+			// reference is the corrected estimate, with more patience.
+			e := n.errs[j.Workload]
+			if len(j.tasks) > 1 || e == nil || e.n < 5 {
+				continue
+			}
+			med = n.expects(j)
+			factor *= lonelyFactor
+		}
+		limit := time.Duration(factor * float64(med))
+		for _, gid := range sortedGroups(j.groups) {
+			g := j.groups[gid]
+			if g.marked || n.now.Sub(g.start) < limit {
+				continue
+			}
+			var late []int
+			for _, i := range g.tasks {
+				if t := &j.tasks[i]; !t.done && t.group == gid {
+					late = append(late, i)
+				}
+			}
+			if len(late) == 0 {
+				delete(j.groups, gid)
+				continue
+			}
+			// An extension for small groups, whose tenth is less than one
+			// task: one may always be relaunched.
+			if len(late) > max(1, int(relaunchShare*float64(len(g.tasks)))) {
+				continue
+			}
+			if released+len(late) > releaseMost && released > 0 {
+				continue
+			}
+			if !n.worthRelaunch(j, late, limit) {
+				continue
+			}
+			released += len(late)
+			g.marked = true
+			for _, i := range late {
+				t := &j.tasks[i]
+				t.relaunched, t.stop = true, stopRelaunch
+				t.m.dirty = true
+				j.touch(i, n.now, true)
+				n.debug("relaunch", "job", j.ID, "task", i, "machine", t.m.id, "limit", limit)
+			}
+		}
+	}
+}
+
+// worthRelaunch: each late task runs, has run for the limit itself (a fetch
+// does not count), was not restarted before, and there is room elsewhere.
+func (n *Node) worthRelaunch(j *job, late []int, limit time.Duration) bool {
+	for _, i := range late {
+		t := &j.tasks[i]
+		if t.m == nil || t.stop != stopNone || t.relaunched || t.started.IsZero() || n.now.Sub(t.started) < limit {
+			return false
+		}
+		room := false
+		for _, m := range n.owner.machines {
+			if m != t.m && n.usable(m) && j.Need.Fits(m.size.Plus(m.used, -1)) && j.allows(m.flavour, m.zone, m.spot) {
+				room = true
+				break
+			}
+		}
+		if !room {
+			return false
+		}
+	}
+	return true
+}
+
+func sortedGroups(m map[int64]*group) []int64 {
+	keys := make([]int64, 0, len(m))
+	for k := range m {
+		keys = append(keys, k)
+	}
+	slices.Sort(keys)
+	return keys
+}
--- /dev/null
+++ b/internal/core/record.go
@@ -0,0 +1,149 @@
+package core
+
+import (
+	"strings"
+	"time"
+
+	"github.com/vmihailenco/msgpack/v5"
+)
+
+// Keys in the state service. Everything that all controllers must see at once
+// stands under ctl/, so that one watch covers it. open/ holds what is alive:
+// one record a job; task/ holds its tasks in chunks, apart from open/ so that
+// the owner's watch for new jobs is not woken by its own progress.
+const (
+	ctlPrefix   = "ctl/"
+	leadKey     = "ctl/lead"
+	nodePrefix  = "ctl/node/"
+	sharePrefix = "ctl/share/"
+	jobPrefix   = "job/"
+	openPrefix  = "open/"
+	taskPrefix  = "task/"
+)
+
+type nodeRecord struct {
+	Grant uint64 `msgpack:"grant"`
+	Nonce string `msgpack:"nonce"`
+}
+
+type leadRecord struct {
+	Host  string `msgpack:"host"`
+	Nonce string `msgpack:"nonce"`
+}
+
+// shareRecord says what one controller runs. Rest: also every machine that no
+// share lists.
+type shareRecord struct {
+	Teams    []string `msgpack:"teams"`
+	Rest     bool     `msgpack:"rest"`
+	Machines []string `msgpack:"machines"`
+}
+
+type jobRecord struct {
+	Status JobStatus `msgpack:"s"`
+	Tasks  int       `msgpack:"n"`
+}
+
+// openRecord is the description of a living job. It is written together with
+// job/<id> always, so its stamp stands for both: a start that names it in its
+// conditions cannot follow a cancellation.
+type openRecord struct {
+	Workload  string   `msgpack:"w"`
+	Team      string   `msgpack:"o"`
+	Standing  bool     `msgpack:"st,omitempty"`
+	Urgency   int      `msgpack:"u"`
+	Tasks     int      `msgpack:"n"`
+	CPU       float64  `msgpack:"c"`
+	GPU       float64  `msgpack:"g,omitempty"`
+	Memory    float64  `msgpack:"m"`
+	Image     string   `msgpack:"i"`
+	ImageGB   float64  `msgpack:"ig"`
+	Flavours  []string `msgpack:"f,omitempty"`
+	Zone      string   `msgpack:"z,omitempty"`
+	Same      bool     `msgpack:"sp,omitempty"`
+	Apart     bool     `msgpack:"ap,omitempty"`
+	Spot      bool     `msgpack:"l,omitempty"`
+	Expected  float64  `msgpack:"e"`
+	SaveEvery float64  `msgpack:"se,omitempty"`
+	SaveCost  float64  `msgpack:"sc,omitempty"`
+	Due       float64  `msgpack:"d,omitempty"`
+	At        int64    `msgpack:"at"`
+	Cancelled bool     `msgpack:"x,omitempty"`
+}
+
+// taskRow is one task that was ever started: index, attempt, machine ("" when
+// it is on none), its group's start in Unix milliseconds, whether it was
+// relaunched, and whether it is done.
+type taskRow struct {
+	_msgpack   struct{} `msgpack:",as_array"` //nolint:unused // asks for rows as lists
+	Index      int
+	Try        uint64
+	Machine    string
+	Group      int64
+	Relaunched bool
+	Done       bool
+}
+
+// chunkRecord holds some consecutive tasks of a job. Runs lists finished tasks
+// as pairs of first and last index, rows the others; marks are the groups
+// whose relaunch has been decided. Times are run times in milliseconds, the
+// last few, from which a successor rebuilds the median.
+type chunkRecord struct {
+	Writer string    `msgpack:"w"`
+	Runs   []int     `msgpack:"d,omitempty"`
+	Rows   []taskRow `msgpack:"t,omitempty"`
+	Marks  []int64   `msgpack:"m,omitempty"`
+	Times  []int64   `msgpack:"rt,omitempty"`
+}
+
+// rowBytes is an upper bound for a row in JSON form: an index of six digits, an
+// attempt, a machine name, a group's time and two flags.
+const rowBytes = 72
+
+// chunkTasks says how many tasks share a value, leaving a quarter for the rest.
+func chunkTasks(valueBytes int) int {
+	return max(8, valueBytes*3/4/rowBytes)
+}
+
+func encode(v any) []byte {
+	b, err := msgpack.Marshal(v)
+	if err != nil {
+		// Only plain structs of ours come here; they always encode.
+		panic("core: " + err.Error())
+	}
+	return b
+}
+
+func decode(b []byte, v any) bool { return msgpack.Unmarshal(b, v) == nil }
+
+func (s *Spec) record(at time.Time) openRecord {
+	return openRecord{
+		Workload: s.Workload, Team: s.Team, Standing: s.Standing, Urgency: int(s.Urgency),
+		Tasks: s.Tasks, CPU: s.Need.CPU, GPU: s.Need.GPU, Memory: s.Need.Memory,
+		Image: s.Image, ImageGB: s.ImageGB, Flavours: s.Flavours, Zone: s.Zone,
+		Same: s.SamePlace, Apart: s.Apart, Spot: s.Spot,
+		Expected: s.Expected.Seconds(), SaveEvery: s.SaveEvery.Seconds(), SaveCost: s.SaveCost.Seconds(),
+		Due: s.Due.Seconds(), At: at.UnixMilli(),
+	}
+}
+
+func (r *openRecord) spec(id string) Spec {
+	return Spec{
+		ID: id, Workload: r.Workload, Team: r.Team, Standing: r.Standing, Urgency: Urgency(r.Urgency),
+		Tasks: r.Tasks, Need: Resources{r.CPU, r.GPU, r.Memory}, Image: r.Image, ImageGB: r.ImageGB,
+		Flavours: r.Flavours, Zone: r.Zone, SamePlace: r.Same, Apart: r.Apart, Spot: r.Spot,
+		Expected: Seconds(r.Expected), SaveEvery: Seconds(r.SaveEvery), SaveCost: Seconds(r.SaveCost),
+		Due: Seconds(r.Due),
+	}
+}
+
+// Seconds converts a decimal number of seconds at the edge.
+func Seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
+
+func jobID(key, prefix string) string {
+	id := strings.TrimPrefix(key, prefix)
+	if i := strings.IndexByte(id, '/'); i >= 0 {
+		id = id[:i]
+	}
+	return id
+}
--- /dev/null
+++ b/internal/core/types.go
@@ -0,0 +1,234 @@
+// Package core is the deterministic heart of the scheduler: membership,
+// leadership, shares, jobs, attempts, machines, relaunch, placement and fleet
+// sizing. It has no clocks, sockets or goroutines. Its owner feeds it batches
+// of commands together with the time and carries out the effects it returns.
+package core
+
+import (
+	"math"
+	"time"
+)
+
+// Urgency orders jobs; a higher value goes first.
+type Urgency int
+
+// The urgencies, lowest first.
+const (
+	BestEffort Urgency = iota
+	Normal
+	Urgent
+	Critical
+)
+
+// Spec is a job as its user described it.
+type Spec struct {
+	ID        string
+	Workload  string
+	Team      string
+	Standing  bool
+	Urgency   Urgency
+	Tasks     int
+	Need      Resources
+	Image     string
+	ImageGB   float64
+	Flavours  []string
+	Zone      string
+	SamePlace bool
+	Apart     bool
+	Spot      bool
+	Expected  time.Duration
+	SaveEvery time.Duration
+	SaveCost  time.Duration
+	// Due counts from the submission; 0 means no deadline.
+	Due time.Duration
+}
+
+// Resources is an amount of what a machine offers or a task takes.
+type Resources struct {
+	CPU    float64
+	GPU    float64
+	Memory float64
+}
+
+// slack absorbs rounding when amounts in decimal form are added up and taken
+// away again over a long life.
+const slack = 1e-6
+
+// Fits says whether r fits into free.
+func (r Resources) Fits(free Resources) bool {
+	return r.CPU <= free.CPU+slack && r.GPU <= free.GPU+slack && r.Memory <= free.Memory+slack
+}
+
+// Plus adds n times o.
+func (r Resources) Plus(o Resources, n float64) Resources {
+	return Resources{r.CPU + n*o.CPU, r.GPU + n*o.GPU, r.Memory + n*o.Memory}
+}
+
+// Times says how many tasks of size o fit into r.
+func (r Resources) Times(o Resources) int {
+	n := math.Inf(1)
+	for _, d := range [...][2]float64{{r.CPU, o.CPU}, {r.GPU, o.GPU}, {r.Memory, o.Memory}} {
+		if d[1] > slack {
+			n = min(n, math.Floor((d[0]+slack)/d[1]))
+		}
+	}
+	if math.IsInf(n, 1) {
+		return math.MaxInt32
+	}
+	return max(0, int(n))
+}
+
+// Flavour is a machine type as the cloud describes it.
+type Flavour struct {
+	Name      string
+	Size      Resources
+	DiskGB    float64
+	PullRate  float64
+	Price     float64
+	SpotPrice float64
+	Ready     time.Duration
+	Zones     []string
+}
+
+// Team has a guarantee and a limit; a zero amount means none.
+type Team struct {
+	Name      string
+	Guarantee Resources
+	Limit     Resources
+}
+
+// Objective repeats one of the operators' aims.
+type Objective struct {
+	Kind     string
+	Workload string
+	Within   time.Duration
+	Share    float64
+	Times    float64
+}
+
+// Settings is everything the core is told at start.
+type Settings struct {
+	Host       string
+	Peers      []string
+	Zones      []string
+	Teams      []Team
+	Objectives []Objective
+
+	ReportEvery time.Duration
+	Lease       time.Duration
+
+	TxnOps     int
+	ValueBytes int
+	StateRPS   float64
+	CloudRPS   float64
+	ListLag    time.Duration
+
+	// Nonce tells the lives of one controller apart.
+	Nonce  string
+	Policy Policy
+}
+
+// Policy holds the operators' own choices; see internal/policy.
+type Policy struct {
+	// RelaunchFactor is the paper's w.
+	RelaunchFactor float64
+	// ShareInterval is how often the leader may move machines between shares.
+	ShareInterval time.Duration
+	// WarmRoom multiplies the room kept free for work that must start at once.
+	WarmRoom float64
+	// IdleKeep is how long an idle machine is kept before it is returned.
+	IdleKeep time.Duration
+	// Prefer multiplies a flavour's price when flavours are compared.
+	Prefer map[string]float64
+	// Weight orders workloads of the same urgency; higher goes first.
+	Weight map[string]float64
+}
+
+// DefaultPolicy is what holds without an operators' script.
+func DefaultPolicy() Policy {
+	return Policy{
+		RelaunchFactor: 2,
+		ShareInterval:  30 * time.Second,
+		WarmRoom:       1,
+		IdleKeep:       45 * time.Second,
+	}
+}
+
+// JobStatus is the durable state of a job.
+type JobStatus string
+
+// The durable states. Whether a queued job runs is shown, not kept.
+const (
+	Queued    JobStatus = "queued"
+	Cancelled JobStatus = "cancelled"
+	Done      JobStatus = "done"
+)
+
+// Final says that a status never changes again.
+func (s JobStatus) Final() bool { return s == Cancelled || s == Done }
+
+// TaskStatus is what a worker says of an attempt.
+type TaskStatus int
+
+// The states of an attempt on its machine.
+const (
+	Fetching TaskStatus = iota
+	Running
+	Flushing
+	Ended
+)
+
+// TaskReport is one attempt in a worker's report.
+type TaskReport struct {
+	Job    string
+	Index  int
+	Try    uint64
+	Status TaskStatus
+	Cause  string
+	Stored bool
+}
+
+// Report is a worker's account of itself.
+type Report struct {
+	Machine string
+	Addr    string
+	Flavour string
+	Zone    string
+	Spot    bool
+	Tenure  uint64
+	Tick    uint64
+	Epoch   uint64
+	// Recall is negative without a notice.
+	Recall time.Duration
+	Tasks  []TaskReport
+}
+
+// Verb is what a worker is told to do.
+type Verb string
+
+// The verbs, by their meaning.
+const (
+	Start Verb = "start"
+	Halt  Verb = "halt"
+	Clear Verb = "clear"
+)
+
+// Order is one command to a worker.
+type Order struct {
+	Verb     Verb
+	Job      string
+	Index    int
+	Try      uint64
+	WindDown time.Duration
+}
+
+// Listed is a machine in the cloud's list.
+type Listed struct {
+	ID      string
+	Addr    string
+	Flavour string
+	Zone    string
+	Spot    bool
+	Status  string
+	Held    time.Duration
+}
--- /dev/null
+++ b/internal/core/users.go
@@ -0,0 +1,435 @@
+package core
+
+import (
+	"fmt"
+	"slices"
+	"time"
+)
+
+const (
+	// submitsInFlight bounds the transactions that carry submissions and
+	// cancellations; what waits meanwhile shares the next one.
+	submitsInFlight = 3
+	// maxWaiting bounds what waits for the state service; the rest is
+	// refused at once.
+	maxWaiting = 400
+	// userPatience is how long a request may wait for the state service
+	// before it is refused. Less than the 2 s a user waits for a poll.
+	userPatience = 1500 * time.Millisecond
+	// comeBack is the Retry-After while the service is only briefly behind.
+	comeBack = time.Second
+)
+
+type users struct {
+	// final caches terminal states for good.
+	final map[string]JobStatus
+	// known are jobs that this node saw accepted, with the stamp of job/.
+	queue    []*submission
+	inFlight int
+	polls    map[string]*pollState
+	waiting  int
+	expiry   []expiring
+}
+
+type expiring struct {
+	at time.Time
+	w  *waiter
+}
+
+// waiter is a user's request that still wants its answer.
+type waiter struct {
+	reply uint64
+	id    string
+	done  bool
+}
+
+type submission struct {
+	w    *waiter
+	spec Spec
+	at   time.Time
+}
+
+// pollState shares one read among the polls for a job that wait together. A
+// read answers only polls that arrived before it began.
+type pollState struct {
+	reading []func(StateDone)
+	next    []func(StateDone)
+	busy    bool
+}
+
+func (u *users) init() {
+	u.final = map[string]JobStatus{}
+	u.polls = map[string]*pollState{}
+}
+
+func (n *Node) newWaiter(reply uint64, id string) *waiter {
+	w := &waiter{reply: reply, id: id}
+	n.users.waiting++
+	if len(n.users.expiry) == 0 {
+		n.after(userPatience, n.expireUsers)
+	}
+	n.users.expiry = append(n.users.expiry, expiring{n.now.Add(userPatience), w})
+	return w
+}
+
+func (n *Node) expireUsers() {
+	u := &n.users
+	i := 0
+	for ; i < len(u.expiry) && !u.expiry[i].at.After(n.now); i++ {
+		if w := u.expiry[i].w; !w.done {
+			n.refuse(w, "the state service does not answer")
+		}
+	}
+	u.expiry = slices.Delete(u.expiry, 0, i)
+	if len(u.expiry) > 0 {
+		n.after(u.expiry[0].at.Sub(n.now), n.expireUsers)
+	}
+}
+
+func (n *Node) finish(w *waiter, r UserReply) {
+	if w.done {
+		return
+	}
+	w.done = true
+	n.users.waiting--
+	r.Reply = w.reply
+	if r.ID == "" {
+		r.ID = w.id
+	}
+	n.emit(r)
+}
+
+func (n *Node) refuse(w *waiter, why string) {
+	n.finish(w, UserReply{Status: 503, Message: why, RetryAfter: comeBack})
+}
+
+// cannotDecide refuses at once while nothing can be read or stored.
+func (n *Node) cannotDecide(reply uint64, id string) bool {
+	switch {
+	case !n.sess.ready:
+		n.emit(UserReply{Reply: reply, ID: id, Status: 503, Message: "starting", RetryAfter: comeBack})
+	case n.stateDown(n.now):
+		n.emit(UserReply{Reply: reply, ID: id, Status: 503, Message: "the state service is away", RetryAfter: 2 * comeBack})
+	case n.users.waiting >= maxWaiting:
+		n.emit(UserReply{Reply: reply, ID: id, Status: 503, Message: "too many requests are waiting", RetryAfter: comeBack})
+	default:
+		return false
+	}
+	return true
+}
+
+func (n *Node) known(id string, s JobStatus) UserReply {
+	r := UserReply{Status: 200, ID: id, State: string(s)}
+	if !s.Final() {
+		p := n.progress(id)
+		r.Done, r.Running = p.Done, p.Running
+		if p.Running > 0 {
+			r.State = "running"
+		}
+	}
+	return r
+}
+
+// progress is a job's count of tasks as far as this node knows; for display.
+func (n *Node) progress(id string) Progress {
+	if n.owner != nil {
+		if j := n.owner.jobs[id]; j != nil {
+			return j.progress()
+		}
+	}
+	return n.display[id]
+}
+
+func (n *Node) submit(c Submit) {
+	id := c.Spec.ID
+	if s, ok := n.users.final[id]; ok {
+		n.emit(withReply(n.known(id, s), c.Reply))
+		return
+	}
+	if n.cannotDecide(c.Reply, id) {
+		return
+	}
+	w := n.newWaiter(c.Reply, id)
+	status, why := 0, ""
+	switch {
+	case c.Bad != "":
+		status, why = 400, c.Bad
+	case n.types == nil:
+		n.lookFirst(w, 503, "machine types are not known yet")
+		return
+	default:
+		status, why = n.validate(&c.Spec)
+	}
+	if status != 0 {
+		// A known job is never called malformed or impossible, so look
+		// before refusing.
+		n.lookFirst(w, status, why)
+		return
+	}
+	n.users.queue = append(n.users.queue, &submission{w: w, spec: c.Spec, at: n.now})
+}
+
+func withReply(r UserReply, reply uint64) UserReply {
+	r.Reply = reply
+	return r
+}
+
+// validate says why a job can never run here.
+func (n *Node) validate(s *Spec) (int, string) {
+	var team *Team
+	for i := range n.set.Teams {
+		if n.set.Teams[i].Name == s.Team {
+			team = &n.set.Teams[i]
+		}
+	}
+	if team == nil {
+		return 422, "unknown owner " + s.Team
+	}
+	fits := false
+	for _, f := range n.types {
+		if len(s.Flavours) > 0 && !slices.Contains(s.Flavours, f.Name) {
+			continue
+		}
+		if s.Zone != "" && !slices.Contains(f.Zones, s.Zone) {
+			continue
+		}
+		if s.Need.Fits(f.Size) && s.ImageGB <= max(f.DiskGB, s.ImageGB*b2f(f.DiskGB == 0)) {
+			fits = true
+		}
+	}
+	if !fits {
+		return 422, "a task fits no allowed flavour"
+	}
+	count := 1.0
+	if s.Standing {
+		count = float64(s.Tasks)
+	}
+	all := Resources{}.Plus(s.Need, count)
+	if (team.Limit.CPU > 0 && all.CPU > team.Limit.CPU+slack) || (team.Limit.GPU > 0 && all.GPU > team.Limit.GPU+slack) {
+		return 422, "the job needs more than its owner's limit"
+	}
+	if len(encode(s.record(n.now)))*5/4 > n.set.ValueBytes {
+		return 400, "the description is too long"
+	}
+	return 0, ""
+}
+
+func b2f(b bool) float64 {
+	if b {
+		return 1
+	}
+	return 0
+}
+
+// lookFirst answers with the job's state if it is known, else as told.
+func (n *Node) lookFirst(w *waiter, status int, why string) {
+	n.read(w.id, func(d StateDone) {
+		switch d.Status {
+		case StateOK:
+			n.tellRecord(w, d)
+		case StateNotFound:
+			r := UserReply{Status: status, Message: why}
+			if status == 503 {
+				r.RetryAfter = comeBack
+			}
+			n.finish(w, r)
+		default:
+			n.refuse(w, "the state service does not answer")
+		}
+	})
+}
+
+func (n *Node) tellRecord(w *waiter, d StateDone) {
+	var r jobRecord
+	if len(d.Items) != 1 || !decode(d.Items[0].Value, &r) {
+		n.refuse(w, "the record cannot be read")
+		return
+	}
+	n.finish(w, n.tell(w.id, r))
+}
+
+// tell is the answer for a record just read.
+func (n *Node) tell(id string, r jobRecord) UserReply {
+	if r.Status.Final() {
+		n.setFinal(id, r.Status)
+	}
+	a := n.known(id, r.Status)
+	if r.Status == Done {
+		a.Done = r.Tasks
+	}
+	return a
+}
+
+func (n *Node) setFinal(id string, s JobStatus) {
+	n.users.final[id] = s
+	delete(n.display, id)
+}
+
+// read gets job/<id> with a read begun after this call.
+func (n *Node) read(id string, fn func(StateDone)) {
+	p := n.users.polls[id]
+	if p == nil {
+		p = &pollState{}
+		n.users.polls[id] = p
+	}
+	p.next = append(p.next, fn)
+	n.readNext(id, p)
+}
+
+func (n *Node) readNext(id string, p *pollState) {
+	if p.busy {
+		return
+	}
+	if len(p.next) == 0 {
+		delete(n.users.polls, id)
+		return
+	}
+	p.reading, p.next, p.busy = p.next, nil, true
+	n.ask(StateOp{Kind: OpGet, Prio: PrioUser, Key: jobPrefix + id}, func(d StateDone) {
+		p.busy = false
+		fns := p.reading
+		p.reading = nil
+		for _, fn := range fns {
+			fn(d)
+		}
+		n.readNext(id, p)
+	})
+}
+
+func (n *Node) query(c Query) {
+	if s, ok := n.users.final[c.ID]; ok {
+		n.emit(withReply(n.known(c.ID, s), c.Reply))
+		return
+	}
+	if n.cannotDecide(c.Reply, c.ID) {
+		return
+	}
+	n.lookFirst(n.newWaiter(c.Reply, c.ID), 404, "no such job")
+}
+
+// usersFlush puts waiting submissions into transactions, many in one.
+func (n *Node) usersFlush() {
+	u := &n.users
+	for len(u.queue) > 0 && u.inFlight < submitsInFlight {
+		var batch []*submission
+		seen := map[string]bool{}
+		size := 0
+		for len(u.queue) > 0 && len(batch) < max(1, n.set.TxnOps/2) {
+			s := u.queue[0]
+			if s.w.done {
+				u.queue = u.queue[1:]
+				continue
+			}
+			// The same id twice in a transaction would conflict with itself.
+			if seen[s.spec.ID] {
+				break
+			}
+			size += n.set.ValueBytes / 4
+			if size > 48<<10 && len(batch) > 0 {
+				break
+			}
+			seen[s.spec.ID] = true
+			batch = append(batch, s)
+			u.queue = u.queue[1:]
+		}
+		if len(batch) == 0 {
+			break
+		}
+		u.inFlight++
+		n.store(batch)
+	}
+}
+
+func (n *Node) store(batch []*submission) {
+	var op StateOp
+	op.Kind, op.Prio = OpTxn, PrioUser
+	for _, s := range batch {
+		id := s.spec.ID
+		op.When = append(op.When, Cond{jobPrefix + id, 0})
+		op.Apply = append(op.Apply,
+			Change{Key: jobPrefix + id, Value: encode(jobRecord{Status: Queued, Tasks: s.spec.Tasks})},
+			Change{Key: openPrefix + id, Value: encode(s.spec.record(s.at))})
+	}
+	n.ask(op, func(d StateDone) {
+		n.users.inFlight--
+		switch d.Status {
+		case StateOK:
+			for _, s := range batch {
+				n.finish(s.w, UserReply{Status: 201, ID: s.spec.ID, State: string(Queued)})
+				n.ownerSees(Item{Key: openPrefix + s.spec.ID, Value: encode(s.spec.record(s.at)), Stamp: d.Rev})
+			}
+		case StateConflict:
+			var again []*submission
+			for _, s := range batch {
+				if slices.Contains(d.Failed, jobPrefix+s.spec.ID) {
+					n.lookFirst(s.w, 503, "conflict")
+				} else {
+					again = append(again, s)
+				}
+			}
+			n.users.queue = append(again, n.users.queue...)
+		case StateBad:
+			for _, s := range batch {
+				if len(batch) == 1 {
+					n.finish(s.w, UserReply{Status: 400, Message: fmt.Sprintf("job %s cannot be stored", s.spec.ID)})
+				} else {
+					n.refuse(s.w, "not stored")
+				}
+			}
+		default:
+			for _, s := range batch {
+				n.refuse(s.w, "the state service does not answer")
+			}
+		}
+	})
+}
+
+func (n *Node) abort(c Abort) {
+	if s, ok := n.users.final[c.ID]; ok {
+		n.emit(withReply(n.known(c.ID, s), c.Reply))
+		return
+	}
+	if n.cannotDecide(c.Reply, c.ID) {
+		return
+	}
+	n.cancel(n.newWaiter(c.Reply, c.ID))
+}
+
+func (n *Node) cancel(w *waiter) {
+	n.read(w.id, func(d StateDone) {
+		var r jobRecord
+		switch {
+		case d.Status == StateNotFound:
+			n.finish(w, UserReply{Status: 404, Message: "no such job"})
+			return
+		case d.Status != StateOK || len(d.Items) != 1 || !decode(d.Items[0].Value, &r):
+			n.refuse(w, "the state service does not answer")
+			return
+		case r.Status.Final():
+			n.finish(w, n.tell(w.id, r))
+			return
+		case w.done:
+			return
+		}
+		id := w.id
+		open := encode(openRecord{Cancelled: true, Tasks: r.Tasks})
+		// Both records change together: the stamp of open/ guards starts.
+		n.ask(StateOp{Kind: OpTxn, Prio: PrioUser, When: []Cond{{jobPrefix + id, d.Items[0].Stamp}},
+			Apply: []Change{
+				{Key: jobPrefix + id, Value: encode(jobRecord{Status: Cancelled, Tasks: r.Tasks})},
+				{Key: openPrefix + id, Value: open},
+			}}, func(d StateDone) {
+			switch d.Status {
+			case StateOK:
+				n.setFinal(id, Cancelled)
+				n.ownerSees(Item{Key: openPrefix + id, Value: open, Stamp: d.Rev})
+				n.finish(w, n.known(id, Cancelled))
+			case StateConflict:
+				// Done or cancelled in between: look again.
+				n.cancel(w)
+			default:
+				n.refuse(w, "the state service does not answer")
+			}
+		})
+	})
+}
--- /dev/null
+++ b/internal/server/server.go
@@ -0,0 +1,175 @@
+// Package server runs one controller: it owns the queue of commands, feeds
+// the core with them in batches and carries out the effects.
+package server
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"sync/atomic"
+	"time"
+
+	"github.com/micahill/micahill/internal/core"
+)
+
+const (
+	// queueLen bounds the requests that wait for the loop; more are refused.
+	queueLen = 1024
+	// resultsLen holds answers of outside services on their way to the loop.
+	resultsLen = 1024
+	// batchMost is how many commands one step takes.
+	batchMost = 256
+	// idleStep is the longest the loop sleeps.
+	idleStep = time.Second
+)
+
+// ErrBusy says that the queue is full.
+var ErrBusy = errors.New("server: the queue is full")
+
+// Outside is what carries out effects.
+type Outside struct {
+	State  func(context.Context, core.StateOp) core.StateDone
+	Cloud  func(context.Context, core.CloudOp) core.CloudDone
+	Worker func(context.Context, core.WorkerOp) core.WorkerDone
+	Peer   func(to string, news core.PeerNews)
+	Role   func(core.Role)
+	// Observe is told how long a step took and how many commands it had.
+	Observe func(took time.Duration, commands int)
+}
+
+type request struct {
+	make func(reply uint64) core.Command
+	ch   chan core.Effect
+}
+
+// Server is the loop round one core.
+type Server struct {
+	node     *core.Node
+	out      Outside
+	requests chan request
+	results  chan core.Command
+	healthy  atomic.Bool
+	replies  map[uint64]chan core.Effect
+	next     uint64
+}
+
+// New makes a server. Run starts it.
+func New(node *core.Node, out Outside) *Server {
+	return &Server{
+		node: node, out: out,
+		requests: make(chan request, queueLen),
+		results:  make(chan core.Command, resultsLen),
+		replies:  map[uint64]chan core.Effect{},
+	}
+}
+
+// Healthy says whether this node can take requests now.
+func (s *Server) Healthy() bool { return s.healthy.Load() }
+
+// Ask hands a command to the core and waits for its reply.
+func (s *Server) Ask(ctx context.Context, mk func(reply uint64) core.Command) (core.Effect, error) {
+	r := request{mk, make(chan core.Effect, 1)}
+	select {
+	case s.requests <- r:
+	default:
+		return nil, ErrBusy
+	}
+	select {
+	case e := <-r.ch:
+		return e, nil
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+}
+
+// Post hands a command to the core that needs no reply.
+func (s *Server) Post(c core.Command) { s.results <- c }
+
+// Run feeds the core until the context ends.
+func (s *Server) Run(ctx context.Context) error {
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for {
+		var batch []core.Command
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-timer.C:
+		case r := <-s.requests:
+			batch = append(batch, s.admit(r))
+		case c := <-s.results:
+			batch = append(batch, c)
+		}
+		batch = s.drain(batch)
+		now := time.Now()
+		for _, e := range s.node.Step(now, batch) {
+			s.do(ctx, e)
+		}
+		s.healthy.Store(s.node.Healthy(now))
+		if s.out.Observe != nil {
+			s.out.Observe(time.Since(now), len(batch))
+		}
+		wait := idleStep
+		if d := s.node.Deadline(); !d.IsZero() {
+			wait = min(wait, max(time.Until(d), time.Millisecond))
+		}
+		timer.Reset(wait)
+	}
+}
+
+func (s *Server) admit(r request) core.Command {
+	s.next++
+	s.replies[s.next] = r.ch
+	return r.make(s.next)
+}
+
+func (s *Server) drain(batch []core.Command) []core.Command {
+	for len(batch) < batchMost {
+		// Answers first: they free what the requests wait for.
+		select {
+		case c := <-s.results:
+			batch = append(batch, c)
+			continue
+		default:
+		}
+		select {
+		case r := <-s.requests:
+			batch = append(batch, s.admit(r))
+		default:
+			return batch
+		}
+	}
+	return batch
+}
+
+func (s *Server) reply(id uint64, e core.Effect) {
+	if ch := s.replies[id]; ch != nil {
+		delete(s.replies, id)
+		ch <- e
+	}
+}
+
+func (s *Server) do(ctx context.Context, e core.Effect) {
+	switch e := e.(type) {
+	case core.UserReply:
+		s.reply(e.Reply, e)
+	case core.ReportReply:
+		s.reply(e.Reply, e)
+	case core.StateOp:
+		go func() { s.Post(s.out.State(ctx, e)) }()
+	case core.CloudOp:
+		go func() { s.Post(s.out.Cloud(ctx, e)) }()
+	case core.WorkerOp:
+		go func() { s.Post(s.out.Worker(ctx, e)) }()
+	case core.PeerSend:
+		s.out.Peer(e.To, e.News)
+	case core.Role:
+		s.out.Role(e)
+	case core.Log:
+		if e.Debug {
+			slog.Debug(e.Text, e.Args...)
+		} else {
+			slog.Info(e.Text, e.Args...)
+		}
+	}
+}
--- /dev/null
+++ b/internal/state/state.go
@@ -0,0 +1,290 @@
+// Package state speaks to the state service: a small, strongly consistent
+// store with transactions, grants and watches. It owns the wire form of that
+// service, the rate limits of this controller and the deadlines.
+package state
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/url"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/micahill/micahill/internal/core"
+	"github.com/vmihailenco/msgpack/v5"
+	"golang.org/x/time/rate"
+)
+
+const (
+	// shortDeadline is for requests somebody waits for.
+	shortDeadline = 1300 * time.Millisecond
+	// longDeadline is for reads of whole prefixes and lazy writes.
+	longDeadline = 3 * time.Second
+	// listPage is how many rows are asked for at once.
+	listPage = 500
+	// maxConns bounds the connections to the service.
+	maxConns = 24
+	// maxAnswer bounds an answer; a page of a list holds at most 512 KiB.
+	maxAnswer = 4 << 20
+	// mainShare is the part of the rate limits that the working controller
+	// takes; the others divide the rest.
+	mainShare = 0.6
+)
+
+// Client is one controller's access to the state service.
+type Client struct {
+	base   string
+	http   *http.Client
+	reqs   *rate.Limiter
+	writes *rate.Limiter
+	rps    float64
+	wps    float64
+	others int
+}
+
+// New makes a client for the service at addr, whose limits are shared by n
+// controllers.
+func New(addr string, rps, wps float64, n int) *Client {
+	tr := &http.Transport{
+		DialContext:         (&net.Dialer{Timeout: time.Second}).DialContext,
+		MaxIdleConnsPerHost: maxConns / 2,
+		MaxConnsPerHost:     maxConns,
+		IdleConnTimeout:     time.Minute,
+		DisableCompression:  true,
+	}
+	c := &Client{base: "http://" + addr, http: &http.Client{Transport: tr}, rps: rps, wps: wps, others: max(1, n-1)}
+	c.reqs, c.writes = rate.NewLimiter(1, 1), rate.NewLimiter(1, 1)
+	c.SetMain(false)
+	return c
+}
+
+// SetMain gives this controller the larger or the smaller part of the limits.
+func (c *Client) SetMain(main bool) {
+	part := (1 - mainShare) / float64(c.others)
+	if main {
+		part = mainShare
+	}
+	c.reqs.SetLimit(rate.Limit(c.rps * part))
+	c.reqs.SetBurst(max(4, int(c.rps*part)))
+	c.writes.SetLimit(rate.Limit(c.wps * part))
+	c.writes.SetBurst(max(4, int(c.wps*part)))
+}
+
+type row struct {
+	Key    string             `msgpack:"key"`
+	Put    string             `msgpack:"put"`
+	Remove string             `msgpack:"remove"`
+	Value  msgpack.RawMessage `msgpack:"value"`
+	Stamp  uint64             `msgpack:"stamp"`
+}
+
+type answer struct {
+	Key       string             `msgpack:"key"`
+	Value     msgpack.RawMessage `msgpack:"value"`
+	Stamp     uint64             `msgpack:"stamp"`
+	Rev       uint64             `msgpack:"ledger_rev"`
+	Rows      []row              `msgpack:"rows"`
+	Truncated bool               `msgpack:"truncated"`
+	News      []row              `msgpack:"news"`
+	Failed    []string           `msgpack:"failed"`
+	Permit    uint64             `msgpack:"permit"`
+	Error     string             `msgpack:"error"`
+}
+
+type cond struct {
+	Key   string `msgpack:"key"`
+	Stamp uint64 `msgpack:"stamp"`
+}
+
+type multi struct {
+	When  []cond           `msgpack:"when"`
+	Apply []map[string]any `msgpack:"apply,omitempty"`
+}
+
+// Do carries out op and tells how it ended.
+func (c *Client) Do(ctx context.Context, op core.StateOp) core.StateDone {
+	limit := shortDeadline
+	switch {
+	case op.Kind == core.OpFollow:
+		limit = op.Hold + longDeadline
+	case op.Kind == core.OpList || op.Prio == core.PrioLazy:
+		limit = longDeadline
+	}
+	ctx, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
+	out := core.StateDone{ID: op.ID, Status: core.StateRefused}
+	if !c.admit(ctx, op) {
+		return out
+	}
+	method, path, body := request(op)
+	for {
+		out.Sent = time.Now()
+		status, a, err := c.send(ctx, method, path, body)
+		switch {
+		case err != nil:
+			out.Status = core.StateUnknown
+			if neverSent(err) {
+				out.Status = core.StateRefused
+			}
+			return out
+		case status == http.StatusTooManyRequests:
+			// Not executed: others used up the rate. Come back shortly, not
+			// all at the same moment.
+			select {
+			case <-ctx.Done():
+				return out
+			case <-time.After(60*time.Millisecond + rand.N(120*time.Millisecond)):
+			}
+			continue
+		}
+		out.Status = outcome(op, status, a)
+		fill(&out, op, a)
+		return out
+	}
+}
+
+// admit takes the request's part of the rate. The session comes first: it
+// takes its part without waiting, and the others wait the longer.
+func (c *Client) admit(ctx context.Context, op core.StateOp) bool {
+	if op.Prio == core.PrioSession {
+		c.reqs.ReserveN(time.Now(), 1)
+		if k := len(op.Apply); k > 0 {
+			c.writes.ReserveN(time.Now(), k)
+		}
+		return true
+	}
+	if c.reqs.Wait(ctx) != nil {
+		return false
+	}
+	if k := min(len(op.Apply), c.writes.Burst()); k > 0 {
+		return c.writes.WaitN(ctx, k) == nil
+	}
+	return true
+}
+
+func request(op core.StateOp) (method, path string, body any) {
+	switch op.Kind {
+	case core.OpGet:
+		return http.MethodGet, "/store/" + op.Key, nil
+	case core.OpList:
+		q := url.Values{"under": {op.Key}, "limit": {strconv.Itoa(listPage)}}
+		if op.From != "" {
+			q.Set("from", op.From)
+		}
+		return http.MethodGet, "/store?" + q.Encode(), nil
+	case core.OpFollow:
+		q := url.Values{"under": {op.Key}, "from": {strconv.FormatUint(op.Rev, 10)}, "hold_ms": {strconv.FormatInt(op.Hold.Milliseconds(), 10)}}
+		return http.MethodGet, "/follow?" + q.Encode(), nil
+	case core.OpGrantNew:
+		return http.MethodPost, "/grants", map[string]any{"ttl_ms": op.TTL.Milliseconds()}
+	case core.OpGrantRenew:
+		return http.MethodPost, fmt.Sprintf("/grants/%d/renew", op.Grant), map[string]any{}
+	case core.OpGrantDrop:
+		return http.MethodDelete, fmt.Sprintf("/grants/%d", op.Grant), nil
+	}
+	m := multi{When: []cond{}}
+	for _, w := range op.When {
+		m.When = append(m.When, cond(w))
+	}
+	for _, a := range op.Apply {
+		ch := map[string]any{}
+		if a.Value == nil {
+			ch["remove"] = a.Key
+		} else {
+			ch["put"], ch["value"] = a.Key, msgpack.RawMessage(a.Value)
+			if a.Grant != 0 {
+				ch["permit"] = a.Grant
+			}
+		}
+		m.Apply = append(m.Apply, ch)
+	}
+	return http.MethodPost, "/multi", m
+}
+
+func (c *Client) send(ctx context.Context, method, path string, body any) (int, *answer, error) {
+	var rd io.Reader
+	if body != nil {
+		b, err := msgpack.Marshal(body)
+		if err != nil {
+			return 0, nil, fmt.Errorf("state: encode: %w", err)
+		}
+		rd = bytes.NewReader(b)
+	}
+	req, err := http.NewRequestWithContext(ctx, method, c.base+path, rd)
+	if err != nil {
+		return 0, nil, fmt.Errorf("state: %w", err)
+	}
+	if body != nil {
+		req.Header.Set("Content-Type", "application/msgpack")
+	}
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return 0, nil, fmt.Errorf("state: %w", err)
+	}
+	defer resp.Body.Close()
+	b, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswer))
+	if err != nil {
+		return 0, nil, fmt.Errorf("state: read: %w", err)
+	}
+	var a answer
+	if len(b) > 0 {
+		if err := msgpack.Unmarshal(b, &a); err != nil && resp.StatusCode == http.StatusOK {
+			return 0, nil, fmt.Errorf("state: decode: %w", err)
+		}
+	}
+	return resp.StatusCode, &a, nil
+}
+
+// neverSent says that a request surely did not leave: no connection came up.
+func neverSent(err error) bool {
+	var op *net.OpError
+	return errors.As(err, &op) && op.Op == "dial"
+}
+
+func outcome(op core.StateOp, status int, a *answer) core.StateStatus {
+	switch status {
+	case http.StatusOK, http.StatusCreated, http.StatusNoContent:
+		return core.StateOK
+	case http.StatusNotFound:
+		return core.StateNotFound
+	case http.StatusConflict:
+		return core.StateConflict
+	case http.StatusGone:
+		return core.StateGone
+	case http.StatusBadRequest:
+		if strings.Contains(a.Error, "lease") {
+			return core.StateNoGrant
+		}
+		return core.StateBad
+	case http.StatusServiceUnavailable:
+		return core.StateRefused
+	}
+	if op.Kind == core.OpTxn {
+		return core.StateUnknown
+	}
+	return core.StateRefused
+}
+
+func fill(out *core.StateDone, op core.StateOp, a *answer) {
+	out.Rev, out.Failed, out.Grant, out.Truncated = a.Rev, a.Failed, a.Permit, a.Truncated
+	if op.Kind == core.OpGet && out.Status == core.StateOK {
+		out.Items = []core.Item{{Key: a.Key, Value: a.Value, Stamp: a.Stamp}}
+	}
+	for _, r := range a.Rows {
+		out.Items = append(out.Items, core.Item{Key: r.Key, Value: r.Value, Stamp: r.Stamp})
+	}
+	for _, r := range a.News {
+		it := core.Item{Key: r.Put, Value: r.Value, Stamp: r.Stamp}
+		if r.Remove != "" {
+			it.Key, it.Removed = r.Remove, true
+		}
+		out.Items = append(out.Items, it)
+	}
+}
--- /dev/null
+++ b/internal/worker/worker.go
@@ -0,0 +1,187 @@
+// Package worker speaks with workers: it owns the wire form of their reports
+// and orders, and sends orders to them directly.
+package worker
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/micahill/micahill/internal/core"
+	"github.com/vmihailenco/msgpack/v5"
+)
+
+const (
+	// deadline of a direct order: a silent host must not hold anything up
+	// for long, and its next report is only seconds away.
+	deadline = 2 * time.Second
+	// maxAnswer bounds an answer; the protocol's limit is 64 KiB as JSON.
+	maxAnswer = 256 << 10
+	// idleConns bounds the connections kept for later orders.
+	idleConns = 128
+)
+
+// Piece is one attempt in a report.
+type Piece struct {
+	Piece  string `msgpack:"piece"`
+	Try    uint64 `msgpack:"try"`
+	Status string `msgpack:"status"`
+	Cause  string `msgpack:"cause"`
+	Stored bool   `msgpack:"stored"`
+}
+
+// Report is a worker's report on the wire.
+type Report struct {
+	Host    string   `msgpack:"host"`
+	Address string   `msgpack:"address"`
+	Flavour string   `msgpack:"flavour"`
+	Site    string   `msgpack:"site"`
+	Loaner  bool     `msgpack:"loaner"`
+	Tenure  uint64   `msgpack:"tenure"`
+	Tick    uint64   `msgpack:"tick"`
+	Epoch   uint64   `msgpack:"epoch"`
+	RecallS *float64 `msgpack:"recall_s"`
+	Pieces  []Piece  `msgpack:"pieces"`
+}
+
+// Order is a command on the wire.
+type Order struct {
+	Verb      string   `msgpack:"verb"`
+	Piece     string   `msgpack:"piece"`
+	Try       uint64   `msgpack:"try"`
+	WindDownS *float64 `msgpack:"wind_down_s,omitempty"`
+}
+
+// Orders is the body of a direct order.
+type Orders struct {
+	Epoch  uint64  `msgpack:"epoch"`
+	Tenure uint64  `msgpack:"tenure"`
+	Orders []Order `msgpack:"orders"`
+}
+
+// Core turns a report from the wire into the core's form. Lines that make no
+// sense are left out.
+func (r *Report) Core() core.Report {
+	out := core.Report{
+		Machine: r.Host, Addr: r.Address, Flavour: r.Flavour, Zone: r.Site, Spot: r.Loaner,
+		Tenure: r.Tenure, Tick: r.Tick, Epoch: r.Epoch, Recall: -1,
+	}
+	if r.RecallS != nil {
+		out.Recall = core.Seconds(*r.RecallS)
+	}
+	for _, p := range r.Pieces {
+		job, index, ok := splitPiece(p.Piece)
+		if !ok {
+			continue
+		}
+		t := core.TaskReport{Job: job, Index: index, Try: p.Try, Cause: p.Cause, Stored: p.Stored}
+		switch p.Status {
+		case "fetching":
+			t.Status = core.Fetching
+		case "running":
+			t.Status = core.Running
+		case "flushing":
+			t.Status = core.Flushing
+		case "ended":
+			t.Status = core.Ended
+		default:
+			// A state added later: on the machine, and not ended.
+			t.Status = core.Running
+		}
+		out.Tasks = append(out.Tasks, t)
+	}
+	return out
+}
+
+func splitPiece(s string) (string, int, bool) {
+	i := strings.LastIndexByte(s, '/')
+	if i < 0 {
+		return "", 0, false
+	}
+	k, err := strconv.Atoi(s[i+1:])
+	return s[:i], k, err == nil && k >= 0
+}
+
+// Wire turns orders into their wire form.
+func Wire(orders []core.Order) []Order {
+	out := make([]Order, 0, len(orders))
+	for _, o := range orders {
+		w := Order{Verb: string(o.Verb), Piece: o.Job + "/" + strconv.Itoa(o.Index), Try: o.Try}
+		if o.Verb == core.Halt {
+			s := o.WindDown.Seconds()
+			w.WindDownS = &s
+		}
+		out = append(out, w)
+	}
+	return out
+}
+
+// Client sends orders to workers.
+type Client struct{ http *http.Client }
+
+// New makes a client.
+func New() *Client {
+	tr := &http.Transport{
+		DialContext:         (&net.Dialer{Timeout: time.Second}).DialContext,
+		MaxIdleConns:        idleConns,
+		MaxIdleConnsPerHost: 1,
+		IdleConnTimeout:     time.Minute,
+		DisableCompression:  true,
+	}
+	return &Client{http: &http.Client{Transport: tr}}
+}
+
+// Do carries out op. Without an answer the orders may still be executed later.
+func (c *Client) Do(ctx context.Context, op core.WorkerOp) core.WorkerDone {
+	out := core.WorkerDone{ID: op.ID}
+	ctx, cancel := context.WithTimeout(ctx, deadline)
+	defer cancel()
+	r, status, err := c.send(ctx, op)
+	if err != nil || r.Host != op.Machine {
+		return out
+	}
+	rep := r.Core()
+	out.Report, out.OK = &rep, status == http.StatusOK
+	return out
+}
+
+func (c *Client) send(ctx context.Context, op core.WorkerOp) (*Report, int, error) {
+	method, path, rd := http.MethodGet, "/status", io.Reader(nil)
+	if !op.Ask {
+		b, err := msgpack.Marshal(Orders{op.Epoch, op.Tenure, Wire(op.Orders)})
+		if err != nil {
+			return nil, 0, fmt.Errorf("worker: encode: %w", err)
+		}
+		method, path, rd = http.MethodPost, "/orders", bytes.NewReader(b)
+	}
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+op.Addr+path, rd)
+	if err != nil {
+		return nil, 0, fmt.Errorf("worker: %w", err)
+	}
+	if rd != nil {
+		req.Header.Set("Content-Type", "application/msgpack")
+	}
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return nil, 0, fmt.Errorf("worker: %w", err)
+	}
+	defer resp.Body.Close()
+	b, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswer))
+	if err != nil {
+		return nil, 0, fmt.Errorf("worker: read: %w", err)
+	}
+	if resp.StatusCode != http.StatusOK && resp.StatusCode != http.StatusConflict {
+		return nil, 0, fmt.Errorf("worker: status %d", resp.StatusCode)
+	}
+	var r Report
+	if err := msgpack.Unmarshal(b, &r); err != nil {
+		return nil, 0, fmt.Errorf("worker: decode: %w", err)
+	}
+	return &r, resp.StatusCode, nil
+}
