--- a/internal/api/run.go
+++ b/internal/api/run.go
@@ -16,7 +16,7 @@
 	ID        *string  `msgpack:"id" validate:"required,runid"`
 	Workload  *string  `msgpack:"workload" validate:"required,min=1,max=100"`
 	Owner     *string  `msgpack:"owner" validate:"required,min=1,max=100"`
-	Shape     *string  `msgpack:"shape" validate:"required,oneof=array standing"`
+	Shape     *string  `msgpack:"shape" validate:"required,oneof=array standing group"`
 	Urgency   *string  `msgpack:"urgency" validate:"required,oneof=critical urgent normal best_effort"`
 	Pieces    *float64 `msgpack:"pieces" validate:"required,whole,gte=1,lte=100000"`
 	VCPUs     *float64 `msgpack:"vcpus" validate:"required,amount"`
@@ -81,7 +81,7 @@
 		return core.Spec{ID: *r.ID}, why
 	}
 	s := core.Spec{
-		ID: *r.ID, Workload: *r.Workload, Team: *r.Owner, Standing: *r.Shape == "standing",
+		ID: *r.ID, Workload: *r.Workload, Team: *r.Owner, Standing: *r.Shape == "standing", Gang: *r.Shape == "group",
 		Urgency: urgencies[*r.Urgency], Tasks: int(*r.Pieces),
 		Need:  core.Resources{CPU: *r.VCPUs, GPU: *r.GPUs, Memory: *r.MemoryGB},
 		Image: *r.Bundle, ImageGB: *r.ImageGB, Flavours: r.Flavours,
--- a/internal/core/place.go
+++ b/internal/core/place.go
@@ -139,8 +139,76 @@
 		return
 	}
 	for _, j := range jobs {
-		n.placeJob(j, ms)
+		if j.Gang {
+			n.placeGang(j, ms)
+		} else {
+			n.placeJob(j, ms)
+		}
+	}
+}
+
+// gangPatience is how long some tasks of a gang may be live while others wait
+// for a place, before all are stopped to start together again.
+const gangPatience = 20 * time.Second
+
+// placeGang places all tasks of a gang or none, in one zone after another when
+// they must be in the same place.
+func (n *Node) placeGang(j *job, ms []*machine) {
+	if j.live > 0 {
+		// Some were lost. The workers end the others by themselves; those
+		// that do not are stopped.
+		for i := range j.tasks[:j.fresh] {
+			t := &j.tasks[i]
+			if t.m != nil && t.stop == stopNone && n.now.Sub(time.UnixMilli(t.group)) > gangPatience {
+				t.stop = stopDrain
+				t.m.dirty = true
+			}
+		}
+		return
+	}
+	zones := []string{""}
+	if j.SamePlace {
+		zones = n.set.Zones
+	}
+	for _, z := range zones {
+		in := ms
+		if z != "" {
+			in = slices.DeleteFunc(slices.Clone(ms), func(m *machine) bool { return m.zone != z })
+		}
+		if n.fitsAll(j, in) {
+			n.placeJob(j, in)
+			return
+		}
+	}
+}
+
+// fitsAll says whether all waiting tasks of j find room at once.
+func (n *Node) fitsAll(j *job, ms []*machine) bool {
+	if t := n.team(j.Team); t != nil {
+		u := n.owner.used[j.Team].Plus(j.Need, float64(j.pending()))
+		if t.Limit.CPU > 0 && u.CPU > t.Limit.CPU+slack || t.Limit.GPU > 0 && u.GPU > t.Limit.GPU+slack {
+			return false
+		}
+	}
+	for _, i := range j.again {
+		if j.tasks[i].notBefore.After(n.now) {
+			return false
+		}
+	}
+	room := 0
+	zones := map[string]int{}
+	for _, m := range ms {
+		if !j.allows(m.flavour, m.zone, m.spot) {
+			continue
+		}
+		k := m.size.Plus(m.used, -1).Times(j.Need)
+		if j.Apart {
+			k = min(k, (len(j.tasks)+1)/2-zones[m.zone])
+			zones[m.zone] += k
+		}
+		room += k
 	}
+	return room >= j.pending()
 }
 
 func (n *Node) placeJob(j *job, ms []*machine) {
--- a/internal/core/record.go
+++ b/internal/core/record.go
@@ -51,6 +51,7 @@
 	Workload  string   `msgpack:"w"`
 	Team      string   `msgpack:"o"`
 	Standing  bool     `msgpack:"st,omitempty"`
+	Gang      bool     `msgpack:"gg,omitempty"`
 	Urgency   int      `msgpack:"u"`
 	Tasks     int      `msgpack:"n"`
 	CPU       float64  `msgpack:"c"`
@@ -118,7 +119,7 @@
 
 func (s *Spec) record(at time.Time) openRecord {
 	return openRecord{
-		Workload: s.Workload, Team: s.Team, Standing: s.Standing, Urgency: int(s.Urgency),
+		Workload: s.Workload, Team: s.Team, Standing: s.Standing, Gang: s.Gang, Urgency: int(s.Urgency),
 		Tasks: s.Tasks, CPU: s.Need.CPU, GPU: s.Need.GPU, Memory: s.Need.Memory,
 		Image: s.Image, ImageGB: s.ImageGB, Flavours: s.Flavours, Zone: s.Zone,
 		Same: s.SamePlace, Apart: s.Apart, Spot: s.Spot,
@@ -129,7 +130,7 @@
 
 func (r *openRecord) spec(id string) Spec {
 	return Spec{
-		ID: id, Workload: r.Workload, Team: r.Team, Standing: r.Standing, Urgency: Urgency(r.Urgency),
+		ID: id, Workload: r.Workload, Team: r.Team, Standing: r.Standing, Gang: r.Gang, Urgency: Urgency(r.Urgency),
 		Tasks: r.Tasks, Need: Resources{r.CPU, r.GPU, r.Memory}, Image: r.Image, ImageGB: r.ImageGB,
 		Flavours: r.Flavours, Zone: r.Zone, SamePlace: r.Same, Apart: r.Apart, Spot: r.Spot,
 		Expected: Seconds(r.Expected), SaveEvery: Seconds(r.SaveEvery), SaveCost: Seconds(r.SaveCost),
--- a/internal/core/types.go
+++ b/internal/core/types.go
@@ -22,10 +22,12 @@
 
 // Spec is a job as its user described it.
 type Spec struct {
-	ID        string
-	Workload  string
-	Team      string
-	Standing  bool
+	ID       string
+	Workload string
+	Team     string
+	Standing bool
+	// Gang: the tasks run only all together.
+	Gang      bool
 	Urgency   Urgency
 	Tasks     int
 	Need      Resources
--- a/internal/core/users.go
+++ b/internal/core/users.go
@@ -201,7 +201,7 @@
 		return 422, "a task fits no allowed flavour"
 	}
 	count := 1.0
-	if s.Standing {
+	if s.Standing || s.Gang {
 		count = float64(s.Tasks)
 	}
 	all := Resources{}.Plus(s.Need, count)
--- a/internal/worker/worker.go
+++ b/internal/worker/worker.go
@@ -82,7 +82,8 @@
 		}
 		t := core.TaskReport{Job: job, Index: index, Try: p.Try, Cause: p.Cause, Stored: p.Stored}
 		switch p.Status {
-		case "fetching":
+		case "fetching", "gathering":
+			// A gang's task that waits for its mates has not begun either.
 			t.Status = core.Fetching
 		case "running":
 			t.Status = core.Running
