--- a/internal/core/fleet.go
+++ b/internal/core/fleet.go
@@ -481,39 +481,54 @@
 			vs = append(vs, &virtual{r.kind, f.Size})
 		}
 	}
-	for k, c := range l.renting {
-		for range c {
+	for _, k := range sortedKinds(l.renting) {
+		for range l.renting[k] {
 			vs = append(vs, &virtual{k, n.types[k.flavour].Size})
 		}
 	}
 	wants := map[kind]int{}
 	add := func(j *job, count int) {
-		for _, v := range vs {
-			if count == 0 {
-				return
+		zones := newZonePlan(j)
+		take := func(v *virtual) {
+			fit := min(count, v.free.Times(j.Need), zones.room(v.k.zone))
+			if fit > 0 {
+				zones.take(v.k.zone, fit)
+				v.free = v.free.Plus(j.Need, -float64(fit))
+				count -= fit
 			}
-			if !j.allows(v.k.flavour, v.k.zone, v.k.spot) {
-				continue
+		}
+		for _, v := range vs {
+			if count > 0 && j.allows(v.k.flavour, v.k.zone, v.k.spot) {
+				take(v)
 			}
-			fit := min(count, v.free.Times(j.Need))
-			v.free = v.free.Plus(j.Need, -float64(fit))
-			count -= fit
 		}
 		for count > 0 {
-			k, ok := n.bestKind(j, count)
+			k, ok := n.bestKind(j, count, zones)
 			if !ok {
 				return
 			}
 			v := &virtual{k, n.types[k.flavour].Size}
 			vs = append(vs, v)
 			wants[k]++
-			fit := min(count, v.free.Times(j.Need))
-			v.free = v.free.Plus(j.Need, -float64(fit))
-			count -= fit
+			take(v)
 		}
 	}
+	// What a team's limit keeps from running needs no machines.
+	over := map[string]Resources{}
 	for _, j := range n.order() {
-		add(j, j.pending())
+		count := j.pending()
+		if t := n.team(j.Team); t != nil {
+			u := o.used[j.Team].Plus(over[j.Team], 1)
+			left := Resources{CPU: t.Limit.CPU - u.CPU, GPU: t.Limit.GPU - u.GPU}
+			if t.Limit.CPU > 0 {
+				count = min(count, Resources{CPU: left.CPU}.Times(Resources{CPU: j.Need.CPU}))
+			}
+			if t.Limit.GPU > 0 {
+				count = min(count, Resources{GPU: left.GPU}.Times(Resources{GPU: j.Need.GPU}))
+			}
+			over[j.Team] = over[j.Team].Plus(j.Need, float64(count))
+		}
+		add(j, count)
 	}
 	// Warm room beyond what is free now.
 	room := n.warmRoom()
@@ -526,7 +541,7 @@
 		for _, ob := range n.set.Objectives {
 			if as := o.arrivals[ob.Workload]; ob.Kind == "wait" && len(as) > 0 {
 				s := *as[len(as)-1].spec
-				add(&job{Spec: s}, int(room/max(s.Need.CPU, 0.1)))
+				add(&job{Spec: s, tasks: make([]task, s.Tasks)}, int(room/max(s.Need.CPU, 0.1)))
 			}
 		}
 	}
@@ -537,6 +552,35 @@
 	}
 }
 
+// zonePlan keeps machines from being rented in a zone where same_place or apart
+// keep the job's tasks from starting.
+type zonePlan struct {
+	j     *job
+	tasks map[string]int
+}
+
+func newZonePlan(j *job) *zonePlan {
+	z := &zonePlan{j, map[string]int{}}
+	for zone, k := range j.zoneLive {
+		if k > 0 {
+			z.tasks[zone] = k
+		}
+	}
+	return z
+}
+
+func (z *zonePlan) room(zone string) int {
+	switch {
+	case z.j.SamePlace && len(z.tasks) > 0 && z.tasks[zone] == 0:
+		return 0
+	case z.j.Apart:
+		return max(0, (len(z.j.tasks)+1)/2-z.tasks[zone])
+	}
+	return len(z.j.tasks)
+}
+
+func (z *zonePlan) take(zone string, k int) { z.tasks[zone] += k }
+
 func sortedKinds(m map[kind]int) []kind {
 	ks := make([]kind, 0, len(m))
 	for k := range m {
@@ -550,7 +594,7 @@
 
 // bestKind is the cheapest kind for some tasks of a job, among those the cloud
 // has not just refused.
-func (n *Node) bestKind(j *job, count int) (kind, bool) {
+func (n *Node) bestKind(j *job, count int, zones *zonePlan) (kind, bool) {
 	var best kind
 	var bestCost float64
 	found := false
@@ -563,7 +607,7 @@
 		for _, z := range f.Zones {
 			for _, spot := range [...]bool{true, false} {
 				k := kind{name, z, spot}
-				if !j.allows(name, z, spot) || n.leader.blocked[k].After(n.now) {
+				if !j.allows(name, z, spot) || zones.room(z) == 0 || n.leader.blocked[k].After(n.now) {
 					continue
 				}
 				cost := n.price(k) / float64(min(fit, max(count, 1)))
--- a/internal/core/jobs.go
+++ b/internal/core/jobs.go
@@ -223,6 +223,11 @@
 
 // zoneOK judges same_place and apart against the job's live tasks.
 func (j *job) zoneOK(zone string) bool {
+	if (j.SamePlace || j.Apart) && j.zoneLive[""] > 0 {
+		// After a takeover, before a machine has been heard of or listed, it
+		// is not known where its tasks are.
+		return false
+	}
 	if j.SamePlace && j.live > 0 {
 		for z, k := range j.zoneLive {
 			if k > 0 && z != zone {
--- a/internal/core/machines.go
+++ b/internal/core/machines.go
@@ -562,8 +562,11 @@
 		if len(m.attempts) > 0 && !m.leaseEnd.IsZero() && n.now.After(m.leaseEnd) {
 			n.info("lease surely over", "machine", m.id, "attempts", len(m.attempts))
 			n.loseAll(m, nil)
-			// Nothing more until it is heard of, in a later tenure.
-			m.tick = ^uint64(0)
+		}
+		if len(m.attempts) == 0 && !m.leaseEnd.IsZero() && n.now.After(m.leaseEnd) {
+			// If it is ever heard of again, it is in a later tenure and empty.
+			delete(o.machines, id)
+			continue
 		}
 		for _, k := range sortedAttempts(m) {
 			t := m.attempts[k]
--- a/internal/core/node.go
+++ b/internal/core/node.go
@@ -192,3 +192,6 @@
 func (n *Node) jitter(d time.Duration) time.Duration {
 	return time.Duration(float64(d) * (0.75 + n.rng.Float64()/2))
 }
+
+// IsOwner says whether this node runs jobs now.
+func (n *Node) IsOwner() bool { return n.owner != nil && n.owner.ready }
--- a/internal/core/place.go
+++ b/internal/core/place.go
@@ -110,7 +110,7 @@
 
 // usable says whether tasks may be placed on m now.
 func (n *Node) usable(m *machine) bool {
-	if !m.heard || m.recall || m.returning || m.bad || m.size.CPU <= 0 || n.silent(m) || m.tick == ^uint64(0) {
+	if !m.heard || m.recall || m.returning || m.bad || m.size.CPU <= 0 || n.silent(m) {
 		return false
 	}
 	for k, p := range m.pieces {
--- a/internal/core/session.go
+++ b/internal/core/session.go
@@ -82,7 +82,6 @@
 }
 
 func (n *Node) grantNew() {
-	n.sess.gen++
 	n.ask(StateOp{Kind: OpGrantNew, Prio: PrioSession, TTL: sessionTTL}, func(d StateDone) {
 		if d.Status != StateOK {
 			n.after(n.jitter(retryPause), n.grantNew)
--- a/internal/core/users.go
+++ b/internal/core/users.go
@@ -200,6 +200,9 @@
 	if !fits {
 		return 422, "a task fits no allowed flavour"
 	}
+	if s.Gang && s.SamePlace && s.Apart && s.Tasks > 1 {
+		return 422, "tasks that start together cannot be in the same place and apart"
+	}
 	count := 1.0
 	if s.Standing || s.Gang {
 		count = float64(s.Tasks)
--- /dev/null
+++ b/internal/standin/scenario_test.go
@@ -0,0 +1,353 @@
+package standin
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/datadriven"
+	"github.com/micahill/micahill/internal/core"
+)
+
+func testSettings() core.Settings {
+	return core.Settings{
+		Zones: []string{"a", "b"}, ReportEvery: 3 * time.Second, Lease: 24 * time.Second,
+		TxnOps: 12, ValueBytes: 4096, StateRPS: 100, CloudRPS: 5, ListLag: 4 * time.Second,
+		Policy: core.DefaultPolicy(),
+		Teams:  []core.Team{{Name: "ops"}, {Name: "lab", Limit: core.Resources{CPU: 40}}},
+	}
+}
+
+func testTypes() ([]core.Flavour, map[string]int) {
+	return []core.Flavour{
+			{Name: "small", Size: core.Resources{CPU: 4, Memory: 16}, DiskGB: 20, PullRate: 0.5, Price: 0.2, SpotPrice: 0.07, Ready: 20 * time.Second, Zones: []string{"a", "b"}},
+			{Name: "big", Size: core.Resources{CPU: 32, Memory: 128}, DiskGB: 40, PullRate: 0.5, Price: 1.5, SpotPrice: 0.5, Ready: 15 * time.Second, Zones: []string{"a"}},
+		}, map[string]int{
+			"small/a/true": 4, "small/a/false": 6, "small/b/true": 3, "small/b/false": 6, "big/a/true": 1, "big/a/false": 2,
+		}
+}
+
+const testCancel = 54 * time.Second
+
+func newTestWorld(seed uint64) *World {
+	types, room := testTypes()
+	return NewWorld(seed, 3, testSettings(), testCancel, types, room)
+}
+
+// scenario is one file's state.
+type scenario struct{ w *World }
+
+func arg[T any](t *testing.T, d *datadriven.TestData, name string, def T) T {
+	if d.HasArg(name) {
+		d.ScanArgs(t, name, &def)
+	}
+	return def
+}
+
+func seconds(t *testing.T, d *datadriven.TestData, name string, def float64) time.Duration {
+	return core.Seconds(arg(t, d, name, def))
+}
+
+func (s *scenario) submit(t *testing.T, d *datadriven.TestData) {
+	run := seconds(t, d, "run", 20)
+	cpu := arg(t, d, "cpu", 2.0)
+	spec := core.Spec{
+		ID: arg(t, d, "id", ""), Workload: arg(t, d, "workload", "batch"), Team: arg(t, d, "team", "ops"),
+		Standing: d.HasArg("standing"), Gang: d.HasArg("gang"), Urgency: core.Urgency(arg(t, d, "urgency", 1)),
+		Tasks: arg(t, d, "tasks", 1), Need: core.Resources{CPU: cpu, Memory: cpu},
+		Image: arg(t, d, "image", "img-1"), ImageGB: 1, Zone: arg(t, d, "zone", ""),
+		SamePlace: d.HasArg("same"), Apart: d.HasArg("apart"), Spot: d.HasArg("spot"),
+		Expected: seconds(t, d, "expected", run.Seconds()), SaveEvery: seconds(t, d, "save", 0), SaveCost: seconds(t, d, "cost", 0),
+		Due: seconds(t, d, "due", 0),
+	}
+	if f := arg(t, d, "flavour", ""); f != "" {
+		spec.Flavours = []string{f}
+	}
+	s.w.Submit(spec, run, d.HasArg("broken"))
+}
+
+// busiest is the nth machine with the most tasks on it.
+func (s *scenario) busiest() *Worker {
+	var best *Worker
+	for _, id := range sorted(s.w.machine) {
+		if m := s.w.machine[id]; m.up(s.w.now) && (best == nil || len(m.tasks) > len(best.tasks)) {
+			best = m
+		}
+	}
+	return best
+}
+
+// owner is the controller that runs the jobs.
+func (s *scenario) owner() int {
+	for i, p := range s.w.nodes {
+		if p.alive && p.node.IsOwner() {
+			return i
+		}
+	}
+	return 0
+}
+
+func (s *scenario) fault(t *testing.T, d *datadriven.TestData) string {
+	w := s.w
+	dur := seconds(t, d, "for", 20)
+	node := func() int {
+		if d.HasArg("owner") {
+			return s.owner()
+		}
+		return arg(t, d, "node", 0)
+	}
+	switch what := d.CmdArgs[0].Key; what {
+	case "crash":
+		if d.HasArg("all") {
+			for i := range w.nodes {
+				w.Crash(i, seconds(t, d, "back", 5))
+			}
+			break
+		}
+		w.Crash(node(), seconds(t, d, "back", 5))
+	case "cut":
+		w.Cut(w.nodes[node()].name, arg(t, d, "from", "*"), dur, d.HasArg("hold"))
+	case "refused":
+		p := w.nodes[node()]
+		p.stateNo = true
+		w.after(dur, func() { p.stateNo = false })
+	case "outage":
+		w.Outage(dur)
+	case "cloud":
+		w.cloudOut = true
+		w.after(dur, func() { w.cloudOut = false })
+	case "die":
+		w.kill(s.busiest())
+	case "hang":
+		s.busiest().hungTill = w.now.Add(dur)
+	case "recall":
+		s.busiest().recallAt = w.now.Add(dur)
+	case "slow":
+		s.busiest().slow = arg(t, d, "factor", 5.0)
+		for _, x := range s.busiest().tasks {
+			x.left = time.Duration(float64(x.left) * s.busiest().slow)
+		}
+	case "faulty":
+		s.busiest().faulty = true
+	case "capacity":
+		for _, k := range sorted(w.room) {
+			w.room[k] = 0
+		}
+	case "loss":
+		w.loss = arg(t, d, "share", 0.02)
+		w.after(dur, func() { w.loss = 0 })
+	default:
+		d.Fatalf(t, "unknown fault %s", what)
+	}
+	return ""
+}
+
+// show prints what does not depend on how work happens to be spread.
+func (s *scenario) show() string {
+	var b strings.Builder
+	for _, id := range sorted(s.w.jobs) {
+		j := s.w.jobs[id]
+		state := j.told
+		if j.Refused != 0 {
+			state = fmt.Sprint(j.Refused)
+		}
+		fmt.Fprintf(&b, "%s %s\n", id, state)
+	}
+	for _, x := range s.w.Broken {
+		fmt.Fprintln(&b, "BROKEN", x)
+	}
+	return b.String()
+}
+
+// TestScenarios runs the scenario files under testdata.
+func TestScenarios(t *testing.T) {
+	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
+		s := &scenario{w: newTestWorld(1)}
+		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
+			switch d.Cmd {
+			case "world":
+				s.w = newTestWorld(arg(t, d, "seed", uint64(1)))
+			case "submit":
+				s.submit(t, d)
+			case "many":
+				for i := range arg(t, d, "jobs", 10) {
+					s.w.Submit(core.Spec{ID: fmt.Sprintf("job-m%03d", i), Workload: "batch", Team: "ops", Urgency: core.Normal, Tasks: 1 + i%4,
+						Need: core.Resources{CPU: 2, Memory: 2}, Image: "img-1", ImageGB: 1, Spot: i%2 == 0, Expected: 15 * time.Second}, 15*time.Second, false)
+				}
+			case "abort":
+				s.w.Abort(arg(t, d, "id", ""))
+			case "ask":
+				s.w.Stranger(arg(t, d, "id", ""))
+			case "run":
+				s.w.Run(seconds(t, d, "for", 10))
+			case "fault":
+				return s.fault(t, d)
+			case "show":
+				return s.show()
+			case "state":
+				j := s.w.jobs[arg(t, d, "id", "")]
+				return j.told + "\n"
+			case "live":
+				return fmt.Sprintf("%d\n", s.w.live(arg(t, d, "id", "")))
+			case "starts":
+				return fmt.Sprintf("%d\n", s.w.Started)
+			case "machines":
+				k := 0
+				for _, m := range s.w.machine {
+					if !m.dead && !m.returned {
+						k++
+					}
+				}
+				return fmt.Sprintf("%d\n", k)
+			default:
+				d.Fatalf(t, "unknown command %s", d.Cmd)
+			}
+			return ""
+		})
+		if t.Failed() {
+			t.Log(strings.Join(s.w.logs, "\n"))
+		}
+	})
+}
+
+// randomDay plays a world with random jobs and random faults.
+func randomDay(w *World, seed uint64) {
+	rng := rand.New(rand.NewPCG(seed, 99))
+	id := 0
+	for step := range 24 {
+		for range rng.IntN(4) {
+			id++
+			run := time.Duration(5+rng.IntN(30)) * time.Second
+			cpu := []float64{1, 2, 4, 8}[rng.IntN(4)]
+			spec := core.Spec{
+				ID: fmt.Sprintf("job-%06d", id), Workload: []string{"batch", "rush"}[rng.IntN(2)], Team: []string{"ops", "lab"}[rng.IntN(2)],
+				Urgency: core.Urgency(rng.IntN(4)), Tasks: 1 + rng.IntN(6), Need: core.Resources{CPU: cpu, Memory: cpu},
+				Image: fmt.Sprintf("img-%d", rng.IntN(3)), ImageGB: 0.5 + rng.Float64()*3, Spot: rng.IntN(3) > 0,
+				Expected: run, SamePlace: rng.IntN(5) == 0, Apart: cpu <= 4 && rng.IntN(6) == 0, Gang: cpu <= 2 && rng.IntN(8) == 0,
+			}
+			if rng.IntN(4) == 0 {
+				spec.SaveEvery, spec.SaveCost = 5*time.Second, 2*time.Second
+			}
+			w.Submit(spec, run, false)
+			if rng.IntN(8) == 0 {
+				name := spec.ID
+				w.after(time.Duration(rng.IntN(60))*time.Second, func() { w.Abort(name) })
+			}
+		}
+		if step > 3 && step < 18 {
+			w.randomFault(rng)
+		}
+		w.Stranger(fmt.Sprintf("job-9%05d", rng.IntN(1000)))
+		w.Run(15 * time.Second)
+	}
+	w.Run(6 * time.Minute)
+}
+
+// TestSimulation plays random days with random faults. After every start and
+// every tick the rules are checked; in the end all work must be done.
+func TestSimulation(t *testing.T) {
+	days := 24
+	if testing.Short() {
+		days = 6
+	}
+	for seed := range uint64(days) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			w := newTestWorld(seed)
+			if seed%3 == 2 {
+				w.loss = 0.01
+			}
+			randomDay(w, seed)
+			for _, b := range w.Broken {
+				t.Error(b)
+			}
+			for _, id := range sorted(w.jobs) {
+				if j := w.jobs[id]; j.Refused == 0 && j.told != "done" && j.told != "cancelled" {
+					t.Errorf("%s is %q in the end, %d of %d done", id, j.told, len(j.results), j.spec.Tasks)
+				}
+			}
+			if w.Started == 0 {
+				t.Error("nothing ran")
+			}
+			if t.Failed() {
+				t.Log(strings.Join(w.logs[max(0, len(w.logs)-60):], "\n"))
+			}
+		})
+	}
+}
+
+// TestSimulationNoticesBrokenInvariants breaks an invariant on purpose: the
+// checks have to see it, or they are worth nothing.
+func TestSimulationNoticesBrokenInvariants(t *testing.T) {
+	for _, c := range []struct {
+		rule   string
+		break_ func(*World)
+	}{
+		{"ran_twice", func(w *World) {
+			// The cores believe in far too short a lease.
+			w.coreLease = 500 * time.Millisecond
+			for i := range w.nodes {
+				w.Crash(i, 0)
+			}
+		}},
+		{"ran_cancelled", func(w *World) {
+			// Stops get lost.
+			drop := func(os []core.Order) []core.Order {
+				var out []core.Order
+				for _, o := range os {
+					if o.Verb != core.Halt {
+						out = append(out, o)
+					}
+				}
+				return out
+			}
+			w.sabotage = func(e core.Effect) core.Effect {
+				switch x := e.(type) {
+				case core.WorkerOp:
+					x.Orders = drop(x.Orders)
+					return x
+				case core.ReportReply:
+					x.Orders = drop(x.Orders)
+					return x
+				}
+				return e
+			}
+		}},
+		{"not_done", func(w *World) {
+			// Every job is called done.
+			w.sabotage = func(e core.Effect) core.Effect {
+				if x, ok := e.(core.UserReply); ok && x.Status == 200 {
+					x.State = "done"
+					return x
+				}
+				return e
+			}
+		}},
+	} {
+		t.Run(c.rule, func(t *testing.T) {
+			w := newTestWorld(5)
+			c.break_(w)
+			for i := range 12 {
+				w.Submit(core.Spec{ID: fmt.Sprintf("job-%06d", i), Workload: "batch", Team: "ops", Urgency: core.Normal, Tasks: 2,
+					Need: core.Resources{CPU: 2, Memory: 2}, Image: "i", ImageGB: 1, Expected: 90 * time.Second}, 90*time.Second, false)
+			}
+			w.Run(60 * time.Second)
+			for i := range 4 {
+				w.Abort(fmt.Sprintf("job-%06d", i))
+			}
+			for _, id := range sorted(w.machine) {
+				w.machine[id].hungTill = w.now.Add(10 * time.Second)
+			}
+			w.Run(3 * time.Minute)
+			for _, b := range w.Broken {
+				if strings.HasPrefix(b, c.rule) {
+					return
+				}
+			}
+			t.Errorf("no %s noticed: %v, %d starts", c.rule, w.Broken, w.Started)
+			t.Log(strings.Join(w.logs, "\n"))
+		})
+	}
+}
--- /dev/null
+++ b/internal/standin/state.go
@@ -0,0 +1,244 @@
+// Package standin holds our own models of the state service, the cloud, the
+// workers and the users, written from the protocol, and a world in simulated
+// time in which real cores meet them, with faults. The tests live on it.
+package standin
+
+import (
+	"slices"
+	"sort"
+	"strings"
+	"time"
+
+	"github.com/micahill/micahill/internal/core"
+)
+
+// keptNews is how many changes the state service keeps for watches.
+const keptNews = 10000
+
+// StateService is a model of the state service. It knows nothing of networks:
+// the caller brings requests to it and takes answers away.
+type StateService struct {
+	rev    uint64
+	rows   map[string]*stateRow
+	grants map[uint64]*grant
+	nextID uint64
+	news   []core.Item
+	// lost is the newest revision whose change is no longer kept.
+	lost    uint64
+	waiting []*watch
+}
+
+type stateRow struct {
+	value []byte
+	stamp uint64
+	grant uint64
+}
+
+type grant struct {
+	ttl  time.Duration
+	ends time.Time
+}
+
+type watch struct {
+	op     core.StateOp
+	ends   time.Time
+	answer func(core.StateDone)
+}
+
+// NewStateService makes an empty one.
+func NewStateService() *StateService {
+	return &StateService{rows: map[string]*stateRow{}, grants: map[uint64]*grant{}}
+}
+
+// Tick ends grants and watches whose time has come.
+func (s *StateService) Tick(now time.Time) {
+	ids := make([]uint64, 0, len(s.grants))
+	for id := range s.grants {
+		ids = append(ids, id)
+	}
+	slices.Sort(ids)
+	for _, id := range ids {
+		if now.After(s.grants[id].ends) {
+			s.dropGrant(id)
+		}
+	}
+	keep := s.waiting[:0]
+	for _, w := range s.waiting {
+		if now.After(w.ends) {
+			w.answer(core.StateDone{ID: w.op.ID, Status: core.StateOK, Rev: s.rev})
+		} else {
+			keep = append(keep, w)
+		}
+	}
+	s.waiting = keep
+}
+
+// Extend gives every grant its full time again, as after an outage.
+func (s *StateService) Extend(now time.Time) {
+	for _, g := range s.grants {
+		g.ends = now.Add(g.ttl)
+	}
+}
+
+func (s *StateService) dropGrant(id uint64) {
+	delete(s.grants, id)
+	var keys []string
+	for k, r := range s.rows {
+		if r.grant == id {
+			keys = append(keys, k)
+		}
+	}
+	if len(keys) == 0 {
+		return
+	}
+	sort.Strings(keys)
+	s.rev++
+	for _, k := range keys {
+		s.remove(k)
+	}
+	s.wake()
+}
+
+func (s *StateService) remove(key string) {
+	if _, ok := s.rows[key]; ok {
+		delete(s.rows, key)
+		s.note(core.Item{Key: key, Stamp: s.rev, Removed: true})
+	}
+}
+
+func (s *StateService) note(it core.Item) {
+	s.news = append(s.news, it)
+	if len(s.news) > keptNews {
+		s.lost = s.news[0].Stamp
+		s.news = s.news[1:]
+	}
+}
+
+func (s *StateService) wake() {
+	keep := s.waiting[:0]
+	var ready []*watch
+	for _, w := range s.waiting {
+		if len(s.since(w.op.Key, w.op.Rev)) > 0 {
+			ready = append(ready, w)
+		} else {
+			keep = append(keep, w)
+		}
+	}
+	s.waiting = keep
+	for _, w := range ready {
+		w.answer(core.StateDone{ID: w.op.ID, Status: core.StateOK, Rev: s.rev, Items: s.since(w.op.Key, w.op.Rev)})
+	}
+}
+
+func (s *StateService) since(prefix string, rev uint64) []core.Item {
+	var out []core.Item
+	i := sort.Search(len(s.news), func(i int) bool { return s.news[i].Stamp > rev })
+	for _, it := range s.news[i:] {
+		if strings.HasPrefix(it.Key, prefix) {
+			out = append(out, it)
+		}
+	}
+	return out
+}
+
+// Do executes a request; the answer may come later, for a watch.
+func (s *StateService) Do(now time.Time, op core.StateOp, answer func(core.StateDone)) {
+	s.Tick(now)
+	out := core.StateDone{ID: op.ID, Status: core.StateOK, Rev: s.rev}
+	switch op.Kind {
+	case core.OpGet:
+		if r, ok := s.rows[op.Key]; ok {
+			out.Items = []core.Item{{Key: op.Key, Value: r.value, Stamp: r.stamp}}
+		} else {
+			out.Status = core.StateNotFound
+		}
+	case core.OpList:
+		out.Items, out.Truncated = s.list(op.Key, op.From)
+	case core.OpFollow:
+		if op.Rev < s.lost {
+			out.Status = core.StateGone
+			break
+		}
+		if out.Items = s.since(op.Key, op.Rev); len(out.Items) == 0 {
+			s.waiting = append(s.waiting, &watch{op, now.Add(op.Hold), answer})
+			return
+		}
+	case core.OpGrantNew:
+		s.nextID++
+		s.grants[s.nextID] = &grant{op.TTL, now.Add(op.TTL)}
+		out.Grant = s.nextID
+	case core.OpGrantRenew:
+		if g, ok := s.grants[op.Grant]; ok {
+			g.ends = now.Add(g.ttl)
+		} else {
+			out.Status = core.StateNotFound
+		}
+	case core.OpGrantDrop:
+		if _, ok := s.grants[op.Grant]; ok {
+			s.dropGrant(op.Grant)
+		} else {
+			out.Status = core.StateNotFound
+		}
+	case core.OpTxn:
+		s.txn(op, &out)
+	}
+	answer(out)
+}
+
+// listPage is small, so that tests turn pages.
+const listPage = 100
+
+func (s *StateService) list(prefix, from string) ([]core.Item, bool) {
+	var keys []string
+	for k := range s.rows {
+		if strings.HasPrefix(k, prefix) && k > from {
+			keys = append(keys, k)
+		}
+	}
+	sort.Strings(keys)
+	more := len(keys) > listPage
+	if more {
+		keys = keys[:listPage]
+	}
+	var out []core.Item
+	for _, k := range keys {
+		out = append(out, core.Item{Key: k, Value: s.rows[k].value, Stamp: s.rows[k].stamp})
+	}
+	return out, more
+}
+
+func (s *StateService) txn(op core.StateOp, out *core.StateDone) {
+	for _, a := range op.Apply {
+		if _, ok := s.grants[a.Grant]; a.Value != nil && a.Grant != 0 && !ok {
+			out.Status = core.StateNoGrant
+			return
+		}
+	}
+	for _, c := range op.When {
+		var stamp uint64
+		if r, ok := s.rows[c.Key]; ok {
+			stamp = r.stamp
+		}
+		if stamp != c.Stamp {
+			out.Failed = append(out.Failed, c.Key)
+		}
+	}
+	if len(out.Failed) > 0 {
+		out.Status = core.StateConflict
+		return
+	}
+	if len(op.Apply) == 0 {
+		return
+	}
+	s.rev++
+	for _, a := range op.Apply {
+		if a.Value == nil {
+			s.remove(a.Key)
+			continue
+		}
+		s.rows[a.Key] = &stateRow{a.Value, s.rev, a.Grant}
+		s.note(core.Item{Key: a.Key, Value: a.Value, Stamp: s.rev})
+	}
+	out.Rev = s.rev
+	s.wake()
+}
--- /dev/null
+++ b/internal/standin/users.go
@@ -0,0 +1,201 @@
+package standin
+
+import (
+	"slices"
+	"time"
+
+	"github.com/micahill/micahill/internal/core"
+)
+
+// userJob is a job as its user knows it.
+type userJob struct {
+	spec    core.Spec
+	run     time.Duration
+	broken  bool
+	results map[int]bool
+	saved   map[int]time.Duration
+
+	accepted  bool
+	told      string
+	toldAt    time.Time
+	aborting  bool
+	Refused   int
+	submitted time.Time
+	finished  time.Time
+}
+
+func (j *userJob) save(i int, left time.Duration) {
+	if old, ok := j.saved[i]; !ok || left < old {
+		j.saved[i] = left
+	}
+}
+
+// Submit sends a job and keeps trying, then polls until it is over.
+func (w *World) Submit(spec core.Spec, run time.Duration, broken bool) {
+	j := &userJob{spec: spec, run: run, broken: broken, results: map[int]bool{}, saved: map[int]time.Duration{}, submitted: w.now}
+	w.jobs[spec.ID] = j
+	w.trySubmit(j)
+}
+
+// userCall sends a request to a random living controller, with a deadline.
+func (w *World) userCall(mk func(uint64) core.Command, deadline time.Duration, fn func(*core.UserReply)) {
+	p := w.nodes[w.rng.IntN(len(w.nodes))]
+	over := false
+	finish := func(r *core.UserReply) {
+		if !over {
+			over = true
+			fn(r)
+		}
+	}
+	w.after(deadline, func() { finish(nil) })
+	if !p.node.Healthy(w.now) || !p.alive {
+		return
+	}
+	w.sendMsg("user", p.name, func() {
+		p.ask(mk, func(e core.Effect) {
+			r := e.(core.UserReply)
+			w.sendMsg(p.name, "user", func() { finish(&r) })
+		})
+	})
+}
+
+func (w *World) trySubmit(j *userJob) {
+	w.userCall(func(r uint64) core.Command { return core.Submit{Reply: r, Spec: j.spec} }, 5*time.Second, func(r *core.UserReply) {
+		switch {
+		case r != nil && (r.Status == 201 || r.Status == 200):
+			w.hear(j, r)
+			w.after(w.jitter(5*time.Second), func() { w.poll(j) })
+		case r != nil && (r.Status == 400 || r.Status == 422):
+			j.Refused = r.Status
+			if j.accepted {
+				w.broke("forgotten", "%s answered %d", j.spec.ID, r.Status)
+			}
+		default:
+			w.after(w.jitter(time.Second), func() { w.trySubmit(j) })
+		}
+	})
+}
+
+func (w *World) poll(j *userJob) {
+	w.userCall(func(r uint64) core.Command { return core.Query{Reply: r, ID: j.spec.ID} }, 2*time.Second, func(r *core.UserReply) {
+		if r != nil && (r.Status == 200 || r.Status == 404) {
+			w.hear(j, r)
+		}
+		// Ends are asked for again now and then, for a state that went back.
+		pause := 5 * time.Second
+		if j.told == "done" || j.told == "cancelled" {
+			pause = 30 * time.Second
+		}
+		w.after(w.jitter(pause), func() { w.poll(j) })
+	})
+}
+
+// Abort cancels a job, trying until it is told so.
+func (w *World) Abort(id string) {
+	j := w.jobs[id]
+	j.aborting = true
+	w.userCall(func(r uint64) core.Command { return core.Abort{Reply: r, ID: id} }, 5*time.Second, func(r *core.UserReply) {
+		if r == nil || r.Status != 200 {
+			w.after(w.jitter(time.Second), func() { w.Abort(id) })
+			return
+		}
+		w.hear(j, r)
+	})
+}
+
+// Stranger asks for a job that nobody submitted.
+func (w *World) Stranger(id string) {
+	w.userCall(func(r uint64) core.Command { return core.Query{Reply: r, ID: id} }, 2*time.Second, func(r *core.UserReply) {
+		if r != nil && r.Status == 200 {
+			w.broke("invented", "%s", id)
+		}
+	})
+}
+
+// hear checks an answer against what was said before.
+func (w *World) hear(j *userJob, r *core.UserReply) {
+	id := j.spec.ID
+	if r.Status == 404 {
+		if j.accepted {
+			w.broke("forgotten", "%s answered 404", id)
+		}
+		return
+	}
+	j.accepted = true
+	switch {
+	case (j.told == "done" || j.told == "cancelled") && r.State != j.told:
+		// A poll sent before the end was told may overtake; the model asks
+		// one thing at a time, but for an abort.
+		if !j.aborting || w.now.Sub(j.toldAt) > 3*time.Second {
+			w.broke("went_back", "%s was %s, is called %s", id, j.told, r.State)
+		}
+		return
+	case r.State == "done" && len(j.results) < j.spec.Tasks:
+		w.broke("not_done", "%s with %d of %d", id, len(j.results), j.spec.Tasks)
+	case r.State == "cancelled" && !j.aborting:
+		w.broke("went_back", "%s cancelled by nobody", id)
+	}
+	if j.told != r.State {
+		j.told, j.toldAt = r.State, w.now
+		if r.State == "done" || r.State == "cancelled" {
+			j.finished = w.now
+		}
+	}
+}
+
+// checkStart judges the start of a task on m.
+func (w *World) checkStart(m *Worker, t *workerTask) {
+	w.Started++
+	j := t.job
+	s := &j.spec
+	name := taskName(s.ID, t.index)
+	zones := map[string]int{}
+	for _, id := range sorted(w.machine) {
+		o := w.machine[id]
+		for _, k := range sorted(o.tasks) {
+			x := o.tasks[k]
+			if x == t || x.job != j || !x.onMachine() {
+				continue
+			}
+			if x.index == t.index {
+				w.broke("ran_twice", "%s on %s and %s", name, m.ID, o.ID)
+			}
+			zones[o.Zone]++
+		}
+	}
+	if len(s.Flavours) > 0 && !slices.Contains(s.Flavours, m.Flavour) || s.Zone != "" && s.Zone != m.Zone || m.Spot && !s.Spot {
+		w.broke("wrong_place", "%s on %s", name, m.ID)
+	}
+	if s.SamePlace && len(zones) > 0 && zones[m.Zone] == 0 {
+		w.broke("wrong_place", "%s not with the others", name)
+	}
+	if s.Apart && zones[m.Zone]+1 > (s.Tasks+1)/2 {
+		w.broke("wrong_place", "%s too many in %s", name, m.Zone)
+	}
+	if j.told == "cancelled" && w.now.Sub(j.toldAt) > w.cancel {
+		w.broke("ran_cancelled", "%s started", name)
+	}
+}
+
+// checkAll judges limits and cancellations.
+func (w *World) checkAll() {
+	used := map[string]core.Resources{}
+	for _, id := range sorted(w.machine) {
+		for _, k := range sorted(w.machine[id].tasks) {
+			t := w.machine[id].tasks[k]
+			if !t.onMachine() {
+				continue
+			}
+			used[t.job.spec.Team] = used[t.job.spec.Team].Plus(t.job.spec.Need, 1)
+			if t.job.told == "cancelled" && w.now.Sub(t.job.toldAt) > w.cancel {
+				w.broke("ran_cancelled", "%s on %s", taskName(t.job.spec.ID, t.index), id)
+			}
+		}
+	}
+	for _, t := range w.set.Teams {
+		u := used[t.Name]
+		if t.Limit.CPU > 0 && u.CPU > t.Limit.CPU+1e-6 || t.Limit.GPU > 0 && u.GPU > t.Limit.GPU+1e-6 {
+			w.broke("quota", "%s uses %v", t.Name, u)
+		}
+	}
+}
--- /dev/null
+++ b/internal/standin/worker.go
@@ -0,0 +1,288 @@
+package standin
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/micahill/micahill/internal/core"
+)
+
+// Worker is a model of one machine's worker.
+type Worker struct {
+	ID      string
+	Flavour string
+	Zone    string
+	Spot    bool
+	Size    core.Resources
+	Pull    float64
+
+	rentedAt time.Time
+	upAt     time.Time
+	dead     bool
+	returned bool
+	hungTill time.Time
+	slow     float64
+	faulty   bool
+	recallAt time.Time
+
+	tenure    uint64
+	tick      uint64
+	epoch     uint64
+	leaseFrom time.Time
+	images    map[string]time.Time
+	tasks     map[string]*workerTask
+
+	node      int
+	nextAt    time.Time
+	lastAt    time.Time
+	reporting bool
+	changed   bool
+}
+
+type workerTask struct {
+	job    *userJob
+	index  int
+	try    uint64
+	status core.TaskStatus
+	cause  string
+	stored bool
+	ready  time.Time
+	left   time.Duration
+	flush  time.Time
+}
+
+func taskName(job string, i int) string { return fmt.Sprintf("%s/%d", job, i) }
+
+func (m *Worker) key(t *workerTask) string {
+	return fmt.Sprintf("%s#%d", taskName(t.job.spec.ID, t.index), t.try)
+}
+
+// up says that the worker runs and is not hanging.
+func (m *Worker) up(now time.Time) bool {
+	return !m.dead && !m.returned && !now.Before(m.upAt) && !now.Before(m.hungTill)
+}
+
+// onMachine says that a task counts as being on its machine.
+func (t *workerTask) onMachine() bool {
+	return t.status == core.Running || t.status == core.Flushing
+}
+
+func (m *Worker) report(now time.Time) core.Report {
+	m.tick++
+	r := core.Report{
+		Machine: m.ID, Addr: m.ID, Flavour: m.Flavour, Zone: m.Zone, Spot: m.Spot,
+		Tenure: m.tenure, Tick: m.tick, Epoch: m.epoch, Recall: -1,
+	}
+	if !m.recallAt.IsZero() {
+		r.Recall = max(0, m.recallAt.Sub(now))
+	}
+	for _, k := range sorted(m.tasks) {
+		t := m.tasks[k]
+		r.Tasks = append(r.Tasks, core.TaskReport{Job: t.job.spec.ID, Index: t.index, Try: t.try, Status: t.status, Cause: t.cause, Stored: t.stored})
+	}
+	return r
+}
+
+// execute carries out orders one after another.
+func (w *World) execute(m *Worker, orders []core.Order) {
+	for _, o := range orders {
+		k := fmt.Sprintf("%s#%d", taskName(o.Job, o.Index), o.Try)
+		t := m.tasks[k]
+		switch o.Verb {
+		case core.Start:
+			if t == nil {
+				w.startTask(m, o, k)
+			}
+		case core.Halt:
+			if t == nil || t.status == core.Ended {
+				continue
+			}
+			save := t.job.spec.SaveEvery > 0 && t.status == core.Running && o.WindDown >= t.job.spec.SaveCost
+			switch {
+			case save:
+				t.status, t.flush = core.Flushing, w.now.Add(t.job.spec.SaveCost)
+			case t.status == core.Flushing && o.WindDown > 0:
+			default:
+				w.end(m, t, "stopped")
+			}
+		case core.Clear:
+			if t != nil && t.status == core.Ended {
+				delete(m.tasks, k)
+			}
+		}
+	}
+}
+
+func (w *World) startTask(m *Worker, o core.Order, k string) {
+	j := w.jobs[o.Job]
+	if j == nil {
+		return
+	}
+	t := &workerTask{job: j, index: o.Index, try: o.Try, status: core.Fetching}
+	m.tasks[k] = t
+	m.changed = true
+	used := core.Resources{}
+	for _, x := range m.tasks {
+		if x != t && x.status != core.Ended {
+			used = used.Plus(x.job.spec.Need, 1)
+			if x.job == j && x.index == o.Index {
+				t.status, t.cause = core.Ended, "in_use"
+				return
+			}
+		}
+	}
+	if !j.spec.Need.Fits(m.Size.Plus(used, -1)) {
+		t.status, t.cause = core.Ended, "no_room"
+		return
+	}
+	if m.images[j.spec.Image].IsZero() {
+		m.images[j.spec.Image] = w.now.Add(core.Seconds(j.spec.ImageGB / m.Pull))
+	}
+	t.ready = m.images[j.spec.Image]
+	t.left = j.run
+	if m.slow > 0 {
+		t.left = time.Duration(float64(t.left) * m.slow)
+	}
+	if saved, ok := j.saved[o.Index]; ok {
+		t.left = min(t.left, saved)
+	}
+	if j.results[o.Index] {
+		t.left = 0
+	}
+}
+
+func (w *World) end(m *Worker, t *workerTask, cause string) {
+	t.status, t.cause = core.Ended, cause
+	m.changed = true
+}
+
+// advance moves the machine's tasks on by a tick.
+func (w *World) advance(m *Worker, d time.Duration) {
+	// A hanging machine goes on within its lease or not at all, so the end of
+	// a lease comes to it as well.
+	if m.tenure > 0 && w.now.Sub(m.leaseFrom) > w.set.Lease {
+		clear(m.tasks)
+		clear(m.images)
+		m.tenure++
+		m.leaseFrom, m.changed = w.now, true
+	}
+	if !m.up(w.now) {
+		return
+	}
+	if m.tenure == 0 {
+		m.tenure, m.leaseFrom, m.nextAt = 1, w.now, w.now
+	}
+	for _, k := range sorted(m.tasks) {
+		t := m.tasks[k]
+		switch t.status {
+		case core.Fetching:
+			if !t.ready.After(w.now) {
+				t.status, m.changed = core.Running, true
+				w.checkStart(m, t)
+			}
+		case core.Running:
+			if m.faulty || t.job.broken {
+				w.end(m, t, "error")
+				continue
+			}
+			t.left -= d
+			if every := t.job.spec.SaveEvery; every > 0 && t.left > 0 {
+				// Saved progress is what is left rounded up to a checkpoint.
+				steps := (t.job.run - t.left) / every
+				t.job.save(t.index, t.job.run-steps*every)
+			}
+			if t.left <= 0 && !t.job.spec.Standing {
+				t.job.results[t.index] = true
+				w.end(m, t, "done")
+			}
+		case core.Flushing:
+			if !t.flush.After(w.now) {
+				t.job.save(t.index, t.left)
+				t.stored = true
+				w.end(m, t, "stopped")
+			}
+		}
+	}
+	// No more often than every half second, and every report interval.
+	if !m.reporting && (!w.now.Before(m.nextAt) || m.changed && w.now.Sub(m.lastAt) >= 500*time.Millisecond) {
+		w.sendReport(m)
+	}
+}
+
+func (w *World) sendReport(m *Worker) {
+	m.reporting, m.changed, m.lastAt = true, false, w.now
+	m.nextAt = w.now.Add(w.jitter(w.set.ReportEvery))
+	sent, tenure, to := w.now, m.tenure, m.node
+	answered := false
+	r := m.report(w.now)
+	next := func(again time.Duration) {
+		m.reporting = false
+		m.node = (to + 1) % len(w.nodes)
+		m.nextAt = w.now.Add(again)
+	}
+	w.after(4*time.Second, func() {
+		if !answered {
+			answered = true
+			next(time.Second)
+		}
+	})
+	p := w.nodes[to]
+	w.sendMsg(m.ID, p.name, func() {
+		p.ask(func(reply uint64) core.Command { return core.WorkerReport{Reply: reply, Report: r} }, func(e core.Effect) {
+			a := e.(core.ReportReply)
+			w.sendMsg(p.name, m.ID, func() {
+				if answered {
+					// Given up: the answer is dropped.
+					return
+				}
+				answered = true
+				switch {
+				case a.Status == 421 && a.Steward != "" && w.nodeIndex(a.Steward) >= 0 && w.nodeIndex(a.Steward) != to:
+					m.reporting = false
+					m.node = w.nodeIndex(a.Steward)
+					m.nextAt = w.now.Add(w.jitter(250 * time.Millisecond))
+				case a.Status != 200:
+					next(time.Second)
+				default:
+					m.reporting = false
+					if a.Epoch < m.epoch || tenure != m.tenure {
+						return
+					}
+					if a.Epoch > m.epoch {
+						m.epoch, m.changed = a.Epoch, true
+					}
+					m.leaseFrom = sent
+					w.execute(m, a.Orders)
+				}
+			})
+		})
+	})
+}
+
+// direct is a request to the worker's own address.
+func (w *World) direct(m *Worker, op core.WorkerOp) core.WorkerDone {
+	d := core.WorkerDone{ID: op.ID, OK: true}
+	if !op.Ask {
+		if op.Epoch < m.epoch || op.Tenure != m.tenure {
+			d.OK = false
+		} else {
+			if op.Epoch > m.epoch {
+				m.epoch, m.changed = op.Epoch, true
+			}
+			w.execute(m, op.Orders)
+		}
+	}
+	r := m.report(w.now)
+	d.Report = &r
+	return d
+}
+
+func sorted[V any](m map[string]V) []string {
+	keys := make([]string, 0, len(m))
+	for k := range m {
+		keys = append(keys, k)
+	}
+	slices.Sort(keys)
+	return keys
+}
--- /dev/null
+++ b/internal/standin/world.go
@@ -0,0 +1,548 @@
+package standin
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/micahill/micahill/internal/core"
+)
+
+// tick is the step of workers, grants and checks.
+const tick = 100 * time.Millisecond
+
+// World is simulated time with controllers, state service, cloud, workers and
+// users in it, and faults. The same seed gives the same run.
+type World struct {
+	now    time.Time
+	began  time.Time
+	rng    *rand.Rand
+	set    core.Settings
+	cancel time.Duration
+	events events
+	seq    uint64
+
+	nodes   []*proc
+	state   *StateService
+	machine map[string]*Worker
+	types   map[string]core.Flavour
+	room    map[string]int
+	booked  map[string][]string
+	jobs    map[string]*userJob
+
+	cuts     map[string]*cut
+	outage   bool
+	cloudOut bool
+	// loss: how often an answer or request is lost, or held for long.
+	loss float64
+	// Broken collects broken rules.
+	Broken []string
+	// Started counts starts.
+	Started int
+	names   int
+	logs    []string
+	// sabotage breaks an invariant on purpose, to show that it is noticed.
+	sabotage func(core.Effect) core.Effect
+	// coreLease, when set, is the wrong lease that the cores are told.
+	coreLease time.Duration
+	// trace names a job whose debug lines are kept as well.
+	trace string
+}
+
+// maxBroken bounds the list of broken rules; the first ones tell enough.
+const maxBroken = 20
+
+type event struct {
+	at  time.Time
+	seq uint64
+	fn  func()
+}
+
+type events []event
+
+func (e events) Len() int { return len(e) }
+func (e events) Less(a, b int) bool {
+	return e[a].at.Before(e[b].at) || e[a].at.Equal(e[b].at) && e[a].seq < e[b].seq
+}
+func (e events) Swap(a, b int) { e[a], e[b] = e[b], e[a] }
+func (e *events) Push(x any)   { *e = append(*e, x.(event)) }
+func (e *events) Pop() any {
+	o := *e
+	x := o[len(o)-1]
+	*e = o[:len(o)-1]
+	return x
+}
+
+// cut is a broken link: what is sent over it is held and delivered when it ends,
+// or lost.
+type cut struct {
+	hold bool
+	held []func()
+}
+
+// proc is a controller's process.
+type proc struct {
+	w       *World
+	index   int
+	name    string
+	node    *core.Node
+	life    int
+	alive   bool
+	queue   []core.Command
+	queued  bool
+	wake    time.Time
+	replies map[uint64]func(core.Effect)
+	next    uint64
+	stateNo bool
+}
+
+// NewWorld makes a world with n controllers, which start at once.
+func NewWorld(seed uint64, n int, set core.Settings, cancel time.Duration, types []core.Flavour, room map[string]int) *World {
+	w := &World{
+		now: time.Unix(1_750_000_000, 0), rng: rand.New(rand.NewPCG(seed, 1)), set: set, cancel: cancel,
+		state: NewStateService(), machine: map[string]*Worker{}, types: map[string]core.Flavour{},
+		room: room, booked: map[string][]string{}, jobs: map[string]*userJob{}, cuts: map[string]*cut{},
+	}
+	w.began = w.now
+	for _, t := range types {
+		w.types[t.Name] = t
+	}
+	for i := range n {
+		w.nodes = append(w.nodes, &proc{w: w, index: i, name: fmt.Sprintf("node-%d", i)})
+	}
+	for _, p := range w.nodes {
+		p.boot()
+	}
+	w.after(tick, w.tick)
+	return w
+}
+
+func (w *World) after(d time.Duration, fn func()) {
+	w.seq++
+	heap.Push(&w.events, event{w.now.Add(d), w.seq, fn})
+}
+
+func (w *World) jitter(d time.Duration) time.Duration {
+	return time.Duration(float64(d) * (0.75 + w.rng.Float64()/2))
+}
+
+// Run lets time pass.
+func (w *World) Run(d time.Duration) {
+	end := w.now.Add(d)
+	for len(w.events) > 0 && !w.events[0].at.After(end) {
+		e := heap.Pop(&w.events).(event)
+		w.now = e.at
+		e.fn()
+	}
+	w.now = end
+}
+
+func (w *World) broke(rule, format string, args ...any) {
+	if len(w.Broken) >= maxBroken {
+		return
+	}
+	w.Broken = append(w.Broken, fmt.Sprintf("%s at %.1fs: %s", rule, w.now.Sub(w.began).Seconds(), fmt.Sprintf(format, args...)))
+}
+
+func (w *World) tick() {
+	if !w.outage {
+		w.state.Tick(w.now)
+	}
+	for _, id := range sorted(w.machine) {
+		m := w.machine[id]
+		if !m.recallAt.IsZero() && !w.now.Before(m.recallAt) {
+			w.kill(m)
+		}
+		w.advance(m, tick)
+	}
+	w.checkAll()
+	w.after(tick, w.tick)
+}
+
+func (w *World) nodeIndex(name string) int {
+	return slices.IndexFunc(w.nodes, func(p *proc) bool { return p.name == name })
+}
+
+// Cut breaks the links between a and b for d; b "*" means all others.
+func (w *World) Cut(a, b string, d time.Duration, hold bool) {
+	key := a + "|" + b
+	c := &cut{hold: hold}
+	w.cuts[key] = c
+	w.after(d, func() {
+		if w.cuts[key] == c {
+			delete(w.cuts, key)
+		}
+		for _, fn := range c.held {
+			fn()
+		}
+	})
+}
+
+func (w *World) cutBetween(a, b string) *cut {
+	kind := func(s string) string {
+		if strings.HasPrefix(s, "vm-") {
+			return "workers"
+		}
+		return s
+	}
+	for _, k := range []string{a + "|" + b, b + "|" + a, a + "|*", b + "|*", a + "|" + kind(b), b + "|" + kind(a)} {
+		if c := w.cuts[k]; c != nil {
+			return c
+		}
+	}
+	return nil
+}
+
+// sendMsg brings a message from a to b: late, lost or held as the links are.
+func (w *World) sendMsg(a, b string, fn func()) {
+	deliver := func() {
+		// A hanging machine takes it when it goes on.
+		if m := w.machine[b]; m != nil {
+			switch {
+			case m.dead || m.returned:
+				return
+			case w.now.Before(m.hungTill):
+				w.after(m.hungTill.Sub(w.now)+time.Millisecond, func() {
+					if !m.dead && !m.returned {
+						fn()
+					}
+				})
+				return
+			}
+		}
+		fn()
+	}
+	if c := w.cutBetween(a, b); c != nil {
+		if c.hold {
+			c.held = append(c.held, deliver)
+		}
+		return
+	}
+	d := time.Duration(1+w.rng.IntN(6)) * time.Millisecond
+	if w.rng.Float64() < 0.01 {
+		d += time.Duration(w.rng.IntN(400)) * time.Millisecond
+	}
+	if w.rng.Float64() < w.loss {
+		if w.rng.IntN(2) == 0 {
+			return
+		}
+		// Minutes late.
+		d += time.Duration(5+w.rng.IntN(100)) * time.Second
+	}
+	w.after(d, deliver)
+}
+
+// boot starts a controller's process anew.
+func (p *proc) boot() {
+	p.life++
+	p.alive = true
+	set := p.w.set
+	set.Host, set.Nonce = p.name, fmt.Sprintf("%s.%d", p.name, p.life)
+	set.Peers = nil
+	if p.w.coreLease > 0 {
+		set.Lease = p.w.coreLease
+	}
+	for _, o := range p.w.nodes {
+		if o != p {
+			set.Peers = append(set.Peers, o.name)
+		}
+	}
+	p.node = core.New(set, rand.New(rand.NewPCG(uint64(p.index)+7, uint64(p.life))))
+	p.queue, p.queued, p.wake = nil, false, time.Time{}
+	p.replies = map[uint64]func(core.Effect){}
+	p.poke()
+}
+
+// Crash ends a process; it is started again after d.
+func (w *World) Crash(i int, d time.Duration) {
+	p := w.nodes[i]
+	p.alive = false
+	p.life++
+	w.after(d, func() {
+		if !p.alive {
+			p.boot()
+		}
+	})
+}
+
+func (p *proc) ask(mk func(uint64) core.Command, fn func(core.Effect)) {
+	if !p.alive {
+		return
+	}
+	p.next++
+	p.replies[p.next] = fn
+	p.push(mk(p.next))
+}
+
+func (p *proc) push(c core.Command) {
+	p.queue = append(p.queue, c)
+	p.poke()
+}
+
+func (p *proc) poke() {
+	if p.queued {
+		return
+	}
+	p.queued = true
+	life := p.life
+	p.w.after(time.Millisecond, func() {
+		if p.life != life {
+			return
+		}
+		p.queued = false
+		p.step()
+	})
+}
+
+func (p *proc) step() {
+	q := p.queue
+	p.queue = nil
+	for _, e := range p.node.Step(p.w.now, q) {
+		if p.w.sabotage != nil {
+			if e = p.w.sabotage(e); e == nil {
+				continue
+			}
+		}
+		p.do(e)
+	}
+	d := p.node.Deadline()
+	if d.IsZero() || p.queued {
+		return
+	}
+	if p.wake.IsZero() || d.Before(p.wake) || !p.wake.After(p.w.now) {
+		p.wake = d
+		life := p.life
+		p.w.after(max(d.Sub(p.w.now), time.Millisecond), func() {
+			if p.life == life && !p.queued {
+				p.step()
+			}
+		})
+	}
+}
+
+// call is a request with a deadline: fail is what the client tells its core
+// when no answer came.
+func (p *proc) call(to string, deadline time.Duration, exec func(answer func(core.Command)), fail core.Command) {
+	w, life := p.w, p.life
+	over := false
+	finish := func(c core.Command) {
+		if !over && p.life == life {
+			over = true
+			p.push(c)
+		}
+	}
+	w.sendMsg(p.name, to, func() {
+		exec(func(c core.Command) { w.sendMsg(to, p.name, func() { finish(c) }) })
+	})
+	w.after(deadline, func() { finish(fail) })
+}
+
+func (p *proc) do(e core.Effect) {
+	w := p.w
+	switch e := e.(type) {
+	case core.StateOp:
+		limit := 1300 * time.Millisecond
+		if e.Kind == core.OpFollow {
+			limit = e.Hold + 3*time.Second
+		} else if e.Kind == core.OpList || e.Prio == core.PrioLazy {
+			limit = 3 * time.Second
+		}
+		p.call("state", limit, func(answer func(core.Command)) {
+			if (w.outage || p.stateNo) && e.Kind != core.OpFollow {
+				answer(core.StateDone{ID: e.ID, Status: core.StateRefused})
+				return
+			}
+			w.state.Do(w.now, e, func(d core.StateDone) {
+				d.Sent = w.now
+				answer(d)
+			})
+		}, core.StateDone{ID: e.ID, Status: core.StateUnknown})
+	case core.CloudOp:
+		p.call("cloud", 5*time.Second, func(answer func(core.Command)) { answer(w.cloud(e)) }, core.CloudDone{ID: e.ID, Status: core.CloudUnknown})
+	case core.WorkerOp:
+		m := w.machine[e.Machine]
+		if m == nil {
+			p.push(core.WorkerDone{ID: e.ID})
+			return
+		}
+		p.call(m.ID, 2*time.Second, func(answer func(core.Command)) {
+			if !w.now.Before(m.upAt) {
+				answer(w.direct(m, e))
+			}
+		}, core.WorkerDone{ID: e.ID})
+	case core.UserReply:
+		p.reply(e.Reply, e)
+	case core.ReportReply:
+		p.reply(e.Reply, e)
+	case core.PeerSend:
+		if i := w.nodeIndex(e.To); i >= 0 {
+			w.sendMsg(p.name, e.To, func() {
+				if w.nodes[i].alive {
+					w.nodes[i].push(e.News)
+				}
+			})
+		}
+	case core.Log:
+		if !e.Debug || w.trace != "" && strings.Contains(fmt.Sprint(e.Args...), w.trace) {
+			w.logs = append(w.logs, fmt.Sprintf("%.1f %s %s %v", w.now.Sub(w.began).Seconds(), p.name, e.Text, e.Args))
+		}
+	}
+}
+
+func (p *proc) reply(id uint64, e core.Effect) {
+	if fn := p.replies[id]; fn != nil {
+		delete(p.replies, id)
+		fn(e)
+	}
+}
+
+// cloud executes a request to the cloud.
+func (w *World) cloud(op core.CloudOp) core.CloudDone {
+	d := core.CloudDone{ID: op.ID, Status: core.CloudOK}
+	if w.cloudOut {
+		d.Status = core.CloudRefused
+		return d
+	}
+	switch op.Kind {
+	case core.CloudTypes:
+		for _, k := range sorted(w.types) {
+			d.Flavours = append(d.Flavours, w.types[k])
+		}
+	case core.CloudList:
+		for _, id := range sorted(w.machine) {
+			m := w.machine[id]
+			if m.returned || w.now.Sub(m.rentedAt) < w.set.ListLag {
+				continue
+			}
+			l := core.Listed{ID: id, Addr: id, Flavour: m.Flavour, Zone: m.Zone, Spot: m.Spot, Status: "running", Held: w.now.Sub(m.rentedAt)}
+			switch {
+			case m.dead:
+				l.Status = "failed"
+			case w.now.Before(m.upAt):
+				l.Status = "booting"
+			}
+			d.Machines = append(d.Machines, l)
+		}
+	case core.CloudRent:
+		if names, ok := w.booked[op.Booking]; ok {
+			d.Rented = names
+			return d
+		}
+		key := fmt.Sprintf("%s/%s/%v", op.Flavour, op.Zone, op.Spot)
+		for range min(op.Count, w.room[key]) {
+			w.names++
+			f := w.types[op.Flavour]
+			m := &Worker{
+				ID: fmt.Sprintf("vm-%06d", w.names), Flavour: op.Flavour, Zone: op.Zone, Spot: op.Spot, Size: f.Size,
+				Pull: f.PullRate, rentedAt: w.now, upAt: w.now.Add(w.jitter(f.Ready)),
+				images: map[string]time.Time{}, tasks: map[string]*workerTask{}, node: w.rng.IntN(len(w.nodes)),
+			}
+			w.machine[m.ID] = m
+			d.Rented = append(d.Rented, m.ID)
+		}
+		w.room[key] -= len(d.Rented)
+		if len(d.Rented) == 0 {
+			d.Status = core.CloudNoCapacity
+			return d
+		}
+		w.booked[op.Booking] = d.Rented
+	case core.CloudReturn:
+		for _, id := range op.Machines {
+			if m := w.machine[id]; m != nil && !m.returned {
+				m.returned = true
+				clear(m.tasks)
+				w.room[fmt.Sprintf("%s/%s/%v", m.Flavour, m.Zone, m.Spot)]++
+			}
+		}
+	}
+	return d
+}
+
+// kill stops a machine with all that is on it.
+func (w *World) kill(m *Worker) {
+	m.dead = true
+	m.recallAt = time.Time{}
+	clear(m.tasks)
+}
+
+// Outage takes the state service away for d; afterwards every grant has its
+// full time again.
+func (w *World) Outage(d time.Duration) {
+	w.outage = true
+	w.after(d, func() {
+		w.outage = false
+		w.state.Extend(w.now)
+	})
+}
+
+// live counts a job's tasks on machines.
+func (w *World) live(id string) int {
+	k := 0
+	for _, m := range w.machine {
+		for _, t := range m.tasks {
+			if t.job.spec.ID == id && t.onMachine() && !m.dead {
+				k++
+			}
+		}
+	}
+	return k
+}
+
+// randomFault lets one thing go wrong, often while another still does.
+func (w *World) randomFault(rng *rand.Rand) {
+	dur := time.Duration(5+rng.IntN(35)) * time.Second
+	p := w.nodes[rng.IntN(len(w.nodes))]
+	hold := rng.IntN(2) == 0
+	var ms []*Worker
+	for _, id := range sorted(w.machine) {
+		if m := w.machine[id]; m.up(w.now) {
+			ms = append(ms, m)
+		}
+	}
+	switch rng.IntN(12) {
+	case 0:
+		w.Crash(p.index, 5*time.Second)
+	case 1:
+		for i := range w.nodes {
+			w.Crash(i, 5*time.Second)
+		}
+	case 2:
+		w.Cut(p.name, "*", dur, hold)
+	case 3:
+		w.Cut(p.name, "state", dur, hold)
+	case 4:
+		w.Cut(p.name, "workers", dur, hold)
+	case 5:
+		p.stateNo = true
+		w.after(dur, func() { p.stateNo = false })
+	case 6:
+		w.Outage(dur)
+	case 7:
+		w.cloudOut = true
+		w.after(dur, func() { w.cloudOut = false })
+	case 8:
+		for _, m := range ms {
+			if m.Spot && rng.IntN(2) == 0 {
+				m.recallAt = w.now.Add(time.Duration(rng.IntN(15)) * time.Second)
+			}
+		}
+	default:
+		if len(ms) == 0 {
+			return
+		}
+		m := ms[rng.IntN(len(ms))]
+		switch rng.IntN(5) {
+		case 0:
+			w.kill(m)
+		case 1, 2:
+			m.hungTill = w.now.Add(dur)
+		case 3:
+			w.Cut(m.ID, "*", dur, hold)
+		case 4:
+			m.slow = 6
+		}
+	}
+}
