Small tasks keep off the flavours that bigger ones depend on

Cause: outage-map tasks (1 CPU) filled the racks, the only machines on which meter-import fits, while small machines stood idle and were returned.

--- a/internal/core/owner.go
+++ b/internal/core/owner.go
@@ -39,9 +39,16 @@
 	orphans []string
 	// arrivals remember when work of each workload came, for warm room.
 	arrivals map[string][]arrival
+	// workloads holds the newest job of each workload.
+	workloads map[string]*workload
 	told     time.Time
 }
 
+type workload struct {
+	spec *Spec
+	last time.Time
+}
+
 type arrival struct {
 	at    time.Time
 	tasks int
@@ -82,7 +89,7 @@
 	n.owner = &owner{
 		epoch: stamp, share: share, since: n.now, gen: int(n.id()),
 		jobs: map[string]*job{}, machines: map[string]*machine{}, used: map[string]Resources{},
-		arrivals: map[string][]arrival{},
+		arrivals: map[string][]arrival{}, workloads: map[string]*workload{},
 	}
 	n.info("owner", "epoch", stamp, "teams", share.Teams)
 	n.load()
@@ -319,6 +326,7 @@
 		j = newJob(spec, time.UnixMilli(r.At), it.Stamp, n.set.ValueBytes)
 		o.jobs[id] = j
 		if !r.Cancelled {
+			o.workloads[j.Workload] = &workload{&j.Spec, n.now}
 			o.arrivals[j.Workload] = append(o.arrivals[j.Workload], arrival{n.now, j.Tasks, j.Need, &j.Spec})
 		}
 	}
--- a/internal/core/place.go
+++ b/internal/core/place.go
@@ -15,6 +15,9 @@
 	// releaseMost spreads many simultaneous releases: how many stragglers are
 	// stopped in one look round.
 	releaseMost = 8
+	// scarcePenalty is how long a fetch is preferred to a place on a machine
+	// that others depend on.
+	scarcePenalty = 20 * time.Second
 	// slowMachine is how much slower than expected a machine's tasks must run,
 	// over slowSeen tasks at least, before it is avoided.
 	slowMachine = 1.7
@@ -248,6 +251,7 @@
 func (n *Node) pick(j *job, t *task, ms []*machine) *machine {
 	var best *machine
 	var bestScore float64
+	scarce := n.scarce(&j.Spec)
 	for _, m := range ms {
 		if m.id == t.avoid && t.fails < 4 {
 			continue
@@ -260,6 +264,9 @@
 		if m.speedN >= slowSeen && m.speed > slowMachine {
 			s += n.expects(j).Seconds() * (m.speed - 1)
 		}
+		if scarce[m.flavour] {
+			s += scarcePenalty.Seconds()
+		}
 		left := (free.CPU - j.Need.CPU) / max(m.size.CPU, 1)
 		s += left
 		if best == nil || s < bestScore {
@@ -269,6 +276,45 @@
 	return best
 }
 
+// workloadMemory is how long a workload counts as still to be expected.
+const workloadMemory = 5 * time.Minute
+
+// scarce names the flavours that some other workload, lately seen, depends on
+// more than this one does: it fits fewer flavours. Small tasks that fill the
+// only machines on which big ones fit keep those waiting beside idle small
+// machines.
+func (n *Node) scarce(s *Spec) map[string]bool {
+	var out map[string]bool
+	mine := n.fitting(s)
+	for _, w := range n.owner.workloads {
+		if w.spec.Workload == s.Workload || n.now.Sub(w.last) > workloadMemory {
+			continue
+		}
+		theirs := n.fitting(w.spec)
+		if len(theirs) >= len(mine) {
+			continue
+		}
+		if out == nil {
+			out = map[string]bool{}
+		}
+		for _, f := range theirs {
+			out[f] = true
+		}
+	}
+	return out
+}
+
+// fitting names the flavours a task fits.
+func (n *Node) fitting(s *Spec) []string {
+	var out []string
+	for name, f := range n.types {
+		if s.Need.Fits(f.Size) && (len(s.Flavours) == 0 || slices.Contains(s.Flavours, name)) {
+			out = append(out, name)
+		}
+	}
+	return out
+}
+
 // fetchTime is how long m needs to have the image of j.
 func (n *Node) fetchTime(m *machine, j *job) time.Duration {
 	if j.Image == "" || j.ImageGB <= 0 {
