--- a/internal/core/fleet.go
+++ b/internal/core/fleet.go
@@ -214,6 +214,13 @@
 	if n.owner == nil || !n.owner.ready || !l.listedOK {
 		return
 	}
+	// A leader that is cut off finds every machine silent, and the returns it
+	// asks for are held on the way and executed when the cut ends, under a
+	// successor that uses the machines. So nothing is decided unless the
+	// grant surely lives.
+	if n.now.After(n.sess.sureUntil) {
+		return
+	}
 	n.returns()
 	n.rent()
 }
