Rent for what will be unplaced when a machine has booted

Tried: discount tasks that end within the boot time, add forecast arrivals, and judge a kind's price with all unmet demand.

--- a/internal/core/fleet.go
+++ b/internal/core/fleet.go
@@ -469,15 +469,20 @@
 	return room
 }
 
-// rent asks the cloud for what the waiting tasks need beyond the room there
-// is and what is booting.
+// virtual is room that will be there when a machine rented now has booted.
+type virtual struct {
+	k    kind
+	free Resources
+}
+
+// rent asks the cloud for what will still be without a place when a machine
+// rented now has booted: what waits, and what is expected to arrive until then,
+// beyond the room there is, the room that running tasks will have left, and
+// what is booting already.
 func (n *Node) rent() {
 	l, o := n.leader, n.owner
-	type virtual struct {
-		k    kind
-		free Resources
-	}
-	var vs []*virtual
+	horizon := n.horizon()
+	vs := n.futureRoom(horizon)
 	for _, id := range sortedKeys(l.rentals) {
 		r := l.rentals[id]
 		m := o.machines[id]
@@ -494,7 +499,13 @@
 		}
 	}
 	wants := map[kind]int{}
-	add := func(j *job, count int) {
+	demands := n.demands(horizon)
+	unmet := 0.0
+	for _, d := range demands {
+		unmet += float64(d.count) * d.j.Need.CPU
+	}
+	for _, d := range demands {
+		j, count := d.j, d.count
 		zones := newZonePlan(j)
 		take := func(v *virtual) {
 			fit := min(count, v.free.Times(j.Need), zones.room(v.k.zone))
@@ -502,6 +513,7 @@
 				zones.take(v.k.zone, fit)
 				v.free = v.free.Plus(j.Need, -float64(fit))
 				count -= fit
+				unmet -= float64(fit) * j.Need.CPU
 			}
 		}
 		for _, v := range vs {
@@ -510,18 +522,70 @@
 			}
 		}
 		for count > 0 {
-			k, ok := n.bestKind(j, count, zones)
+			k, ok := n.bestKind(j, max(count, int(unmet/max(j.Need.CPU, 0.1))), zones)
 			if !ok {
-				return
+				break
 			}
 			v := &virtual{k, n.types[k.flavour].Size}
 			vs = append(vs, v)
 			wants[k]++
 			take(v)
 		}
+		unmet -= float64(count) * j.Need.CPU
+	}
+	for _, k := range sortedKinds(wants) {
+		if l.renting[k] == 0 {
+			n.rentKind(k, min(wants[k], rentMost), "")
+		}
 	}
-	// What a team's limit keeps from running needs no machines.
+}
+
+// horizon is the time until a machine rented now is of use.
+func (n *Node) horizon() time.Duration {
+	var sum time.Duration
+	for _, f := range n.types {
+		sum += f.Ready
+	}
+	return sum / time.Duration(max(1, len(n.types)))
+}
+
+// futureRoom is each usable machine's free room after the horizon, as far as
+// the running tasks' expected ends tell.
+func (n *Node) futureRoom(horizon time.Duration) []*virtual {
+	var vs []*virtual
+	for _, id := range sortedKeys(n.owner.machines) {
+		m := n.owner.machines[id]
+		if !n.usable(m) {
+			continue
+		}
+		free := m.size.Plus(m.used, -1)
+		for _, k := range sortedAttempts(m) {
+			j := n.owner.jobs[k.job]
+			t := m.attempts[k]
+			if j.Standing || t.started.IsZero() {
+				continue
+			}
+			if n.expects(j)-n.now.Sub(t.started) < horizon {
+				free = free.Plus(j.Need, 1)
+			}
+		}
+		vs = append(vs, &virtual{kind{m.flavour, m.zone, m.spot}, free})
+	}
+	return vs
+}
+
+type demand struct {
+	j     *job
+	count int
+}
+
+// demands is what wants room within the horizon, most urgent first: the waiting
+// tasks, as far as the teams' limits let them run, then the arrivals that the
+// last minutes make likely, with more of those that must start at once.
+func (n *Node) demands(horizon time.Duration) []demand {
+	o := n.owner
 	over := map[string]Resources{}
+	var out []demand
 	for _, j := range n.order() {
 		count := j.pending()
 		if t := n.team(j.Team); t != nil {
@@ -535,28 +599,50 @@
 			}
 			over[j.Team] = over[j.Team].Plus(j.Need, float64(count))
 		}
-		add(j, count)
+		out = append(out, demand{j, count})
 	}
-	// Warm room beyond what is free now.
-	room := n.warmRoom()
-	for _, m := range o.machines {
-		if n.usable(m) {
-			room -= m.size.CPU - m.used.CPU
+	for _, name := range sortedKeys(o.workloads) {
+		w := o.workloads[name]
+		if w.spec.Standing || w.spec.Gang {
+			continue
 		}
-	}
-	if room > 0 {
-		for _, ob := range n.set.Objectives {
-			if as := o.arrivals[ob.Workload]; ob.Kind == "wait" && len(as) > 0 {
-				s := *as[len(as)-1].spec
-				add(&job{Spec: s, tasks: make([]task, s.Tasks)}, int(room/max(s.Need.CPU, 0.1)))
-			}
+		count := n.arrivalRate(name) * horizon.Seconds()
+		if n.mustStartAtOnce(name) {
+			count *= 1 + n.set.Policy.WarmRoom
+		}
+		if k := int(count + 0.5); k > 0 {
+			out = append(out, demand{&job{Spec: *w.spec, tasks: make([]task, k)}, k})
 		}
 	}
-	for _, k := range sortedKinds(wants) {
-		if l.renting[k] == 0 {
-			n.rentKind(k, min(wants[k], rentMost), "")
+	slices.SortStableFunc(out, func(a, b demand) int { return cmp.Compare(b.j.Urgency, a.j.Urgency) })
+	return out
+}
+
+// mustStartAtOnce says that an objective bounds the workload's wait.
+func (n *Node) mustStartAtOnce(name string) bool {
+	return slices.ContainsFunc(n.set.Objectives, func(o Objective) bool { return o.Kind == "wait" && o.Workload == name })
+}
+
+// arrivalRate is the workload's tasks a second over the last while.
+func (n *Node) arrivalRate(name string) float64 {
+	o := n.owner
+	as := o.arrivals[name]
+	for len(as) > 0 && n.now.Sub(as[0].at) > warmWindow {
+		as = as[1:]
+	}
+	o.arrivals[name] = as
+	// What was there at the start came before, not within the window.
+	span := n.now.Sub(o.since)
+	if span < settleTime {
+		return 0
+	}
+	sum := 0
+	for _, a := range as {
+		if a.at.Sub(o.since) > time.Second {
+			sum += a.tasks
 		}
 	}
+	return float64(sum) / min(warmWindow, span).Seconds()
 }
 
 // zonePlan keeps machines from being rented in a zone where same_place or apart
