--- a/internal/core/place.go
+++ b/internal/core/place.go
@@ -18,6 +18,9 @@
 	// scarcePenalty is how long a fetch is preferred to a place on a machine
 	// that others depend on.
 	scarcePenalty = 20 * time.Second
+	// dearPenalty, for each time a machine's processors cost the cheapest
+	// kind's price, lets dear machines go idle first, to be returned.
+	dearPenalty = time.Second
 	// slowMachine is how much slower than expected a machine's tasks must run,
 	// over slowSeen tasks at least, before it is avoided.
 	slowMachine = 1.7
@@ -252,6 +255,7 @@
 	var best *machine
 	var bestScore float64
 	scarce := n.scarce(&j.Spec)
+	cheapest := n.cheapest()
 	for _, m := range ms {
 		if m.id == t.avoid && t.fails < 4 {
 			continue
@@ -267,6 +271,7 @@
 		if scarce[m.flavour] {
 			s += scarcePenalty.Seconds()
 		}
+		s += dearPenalty.Seconds() * (n.unitPrice(m)/cheapest - 1)
 		left := (free.CPU - j.Need.CPU) / max(m.size.CPU, 1)
 		s += left
 		if best == nil || s < bestScore {
@@ -276,6 +281,19 @@
 	return best
 }
 
+// cheapest is the lowest price of a processor among all kinds.
+func (n *Node) cheapest() float64 {
+	low := 0.0
+	for _, f := range n.types {
+		for _, p := range [...]float64{f.Price, f.SpotPrice} {
+			if u := p / max(f.Size.CPU, 1); u > 0 && (low == 0 || u < low) {
+				low = u
+			}
+		}
+	}
+	return max(low, 1e-9)
+}
+
 // workloadMemory is how long a workload counts as still to be expected.
 const workloadMemory = 5 * time.Minute
 
