--- a/internal/core/fleet.go
+++ b/internal/core/fleet.go
@@ -64,6 +64,7 @@
 	since    time.Time
 	wake     time.Time
 	looked   time.Time
+	told     time.Time
 	rentals  map[string]*rental
 	listedOK bool
 	listing  bool
@@ -223,6 +224,53 @@
 	}
 	n.returns()
 	n.rent()
+	if n.now.Sub(l.told) >= fleetLog {
+		l.told = n.now
+		n.logFleet()
+	}
+}
+
+// fleetLog is how often the fleet is described in the log, at debug.
+const fleetLog = 10 * time.Second
+
+func (n *Node) logFleet() {
+	type sums struct{ up, idle, booting int }
+	by := map[kind]*sums{}
+	var used, size float64
+	for _, r := range n.leader.rentals {
+		s := by[r.kind]
+		if s == nil {
+			s = &sums{}
+			by[r.kind] = s
+		}
+		m := n.owner.machines[r.id]
+		switch {
+		case m == nil || !m.heard:
+			s.booting++
+		case len(m.attempts) == 0:
+			s.up++
+			s.idle++
+		default:
+			s.up++
+		}
+		if m != nil && m.heard {
+			used += m.used.CPU
+			size += m.size.CPU
+		}
+	}
+	args := []any{"used", used, "cpus", size}
+	for _, k := range sortedKinds(by) {
+		s := by[k]
+		name := k.flavour
+		if k.spot {
+			name += "/spot"
+		}
+		args = append(args, name, fmt.Sprintf("%d up, %d idle, %d booting", s.up, s.idle, s.booting))
+	}
+	for _, j := range n.order() {
+		args = append(args, j.Workload, j.pending())
+	}
+	n.debug("fleet", args...)
 }
 
 func (n *Node) list(from string, got []Listed) {
@@ -674,7 +722,7 @@
 
 func (z *zonePlan) take(zone string, k int) { z.tasks[zone] += k }
 
-func sortedKinds(m map[kind]int) []kind {
+func sortedKinds[V any](m map[kind]V) []kind {
 	ks := make([]kind, 0, len(m))
 	for k := range m {
 		ks = append(ks, k)
