--- a/internal/core/jobs.go
+++ b/internal/core/jobs.go
@@ -30,6 +30,7 @@
 	avoid     string
 	notBefore time.Time
 	fails     int
+	preempted int
 	status    TaskStatus
 	// sent: a start may be on its way. seen: the worker has reported it.
 	sent       bool
--- a/internal/core/owner.go
+++ b/internal/core/owner.go
@@ -41,7 +41,7 @@
 	arrivals map[string][]arrival
 	// workloads holds the newest job of each workload.
 	workloads map[string]*workload
-	told     time.Time
+	told      time.Time
 }
 
 type workload struct {
--- a/internal/core/place.go
+++ b/internal/core/place.go
@@ -147,10 +147,112 @@
 	for _, j := range jobs {
 		if j.Gang {
 			n.placeGang(j, ms)
-		} else {
-			n.placeJob(j, ms)
+			continue
+		}
+		n.placeJob(j, ms)
+		if j.pending() > 0 && j.Urgency > BestEffort && n.pressing(j) {
+			n.preempt(j, ms)
+		}
+	}
+}
+
+// pressing says that the job's waiting tasks are worth stopping others for: an
+// objective bounds their wait, or they are about to miss their deadline.
+func (n *Node) pressing(j *job) bool {
+	return n.mustStartAtOnce(j.Workload) || !j.due().IsZero() && n.latest(j).Sub(n.now) < n.set.ReportEvery
+}
+
+// preemptMost is how often a task may be stopped for others: work is not to be
+// stopped in turns and never end.
+const preemptMost = 2
+
+// preempt stops tasks of lower urgency so that the waiting tasks of j find
+// room, the least work lost first. Room that other stops are about to free is
+// counted before any more is made.
+func (n *Node) preempt(j *job, ms []*machine) {
+	need := j.pending()
+	if !n.withinLimit(j) {
+		return
+	}
+	free := map[*machine]Resources{}
+	for _, m := range ms {
+		f := m.size.Plus(m.used, -1)
+		for k, t := range m.attempts {
+			if t.stop != stopNone {
+				f = f.Plus(n.owner.jobs[k.job].Need, 1)
+			}
+		}
+		free[m] = f
+		if j.allows(m.flavour, m.zone, m.spot) && j.zoneOK(m.zone) {
+			need -= f.Times(j.Need)
+		}
+	}
+	for ; need > 0; need-- {
+		var best []*task
+		var at *machine
+		var least time.Duration
+		for _, m := range ms {
+			if !j.allows(m.flavour, m.zone, m.spot) || !j.zoneOK(m.zone) {
+				continue
+			}
+			victims, loss, ok := n.victims(j, m, free[m])
+			if !ok {
+				continue
+			}
+			// A fetch of the image counts as time lost as well.
+			loss += n.fetchTime(m, j)
+			if best == nil || loss < least {
+				best, at, least = victims, m, loss
+			}
+		}
+		if best == nil || least > n.expects(j) {
+			return
+		}
+		for _, t := range best {
+			t.stop = stopPreempt
+			t.preempted++
+		}
+		at.dirty = true
+		free[at] = Resources{CPU: -1}
+		n.debug("preempt", "for", j.ID, "machine", at.id, "stopped", len(best), "loss", least)
+	}
+}
+
+// victims picks the tasks on m whose stop makes room for one of j's.
+func (n *Node) victims(j *job, m *machine, free Resources) ([]*task, time.Duration, bool) {
+	type victim struct {
+		t    *task
+		need Resources
+		loss time.Duration
+	}
+	var vs []victim
+	for _, k := range sortedAttempts(m) {
+		t := m.attempts[k]
+		o := n.owner.jobs[k.job]
+		if o.Urgency >= j.Urgency || o.Gang || o.Standing || t.stop != stopNone || t.preempted >= preemptMost {
+			continue
+		}
+		var loss time.Duration
+		if !t.started.IsZero() {
+			loss = n.now.Sub(t.started)
+			if o.SaveEvery > 0 {
+				loss = min(loss%o.SaveEvery, o.SaveCost)
+			}
+		}
+		vs = append(vs, victim{t, o.Need, loss})
+	}
+	slices.SortStableFunc(vs, func(a, b victim) int { return int(a.loss - b.loss) })
+	var out []*task
+	var sum time.Duration
+	for _, v := range vs {
+		if j.Need.Fits(free) {
+			break
 		}
+		free = free.Plus(v.need, 1)
+		sum += v.loss
+		out = append(out, v.t)
 	}
+	return out, sum, len(out) > 0 && j.Need.Fits(free)
 }
 
 // gangPatience is how long some tasks of a gang may be live while others wait
