--- a/internal/core/place.go
+++ b/internal/core/place.go
@@ -150,18 +150,12 @@
 			continue
 		}
 		n.placeJob(j, ms)
-		if j.pending() > 0 && j.Urgency > BestEffort && n.pressing(j) {
+		if j.pending() > 0 && j.Urgency > BestEffort && n.mustStartAtOnce(j.Workload) {
 			n.preempt(j, ms)
 		}
 	}
 }
 
-// pressing says that the job's waiting tasks are worth stopping others for: an
-// objective bounds their wait, or they are about to miss their deadline.
-func (n *Node) pressing(j *job) bool {
-	return n.mustStartAtOnce(j.Workload) || !j.due().IsZero() && n.latest(j).Sub(n.now) < n.set.ReportEvery
-}
-
 // preemptMost is how often a task may be stopped for others: work is not to be
 // stopped in turns and never end.
 const preemptMost = 2
@@ -238,6 +232,8 @@
 			if o.SaveEvery > 0 {
 				loss = min(loss%o.SaveEvery, o.SaveCost)
 			}
+			// Stopping a large task for a small one loses the more.
+			loss = time.Duration(float64(loss) * max(1, o.Need.CPU/max(j.Need.CPU, 0.1)))
 		}
 		vs = append(vs, victim{t, o.Need, loss})
 	}
