Play the queue forward: ordinary machines only for what would be late

Cause: machines were rented for every task without a place, ordinary ones at three times the price for a wait of seconds.

--- a/internal/core/fleet.go
+++ b/internal/core/fleet.go
@@ -517,20 +517,20 @@
 	return room
 }
 
-// virtual is room that will be there when a machine rented now has booted.
-type virtual struct {
-	k    kind
-	free Resources
-}
-
-// rent asks the cloud for what will still be without a place when a machine
-// rented now has booted: what waits, and what is expected to arrive until then,
-// beyond the room there is, the room that running tasks will have left, and
-// what is booting already.
+// rent asks the cloud for machines. It plays forward, in the order of placement,
+// when each waiting or expected task would start on the machines there are, by
+// the expected ends of what runs. Where a machine rented now would let it start
+// sooner, a spot one is rented; an ordinary one, several times as dear, only if
+// the task would otherwise start later than it must.
 func (n *Node) rent() {
 	l, o := n.leader, n.owner
 	horizon := n.horizon()
-	vs := n.futureRoom(horizon)
+	vs := n.futureRoom()
+	boot := func(k kind, since time.Time) {
+		f := n.types[k.flavour]
+		ready := later(since.Add(f.Ready), n.now.Add(f.Ready/4))
+		vs = append(vs, &virtual{k: k, at: ready, free: f.Size})
+	}
 	for _, id := range sortedKeys(l.rentals) {
 		r := l.rentals[id]
 		m := o.machines[id]
@@ -538,12 +538,12 @@
 			continue
 		}
 		if f, ok := n.types[r.flavour]; ok && n.now.Sub(r.since) < 2*f.Ready+bootSlack {
-			vs = append(vs, &virtual{r.kind, f.Size})
+			boot(r.kind, r.since)
 		}
 	}
 	for _, k := range sortedKinds(l.renting) {
 		for range l.renting[k] {
-			vs = append(vs, &virtual{k, n.types[k.flavour].Size})
+			boot(k, n.now)
 		}
 	}
 	wants := map[kind]int{}
@@ -552,34 +552,42 @@
 	for _, d := range demands {
 		unmet += float64(d.count) * d.j.Need.CPU
 	}
+	played := 0
 	for _, d := range demands {
-		j, count := d.j, d.count
+		j := d.j
 		zones := newZonePlan(j)
-		take := func(v *virtual) {
-			fit := min(count, v.free.Times(j.Need), zones.room(v.k.zone))
-			if fit > 0 {
-				zones.take(v.k.zone, fit)
-				v.free = v.free.Plus(j.Need, -float64(fit))
-				count -= fit
-				unmet -= float64(fit) * j.Need.CPU
+		run := max(n.expects(j), time.Second)
+		for i := range d.count {
+			if played++; played > playMost {
+				break
 			}
-		}
-		for _, v := range vs {
-			if count > 0 && j.allows(v.k.flavour, v.k.zone, v.k.spot) {
-				take(v)
+			from := n.now
+			if d.spread > 0 {
+				from = n.now.Add(d.spread * time.Duration(i+1) / time.Duration(d.count+1))
 			}
-		}
-		for count > 0 {
-			k, ok := n.bestKind(j, max(count, int(unmet/max(j.Need.CPU, 0.1))), zones)
-			if !ok {
-				break
+			var best *virtual
+			var at time.Time
+			for _, v := range vs {
+				if !j.allows(v.k.flavour, v.k.zone, v.k.spot) || zones.room(v.k.zone) == 0 {
+					continue
+				}
+				if t, ok := v.earliest(j.Need, from); ok && (best == nil || t.Before(at)) {
+					best, at = v, t
+				}
+			}
+			if k, ok := n.worthRenting(d, best != nil, at, from, unmet, zones); ok {
+				wants[k]++
+				f := n.types[k.flavour]
+				best = &virtual{k: k, at: n.now.Add(f.Ready), free: f.Size}
+				vs = append(vs, best)
+				at, _ = best.earliest(j.Need, from)
+			}
+			unmet -= j.Need.CPU
+			if best != nil {
+				best.take(j.Need, at, run)
+				zones.take(best.k.zone, 1)
 			}
-			v := &virtual{k, n.types[k.flavour].Size}
-			vs = append(vs, v)
-			wants[k]++
-			take(v)
 		}
-		unmet -= float64(count) * j.Need.CPU
 	}
 	for _, k := range sortedKinds(wants) {
 		if l.renting[k] == 0 {
@@ -588,6 +596,85 @@
 	}
 }
 
+const (
+	// playMost bounds the tasks that are played forward at once.
+	playMost = 600
+	// lateMargin and lateShare of the run time are kept in hand, since run
+	// times are only expected.
+	lateMargin = 5 * time.Second
+	lateShare  = 0.25
+)
+
+// worthRenting says what to rent for a task that would start at the time at
+// (if it has a place at all).
+func (n *Node) worthRenting(d demand, placed bool, at, from time.Time, unmet float64, zones *zonePlan) (kind, bool) {
+	j := d.j
+	count := max(1, int(unmet/max(j.Need.CPU, 0.1)))
+	for _, spot := range [...]bool{true, false} {
+		k, ok := n.bestKind(j, count, zones, spot)
+		if !ok {
+			continue
+		}
+		if !placed {
+			return k, true
+		}
+		ready := n.now.Add(n.types[k.flavour].Ready)
+		if !at.After(later(ready, from).Add(lateMargin)) {
+			continue
+		}
+		if spot {
+			return k, true
+		}
+		slackLeft := d.latest.Sub(at) - lateMargin - time.Duration(lateShare*float64(n.expects(j)))
+		if slackLeft < 0 {
+			return k, true
+		}
+	}
+	return kind{}, false
+}
+
+// virtual is a machine played forward: its free room at a time, and what running
+// tasks will leave later.
+type virtual struct {
+	k    kind
+	at   time.Time
+	free Resources
+	ends []release
+}
+
+type release struct {
+	at   time.Time
+	need Resources
+}
+
+// earliest is when a task fits, not before from.
+func (v *virtual) earliest(need Resources, from time.Time) (time.Time, bool) {
+	free, at := v.free, later(v.at, from)
+	if need.Fits(free) {
+		return at, true
+	}
+	for _, e := range v.ends {
+		free = free.Plus(e.need, 1)
+		if need.Fits(free) {
+			return later(at, e.at), true
+		}
+	}
+	return time.Time{}, false
+}
+
+// take lets a task start at the time that earliest gave.
+func (v *virtual) take(need Resources, at time.Time, run time.Duration) {
+	for len(v.ends) > 0 && !need.Fits(v.free) {
+		v.free = v.free.Plus(v.ends[0].need, 1)
+		v.at = later(v.at, v.ends[0].at)
+		v.ends = v.ends[1:]
+	}
+	v.free = v.free.Plus(need, -1)
+	end := release{at.Add(run), need}
+	i, _ := slices.BinarySearchFunc(v.ends, end, func(a, b release) int { return a.at.Compare(b.at) })
+	v.ends = slices.Insert(v.ends, i, end)
+}
+
 // horizon is the time until a machine rented now is of use.
 func (n *Node) horizon() time.Duration {
 	var sum time.Duration
@@ -597,34 +684,42 @@
 	return sum / time.Duration(max(1, len(n.types)))
 }
 
-// futureRoom is each usable machine's free room after the horizon, as far as
-// the running tasks' expected ends tell.
-func (n *Node) futureRoom(horizon time.Duration) []*virtual {
+// futureRoom is each usable machine with what its running tasks will leave, as
+// far as their expected ends tell. What runs longer than expected is taken to
+// go on for a while.
+func (n *Node) futureRoom() []*virtual {
 	var vs []*virtual
 	for _, id := range sortedKeys(n.owner.machines) {
 		m := n.owner.machines[id]
 		if !n.usable(m) {
 			continue
 		}
-		free := m.size.Plus(m.used, -1)
+		v := &virtual{k: kind{m.flavour, m.zone, m.spot}, at: n.now, free: m.size.Plus(m.used, -1)}
 		for _, k := range sortedAttempts(m) {
 			j := n.owner.jobs[k.job]
 			t := m.attempts[k]
-			if j.Standing || t.started.IsZero() {
+			if j.Standing {
 				continue
 			}
-			if n.expects(j)-n.now.Sub(t.started) < horizon {
-				free = free.Plus(j.Need, 1)
+			e := n.expects(j)
+			left := e
+			if !t.started.IsZero() {
+				left = max(e-n.now.Sub(t.started), e/5)
 			}
+			v.ends = append(v.ends, release{n.now.Add(left), j.Need})
 		}
-		vs = append(vs, &virtual{kind{m.flavour, m.zone, m.spot}, free})
+		slices.SortFunc(v.ends, func(a, b release) int { return a.at.Compare(b.at) })
+		vs = append(vs, v)
 	}
 	return vs
 }
 
+// demand is some tasks of a job: waiting now, or expected, spread over a time.
 type demand struct {
-	j     *job
-	count int
+	j      *job
+	count  int
+	latest time.Time
+	spread time.Duration
 }
 
 // demands is what wants room within the horizon, most urgent first: the waiting
@@ -647,19 +742,21 @@
 			}
 			over[j.Team] = over[j.Team].Plus(j.Need, float64(count))
 		}
-		out = append(out, demand{j, count})
+		out = append(out, demand{j: j, count: count, latest: n.latest(j)})
 	}
 	for _, name := range sortedKeys(o.workloads) {
 		w := o.workloads[name]
 		if w.spec.Standing || w.spec.Gang {
 			continue
 		}
-		count := n.arrivalRate(name) * horizon.Seconds()
+		spread := horizon
+		count := n.arrivalRate(name) * spread.Seconds()
 		if n.mustStartAtOnce(name) {
-			count *= 1 + n.set.Policy.WarmRoom
+			count *= n.set.Policy.WarmRoom
 		}
 		if k := int(count + 0.5); k > 0 {
-			out = append(out, demand{&job{Spec: *w.spec, tasks: make([]task, k)}, k})
+			j := &job{Spec: *w.spec, tasks: make([]task, k), at: n.now.Add(spread / 2)}
+			out = append(out, demand{j: j, count: k, latest: n.latest(j), spread: spread})
 		}
 	}
 	slices.SortStableFunc(out, func(a, b demand) int { return cmp.Compare(b.j.Urgency, a.j.Urgency) })
@@ -733,9 +830,9 @@
 	return ks
 }
 
-// bestKind is the cheapest kind for some tasks of a job, among those the cloud
-// has not just refused.
-func (n *Node) bestKind(j *job, count int, zones *zonePlan) (kind, bool) {
+// bestKind is the cheapest kind, spot or not, for some tasks of a job, among
+// those the cloud has not just refused.
+func (n *Node) bestKind(j *job, count int, zones *zonePlan, spot bool) (kind, bool) {
 	var best kind
 	var bestCost float64
 	found := false
@@ -746,15 +843,13 @@
 			continue
 		}
 		for _, z := range f.Zones {
-			for _, spot := range [...]bool{true, false} {
-				k := kind{name, z, spot}
-				if !j.allows(name, z, spot) || zones.room(z) == 0 || n.leader.blocked[k].After(n.now) {
-					continue
-				}
-				cost := n.price(k) / float64(min(fit, max(count, 1)))
-				if !found || cost < bestCost {
-					best, bestCost, found = k, cost, true
-				}
+			k := kind{name, z, spot}
+			if !j.allows(name, z, spot) || zones.room(z) == 0 || n.leader.blocked[k].After(n.now) {
+				continue
+			}
+			cost := n.price(k) / float64(min(fit, max(count, 1)))
+			if !found || cost < bestCost {
+				best, bestCost, found = k, cost, true
 			}
 		}
 	}
