--- a/internal/core/fleet.go
+++ b/internal/core/fleet.go
@@ -439,10 +439,11 @@
 func (n *Node) spare() map[string]bool {
 	o := n.owner
 	out := map[string]bool{}
+	cheapest := n.cheapest()
 	var free []*machine
 	for _, id := range sortedKeys(o.machines) {
 		m := o.machines[id]
-		if n.usable(m) && len(m.attempts) == 0 && n.now.Sub(m.idleSince) > n.set.Policy.IdleKeep {
+		if n.usable(m) && len(m.attempts) == 0 && n.now.Sub(m.idleSince) > time.Duration(float64(n.set.Policy.IdleKeep)*cheapest/n.unitPrice(m)) {
 			free = append(free, m)
 		}
 	}
@@ -557,6 +558,9 @@
 		j := d.j
 		zones := newZonePlan(j)
 		run := max(n.expects(j), time.Second)
+		if j.Standing {
+			run = forever
+		}
 		for i := range d.count {
 			if played++; played > playMost {
 				break
@@ -571,7 +575,7 @@
 				if !j.allows(v.k.flavour, v.k.zone, v.k.spot) || zones.room(v.k.zone) == 0 {
 					continue
 				}
-				if t, ok := v.earliest(j.Need, from); ok && (best == nil || t.Before(at)) {
+				if t, ok := v.earliest(j.Need, from, j.Gang); ok && (best == nil || t.Before(at)) {
 					best, at = v, t
 				}
 			}
@@ -580,7 +584,7 @@
 				f := n.types[k.flavour]
 				best = &virtual{k: k, at: n.now.Add(f.Ready), free: f.Size}
 				vs = append(vs, best)
-				at, _ = best.earliest(j.Need, from)
+				at, _ = best.earliest(j.Need, from, j.Gang)
 			}
 			unmet -= j.Need.CPU
 			if best != nil {
@@ -603,6 +607,8 @@
 	// times are only expected.
 	lateMargin = 5 * time.Second
 	lateShare  = 0.25
+	// forever is how long a replica runs, for all that is planned here.
+	forever = 24 * time.Hour
 )
 
 // worthRenting says what to rent for a task that would start at the time at
@@ -647,12 +653,16 @@
 	need Resources
 }
 
-// earliest is when a task fits, not before from.
-func (v *virtual) earliest(need Resources, from time.Time) (time.Time, bool) {
+// earliest is when a task fits, not before from. A gang's tasks need their room
+// all at once, so room that is left one after another is none to them.
+func (v *virtual) earliest(need Resources, from time.Time, gang bool) (time.Time, bool) {
 	free, at := v.free, later(v.at, from)
 	if need.Fits(free) {
 		return at, true
 	}
+	if gang {
+		return time.Time{}, false
+	}
 	for _, e := range v.ends {
 		free = free.Plus(e.need, 1)
 		if need.Fits(free) {
--- a/internal/core/place.go
+++ b/internal/core/place.go
@@ -27,21 +27,43 @@
 	slowSeen    = 2
 )
 
-// latest is when a task of the job should start at the latest, by deadline or
-// by the objective of its workload. Jobs are placed in this order.
+const (
+	// hopeful is the part of the expected run time that must at least be left
+	// before a deadline for it to be worth trying; run times are uncertain.
+	hopeful = 0.7
+	// patience is when a job without an aim, or beyond all of them, is due.
+	patience = 10 * time.Minute
+)
+
+// latest is when a task of the job should start at the latest to meet the next
+// of its aims that it can still meet. Jobs are placed in this order. What can
+// meet no aim any more goes last: in its place before the others it would only
+// make those late as well.
 func (n *Node) latest(j *job) time.Time {
 	d := n.expects(j)
-	if due := j.due(); !due.IsZero() {
-		return due.Add(-d)
+	soonest := n.now.Add(time.Duration(hopeful * float64(d)))
+	aim := j.at.Add(patience)
+	if soonest.After(aim) {
+		aim = soonest
+	}
+	try := func(t time.Time) {
+		if t.Before(aim) && !soonest.After(t) {
+			aim = t
+		}
+	}
+	if j.Due > 0 {
+		try(j.at.Add(j.Due))
 	}
 	for _, o := range n.set.Objectives {
-		if o.Workload == j.Workload && o.Kind == "finished" && o.Within > 0 {
-			return j.at.Add(o.Within - d)
+		switch {
+		case o.Workload != j.Workload:
+		case o.Kind == "deadline" && j.Due > 0 && o.Times > 0:
+			try(j.at.Add(time.Duration(o.Times * float64(j.Due))))
+		case o.Kind == "finished" && o.Within > 0:
+			try(j.at.Add(o.Within))
 		}
 	}
-	// Without any aim: as if ten run times were allowed.
-	const patience = 10
-	return j.at.Add(patience * d)
+	return aim.Add(-d)
 }
 
 func (n *Node) team(name string) *Team {
