--- a/internal/core/fleet.go
+++ b/internal/core/fleet.go
@@ -443,7 +443,7 @@
 	var free []*machine
 	for _, id := range sortedKeys(o.machines) {
 		m := o.machines[id]
-		if n.usable(m) && len(m.attempts) == 0 && n.now.Sub(m.idleSince) > time.Duration(float64(n.set.Policy.IdleKeep)*cheapest/n.unitPrice(m)) {
+		if n.usable(m) && len(m.attempts) == 0 && n.now.Sub(m.idleSince) > n.idleKeep(m, cheapest) {
 			free = append(free, m)
 		}
 	}
@@ -470,6 +470,14 @@
 	return out
 }
 
+// idleKeep is how long a machine stays idle before it goes back: the shorter the
+// dearer it is, but no shorter than another would take to boot, for which as
+// much would be paid.
+func (n *Node) idleKeep(m *machine, cheapest float64) time.Duration {
+	keep := time.Duration(float64(n.set.Policy.IdleKeep) * cheapest / n.unitPrice(m))
+	return max(keep, n.types[m.flavour].Ready)
+}
+
 func (n *Node) price(k kind) float64 {
 	f := n.types[k.flavour]
 	p := f.Price
