Rush work goes where its image is, in place of lower work if need be

Ruled out: lack of room, takeovers. Now they go where the image is cached, if need be by stopping the least work there, and other work keeps off such machines while a fetch is as quick.

--- a/internal/core/fleet.go
+++ b/internal/core/fleet.go
@@ -769,7 +769,7 @@
 		}
 		spread := horizon
 		count := n.arrivalRate(name) * spread.Seconds()
-		if n.mustStartAtOnce(name) {
+		if n.waitBound(name) > 0 {
 			count *= n.set.Policy.WarmRoom
 		}
 		if k := int(count + 0.5); k > 0 {
@@ -781,11 +781,6 @@
 	return out
 }
 
-// mustStartAtOnce says that an objective bounds the workload's wait.
-func (n *Node) mustStartAtOnce(name string) bool {
-	return slices.ContainsFunc(n.set.Objectives, func(o Objective) bool { return o.Kind == "wait" && o.Workload == name })
-}
-
 // arrivalRate is the workload's tasks a second over the last while.
 func (n *Node) arrivalRate(name string) float64 {
 	o := n.owner
--- a/internal/core/jobs.go
+++ b/internal/core/jobs.go
@@ -29,6 +29,7 @@
 	started   time.Time
 	avoid     string
 	notBefore time.Time
+	stopped   time.Time
 	fails     int
 	preempted int
 	status    TaskStatus
--- a/internal/core/machines.go
+++ b/internal/core/machines.go
@@ -275,6 +275,7 @@
 		m.image(j, n.now, true)
 		if t.started.IsZero() {
 			t.started = n.now
+			n.debug("running", "job", j.ID, "task", k.index, "try", t.try, "machine", m.id, "age", n.now.Sub(j.at), "fetched", n.now.Sub(time.UnixMilli(t.group)))
 		}
 	case Ended:
 		switch p.Cause {
--- a/internal/core/owner.go
+++ b/internal/core/owner.go
@@ -326,6 +326,7 @@
 		j = newJob(spec, time.UnixMilli(r.At), it.Stamp, n.set.ValueBytes)
 		o.jobs[id] = j
 		if !r.Cancelled {
+			n.debug("job", "job", id, "workload", j.Workload, "tasks", j.Tasks, "due", j.Due, "image", j.Image, "age", n.now.Sub(j.at))
 			o.workloads[j.Workload] = &workload{&j.Spec, n.now}
 			o.arrivals[j.Workload] = append(o.arrivals[j.Workload], arrival{n.now, j.Tasks, j.Need, &j.Spec})
 		}
--- a/internal/core/place.go
+++ b/internal/core/place.go
@@ -21,6 +21,13 @@
 	// dearPenalty, for each time a machine's processors cost the cheapest
 	// kind's price, lets dear machines go idle first, to be returned.
 	dearPenalty = time.Second
+	// fetchMargin is the part of a bounded wait that orders and writes take.
+	fetchMargin = 500 * time.Millisecond
+	// keepPenalty keeps other work off machines that hold the images of work
+	// whose wait is bounded, as long as a fetch elsewhere is quicker.
+	keepPenalty = 3 * time.Second
+	// stopPatience is how long a stopped task's room is waited for.
+	stopPatience = 1500 * time.Millisecond
 	// slowMachine is how much slower than expected a machine's tasks must run,
 	// over slowSeen tasks at least, before it is avoided.
 	slowMachine = 1.7
@@ -171,10 +178,25 @@
 			n.placeGang(j, ms)
 			continue
 		}
-		n.placeJob(j, ms)
-		if j.pending() > 0 && j.Urgency > BestEffort && n.mustStartAtOnce(j.Workload) {
-			n.preempt(j, ms)
+		bound := n.waitBound(j.Workload)
+		if bound == 0 || j.Urgency == BestEffort {
+			n.placeJob(j, ms, forever, j.pending())
+			continue
+		}
+		// Where an objective bounds the wait: first where the image is, then
+		// in the place of lower work there, and only then where it must be
+		// fetched first, which alone can take longer than the bound.
+		left := bound - n.now.Sub(j.at) - fetchMargin
+		n.placeJob(j, ms, max(left, 0), j.pending())
+		coming := 0
+		switch {
+		case j.pending() == 0:
+		case left > 0:
+			coming = n.preempt(j, ms, left)
+		case n.latest(j).Sub(n.now) < bound:
+			coming = n.preempt(j, ms, forever)
 		}
+		n.placeJob(j, ms, forever, j.pending()-coming)
 	}
 }
 
@@ -182,56 +204,91 @@
 // stopped in turns and never end.
 const preemptMost = 2
 
-// preempt stops tasks of lower urgency so that the waiting tasks of j find
-// room, the least work lost first. Room that other stops are about to free is
-// counted before any more is made.
-func (n *Node) preempt(j *job, ms []*machine) {
+// waitBound is how soon the workload's tasks are to start, or 0.
+func (n *Node) waitBound(workload string) time.Duration {
+	for _, o := range n.set.Objectives {
+		if o.Kind == "wait" && o.Workload == workload {
+			return o.Within
+		}
+	}
+	return 0
+}
+
+// warmed names the machines that hold an image of a workload with a bounded
+// wait, when j is of another.
+func (n *Node) warmed(j *job, ms []*machine) map[string]bool {
+	if n.waitBound(j.Workload) > 0 {
+		return nil
+	}
+	images := map[string]bool{}
+	for _, w := range n.owner.workloads {
+		if n.waitBound(w.spec.Workload) > 0 && n.now.Sub(w.last) < workloadMemory {
+			for _, a := range n.owner.arrivals[w.spec.Workload] {
+				images[a.spec.Image] = true
+			}
+		}
+	}
+	out := map[string]bool{}
+	for _, m := range ms {
+		for name, im := range m.images {
+			if im.cached && images[name] {
+				out[m.id] = true
+			}
+		}
+	}
+	return out
+}
+
+// preempt stops tasks of lower urgency so that the waiting tasks of j find room
+// where the image takes no longer than fetch, the least work lost first. It says
+// for how many tasks room is coming, by these stops and by earlier ones.
+func (n *Node) preempt(j *job, ms []*machine, fetch time.Duration) int {
 	need := j.pending()
 	if !n.withinLimit(j) {
-		return
+		return 0
 	}
 	free := map[*machine]Resources{}
+	var on []*machine
 	for _, m := range ms {
+		if !j.allows(m.flavour, m.zone, m.spot) || !j.zoneOK(m.zone) || n.fetchTime(m, j) > fetch {
+			continue
+		}
 		f := m.size.Plus(m.used, -1)
 		for k, t := range m.attempts {
-			if t.stop != stopNone {
+			if t.stop == stopPreempt && n.now.Sub(t.stopped) < stopPatience {
 				f = f.Plus(n.owner.jobs[k.job].Need, 1)
 			}
 		}
+		on = append(on, m)
 		free[m] = f
-		if j.allows(m.flavour, m.zone, m.spot) && j.zoneOK(m.zone) {
-			need -= f.Times(j.Need)
-		}
+		need -= f.Times(j.Need)
 	}
-	for ; need > 0; need-- {
+	for need > 0 {
 		var best []*task
 		var at *machine
 		var least time.Duration
-		for _, m := range ms {
-			if !j.allows(m.flavour, m.zone, m.spot) || !j.zoneOK(m.zone) {
-				continue
-			}
+		for _, m := range on {
 			victims, loss, ok := n.victims(j, m, free[m])
 			if !ok {
 				continue
 			}
-			// A fetch of the image counts as time lost as well.
-			loss += n.fetchTime(m, j)
 			if best == nil || loss < least {
 				best, at, least = victims, m, loss
 			}
 		}
 		if best == nil || least > n.expects(j) {
-			return
+			break
 		}
 		for _, t := range best {
-			t.stop = stopPreempt
+			t.stop, t.stopped = stopPreempt, n.now
 			t.preempted++
 		}
 		at.dirty = true
 		free[at] = Resources{CPU: -1}
+		need--
 		n.debug("preempt", "for", j.ID, "machine", at.id, "stopped", len(best), "loss", least)
 	}
+	return j.pending() - max(need, 0)
 }
 
 // victims picks the tasks on m whose stop makes room for one of j's.
@@ -302,7 +359,7 @@
 			in = slices.DeleteFunc(slices.Clone(ms), func(m *machine) bool { return m.zone != z })
 		}
 		if n.fitsAll(j, in) {
-			n.placeJob(j, in)
+			n.placeJob(j, in, forever, j.pending())
 			return
 		}
 	}
@@ -337,16 +394,18 @@
 	return room >= j.pending()
 }
 
-func (n *Node) placeJob(j *job, ms []*machine) {
+// placeJob places up to count waiting tasks on machines that need no longer than
+// fetch to have the image.
+func (n *Node) placeJob(j *job, ms []*machine, fetch time.Duration, count int) {
 	var g *group
 	id := n.now.UnixMilli()
-	for j.pending() > 0 && n.withinLimit(j) {
+	for ; count > 0 && j.pending() > 0 && n.withinLimit(j); count-- {
 		i := j.nextPending(n.now)
 		if i < 0 {
 			return
 		}
 		t := &j.tasks[i]
-		m := n.pick(j, t, ms)
+		m := n.pick(j, t, ms, fetch)
 		if m == nil {
 			j.again = append([]int{i}, j.again...)
 			return
@@ -371,11 +430,12 @@
 
 // pick chooses the machine for a task: first where the image is, then where it
 // is coming, then the fullest, so that machines go empty.
-func (n *Node) pick(j *job, t *task, ms []*machine) *machine {
+func (n *Node) pick(j *job, t *task, ms []*machine, fetch time.Duration) *machine {
 	var best *machine
 	var bestScore float64
 	scarce := n.scarce(&j.Spec)
 	cheapest := n.cheapest()
+	keep := n.warmed(j, ms)
 	for _, m := range ms {
 		if m.id == t.avoid && t.fails < 4 {
 			continue
@@ -384,7 +444,14 @@
 		if !j.Need.Fits(free) || !j.allows(m.flavour, m.zone, m.spot) || !j.zoneOK(m.zone) {
 			continue
 		}
-		s := n.fetchTime(m, j).Seconds()
+		pull := n.fetchTime(m, j)
+		if pull > fetch {
+			continue
+		}
+		s := pull.Seconds()
+		if keep[m.id] {
+			s += keepPenalty.Seconds()
+		}
 		if m.speedN >= slowSeen && m.speed > slowMachine {
 			s += n.expects(j).Seconds() * (m.speed - 1)
 		}
