A machine that was lost before a takeover is found and returned

Also a job's age was judged by another controller's clock, up to a second off. Ruled out: the state service (rows were written in milliseconds).

--- a/internal/core/fleet.go
+++ b/internal/core/fleet.go
@@ -358,7 +358,7 @@
 	settled := n.now.Sub(l.since) > settleTime && n.now.Sub(o.since) > settleTime
 	heard, silent := 0, 0
 	for _, m := range o.machines {
-		if m.heard {
+		if m.heard || len(m.attempts) > 0 {
 			heard++
 			if n.silent(m) {
 				silent++
@@ -382,7 +382,7 @@
 		case m == nil:
 		case !m.heard && settled && n.now.Sub(r.since) > bootPatience*n.types[r.flavour].Ready+bootSlack && len(m.attempts) == 0:
 			why = "never came up"
-		case m.heard && n.silent(m) && settled && !ours:
+		case n.silent(m) && settled && !ours:
 			why = "silent"
 		case m.bad && len(m.attempts) == 0:
 			why = "faulty"
--- a/internal/core/machines.go
+++ b/internal/core/machines.go
@@ -11,9 +11,13 @@
 	clockDrift = 0.002
 	// leaseMargin absorbs rounding and scheduling on both sides of a lease.
 	leaseMargin = time.Second
-	// silentReports is after how many missed report intervals a machine is
-	// taken for lost and returned rather than waited for.
-	silentReports = 4
+	// probeReports is after how many of the longest report intervals a silent
+	// machine is asked directly, and silentReports after how many it is taken
+	// for lost, if that got no answer, and returned rather than waited for.
+	probeReports  = 1.7
+	silentReports = 2.6
+	// probeEvery separates the questions to a silent machine.
+	probeEvery = 3 * time.Second
 	// errorsBad is how many tasks of different jobs must fail on a machine
 	// before it is taken for faulty.
 	errorsBad = 2
@@ -62,6 +66,8 @@
 	// replyTick: a report answered with starts; until a later report they
 	// count as on their way. An answer from /orders can overtake them.
 	replyTick uint64
+	// probed is when a question to the silent machine was last sent.
+	probed time.Time
 	// noDirect: the last direct order got no answer; wait for a report.
 	noDirect bool
 	// speed is how its finished tasks compared with what was expected.
@@ -506,10 +512,10 @@
 // contact asks a machine of a former owner for its status and so learns its
 // tenure, which orders need; the orders carry the higher epoch.
 func (n *Node) contact(m *machine) {
-	if m.heard || m.addr == "" || m.inFlight || m.returning {
+	if m.addr == "" || m.inFlight || m.returning || n.now.Sub(m.probed) < probeEvery {
 		return
 	}
-	m.inFlight = true
+	m.inFlight, m.probed = true, n.now
 	gen := n.owner.gen
 	n.call(WorkerOp{Machine: m.id, Addr: m.addr, Ask: true}, func(d WorkerDone) {
 		if n.owner == nil || n.owner.gen != gen {
@@ -560,6 +566,9 @@
 	o := n.owner
 	for _, id := range sortedKeys(o.machines) {
 		m := o.machines[id]
+		if (m.heard || len(m.attempts) > 0) && n.quietFor(m) > time.Duration(probeReports*float64(n.longestReport())) {
+			n.contact(m)
+		}
 		if len(m.attempts) > 0 && !m.leaseEnd.IsZero() && n.now.After(m.leaseEnd) {
 			n.info("lease surely over", "machine", m.id, "attempts", len(m.attempts))
 			n.loseAll(m, nil)
@@ -579,7 +588,26 @@
 	}
 }
 
-// silent says that a machine has missed several reports.
+// longestReport is the longest pause between two reports of a living worker.
+func (n *Node) longestReport() time.Duration { return n.set.ReportEvery * 5 / 4 }
+
+// quietFor is how long nothing has been heard of a machine; after a takeover
+// the count begins when this owner was ready to hear.
+func (n *Node) quietFor(m *machine) time.Duration {
+	return n.now.Sub(later(m.lastHeard, n.owner.readyAt))
+}
+
+// silent says that a machine has missed reports and does not answer. One that
+// a former owner had work on counts as well, though it was never heard of here:
+// it may have been lost before the takeover.
 func (n *Node) silent(m *machine) bool {
-	return m.heard && n.now.Sub(m.lastHeard) > time.Duration(silentReports)*n.set.ReportEvery*5/4
+	if !m.heard && len(m.attempts) == 0 {
+		return false
+	}
+	limit := time.Duration(silentReports * float64(n.longestReport()))
+	if m.heard && m.probed.Before(m.lastHeard) {
+		// Not asked yet.
+		limit *= 2
+	}
+	return n.quietFor(m) > limit
 }
--- a/internal/core/owner.go
+++ b/internal/core/owner.go
@@ -24,6 +24,7 @@
 	share    shareRecord
 	since    time.Time
 	ready    bool
+	readyAt  time.Time
 	gen      int
 	jobs     map[string]*job
 	machines map[string]*machine
@@ -183,7 +184,7 @@
 	for _, j := range o.jobs {
 		n.settleRestored(j)
 	}
-	o.ready, o.place = true, true
+	o.ready, o.place, o.readyAt = true, true, n.now
 	n.info("owner ready", "jobs", len(o.jobs), "machines", len(o.machines), "after", n.now.Sub(o.since))
 	n.ownerFollow(o.gen)
 	// Reach the machines with living attempts at once: the higher epoch ends
@@ -323,7 +324,13 @@
 		if r.Cancelled {
 			spec.Tasks = r.Tasks
 		}
-		j = newJob(spec, time.UnixMilli(r.At), it.Stamp, n.set.ValueBytes)
+		at := time.UnixMilli(r.At)
+		if o.ready {
+			// It has just come, and this clock is the one that its waits are
+			// judged by here; another controller's may be a second off.
+			at = n.now
+		}
+		j = newJob(spec, at, it.Stamp, n.set.ValueBytes)
 		o.jobs[id] = j
 		if !r.Cancelled {
 			n.debug("job", "job", id, "workload", j.Workload, "tasks", j.Tasks, "due", j.Due, "image", j.Image, "age", n.now.Sub(j.at))
