Drain machines on notices; reserve scarce flavours for what waits there

Cause: tasks on machines with a notice were lost at its end and found so only 10 s later; frame-trace waited while reprint-orders filled the racks, the only machines it fits. Now what cannot end in time is stopped at the notice, a taken machine is known by one missed report, and while such work waits, others no less patient keep off its flavours. Ruled out: false returns of machines (all were gone).

--- a/internal/core/machines.go
+++ b/internal/core/machines.go
@@ -183,10 +183,11 @@
 	m.seenEpoch = max(m.seenEpoch, r.Epoch)
 	m.lastHeard = n.now
 	m.noDirect = false
-	if r.Recall >= 0 && !m.recall {
-		m.recall = true
-		m.recallAt = n.now.Add(r.Recall)
-		n.debug("notice", "machine", m.id, "in", r.Recall)
+	if r.Recall >= 0 {
+		if !m.recall {
+			n.debug("notice", "machine", m.id, "in", r.Recall)
+		}
+		m.recall, m.recallAt = true, n.now.Add(r.Recall)
 	}
 	if report && m.replyTick != 0 && r.Tick > m.replyTick {
 		m.replyTick = 0
@@ -578,6 +579,9 @@
 			delete(o.machines, id)
 			continue
 		}
+		if m.recall {
+			n.drain(m)
+		}
 		for _, k := range sortedAttempts(m) {
 			t := m.attempts[k]
 			if t.stop != stopNone && !t.sent {
@@ -588,6 +592,32 @@
 	}
 }
 
+// noticeError is how much longer than announced a machine may stay.
+const noticeError = 1.5
+
+// drain stops what cannot end before the cloud takes the machine: what saves,
+// just in time to save; other work at once, as it is lost in any case and can
+// begin elsewhere the sooner.
+func (n *Node) drain(m *machine) {
+	left := m.recallAt.Sub(n.now)
+	for _, k := range sortedAttempts(m) {
+		t := m.attempts[k]
+		j := n.owner.jobs[k.job]
+		if t.stop != stopNone {
+			continue
+		}
+		rest := n.expects(j)
+		if !t.started.IsZero() {
+			rest -= n.now.Sub(t.started)
+		}
+		saves := j.SaveEvery > 0 && !t.started.IsZero()
+		if saves && left < j.SaveCost+n.longestReport() || !saves && (j.Standing || rest.Seconds() > noticeError*left.Seconds()) {
+			t.stop = stopDrain
+			m.dirty = true
+		}
+	}
+}
+
 // longestReport is the longest pause between two reports of a living worker.
 func (n *Node) longestReport() time.Duration { return n.set.ReportEvery * 5 / 4 }
 
@@ -604,6 +634,10 @@
 	if !m.heard && len(m.attempts) == 0 {
 		return false
 	}
+	if m.recall && n.now.After(m.recallAt) {
+		// Taken, as it was announced.
+		return n.quietFor(m) > n.longestReport()
+	}
 	limit := time.Duration(silentReports * float64(n.longestReport()))
 	if m.heard && m.probed.Before(m.lastHeard) {
 		// Not asked yet.
--- a/internal/core/owner.go
+++ b/internal/core/owner.go
@@ -42,7 +42,9 @@
 	arrivals map[string][]arrival
 	// workloads holds the newest job of each workload.
 	workloads map[string]*workload
-	told      time.Time
+	// waiting names the workloads with tasks that wait for a place.
+	waiting map[string]bool
+	told    time.Time
 }
 
 type workload struct {
--- a/internal/core/place.go
+++ b/internal/core/place.go
@@ -173,6 +173,10 @@
 	if n.now.After(n.sess.sureUntil) {
 		return
 	}
+	o.waiting = map[string]bool{}
+	for _, j := range jobs {
+		o.waiting[j.Workload] = true
+	}
 	for _, j := range jobs {
 		if j.Gang {
 			n.placeGang(j, ms)
@@ -455,7 +459,10 @@
 		if m.speedN >= slowSeen && m.speed > slowMachine {
 			s += n.expects(j).Seconds() * (m.speed - 1)
 		}
-		if scarce[m.flavour] {
+		switch scarce[m.flavour] {
+		case scarceNow:
+			continue
+		case scarceSoon:
 			s += scarcePenalty.Seconds()
 		}
 		s += dearPenalty.Seconds() * (n.unitPrice(m)/cheapest - 1)
@@ -484,12 +491,23 @@
 // workloadMemory is how long a workload counts as still to be expected.
 const workloadMemory = 5 * time.Minute
 
-// scarce names the flavours that some other workload, lately seen, depends on
+// scarcity says how much others depend on a flavour.
+type scarcity int
+
+const (
+	plenty scarcity = iota
+	// scarceSoon: work that fits little else has lately come.
+	scarceSoon
+	// scarceNow: such work, as urgent, waits now.
+	scarceNow
+)
+
+// scarce rates the flavours that some other workload, lately seen, depends on
 // more than this one does: it fits fewer flavours. Small tasks that fill the
 // only machines on which big ones fit keep those waiting beside idle small
 // machines.
-func (n *Node) scarce(s *Spec) map[string]bool {
-	var out map[string]bool
+func (n *Node) scarce(s *Spec) map[string]scarcity {
+	var out map[string]scarcity
 	mine := n.fitting(s)
 	for _, w := range n.owner.workloads {
 		if w.spec.Workload == s.Workload || n.now.Sub(w.last) > workloadMemory {
@@ -499,11 +517,15 @@
 		if len(theirs) >= len(mine) {
 			continue
 		}
+		rate := scarceSoon
+		if w.spec.Urgency >= s.Urgency && n.owner.waiting[w.spec.Workload] {
+			rate = scarceNow
+		}
 		if out == nil {
-			out = map[string]bool{}
+			out = map[string]scarcity{}
 		}
 		for _, f := range theirs {
-			out[f] = true
+			out[f] = max(out[f], rate)
 		}
 	}
 	return out
