--- a/internal/core/fleet.go
+++ b/internal/core/fleet.go
@@ -435,47 +435,89 @@
 	})
 }
 
-// spare picks the idle machines that are not needed.
+const (
+	// idleLeast is how long a machine that nothing needs stays at least: ends
+	// and starts follow one another, and plans change from second to second.
+	idleLeast = 10 * time.Second
+	// burst is how much more than the average is kept room for.
+	burst = 1.4
+)
+
+// spare picks the idle machines that are not needed: for what waits or for
+// what the last while makes likely, played forward on the cheapest machines
+// first. A machine that is cheap is kept the longer.
 func (n *Node) spare() map[string]bool {
 	o := n.owner
 	out := map[string]bool{}
 	cheapest := n.cheapest()
-	var free []*machine
-	for _, id := range sortedKeys(o.machines) {
-		m := o.machines[id]
-		if n.usable(m) && len(m.attempts) == 0 && n.now.Sub(m.idleSince) > n.idleKeep(m, cheapest) {
-			free = append(free, m)
+	idle := false
+	for _, m := range o.machines {
+		if len(m.attempts) == 0 && n.usable(m) && n.now.Sub(m.idleSince) > n.idleKeep(m, cheapest) {
+			out[m.id] = true
+			idle = true
 		}
 	}
-	if len(free) == 0 {
+	if !idle {
 		return out
 	}
-	// Warm room is kept: drop the dearest idle machines while enough is free.
-	slices.SortStableFunc(free, func(a, b *machine) int {
-		return cmp.Compare(n.unitPrice(b), n.unitPrice(a))
+	vs := n.futureRoom()
+	slices.SortStableFunc(vs, func(a, b *virtual) int {
+		return cmp.Or(cmp.Compare(b2f(a.idle), b2f(b.idle)), cmp.Compare(n.unitPrice(a.m), n.unitPrice(b.m)))
 	})
-	room := n.warmRoom()
-	var have float64
-	for _, m := range o.machines {
-		if n.usable(m) {
-			have += m.size.CPU - m.used.CPU
+	for _, d := range n.demands(n.horizon(), burst, true) {
+		n.playDemand(d, vs, func(v *virtual) { delete(out, v.m.id) })
+	}
+	return out
+}
+
+// playDemand places a demand's tasks on the machines as they will be.
+func (n *Node) playDemand(d demand, vs []*virtual, used func(*virtual)) {
+	run := n.runs(d.j)
+	zones := newZonePlan(d.j)
+	for i := range min(d.count, playMost) {
+		from := d.from(n.now, i)
+		best, at := bestPlace(d.j, vs, from, zones)
+		if best == nil {
+			return
 		}
+		best.take(d.j.Need, at, run)
+		zones.take(best.k.zone, 1)
+		used(best)
 	}
-	for _, m := range free {
-		if have-m.size.CPU >= room {
-			have -= m.size.CPU
-			out[m.id] = true
+}
+
+// runs is how long a task of the job is expected to hold its room.
+func (n *Node) runs(j *job) time.Duration {
+	if j.Standing {
+		return forever
+	}
+	return max(n.expects(j), time.Second)
+}
+
+// bestPlace is the machine on which a task could start first.
+func bestPlace(j *job, vs []*virtual, from time.Time, zones *zonePlan) (*virtual, time.Time) {
+	var best *virtual
+	var at time.Time
+	for _, v := range vs {
+		if !j.allows(v.k.flavour, v.k.zone, v.k.spot) || zones.room(v.k.zone) == 0 {
+			continue
+		}
+		if t, ok := v.earliest(j.Need, from, j.Gang); ok && (best == nil || t.Before(at)) {
+			best, at = v, t
 		}
 	}
-	return out
+	return best, at
+}
+
+// from is when the demand's task i is there.
+func (d demand) from(now time.Time, i int) time.Time {
+	return now.Add(d.spread * time.Duration(i+1) / time.Duration(d.count+1))
 }
 
-// idleKeep is how long a machine stays idle before it goes back: the shorter the
-// dearer it is, but no shorter than another would take to boot, for which as
-// much would be paid.
+// idleKeep is how long a machine stays idle before it may go back: the longer
+// the cheaper it is.
 func (n *Node) idleKeep(m *machine, cheapest float64) time.Duration {
-	keep := time.Duration(float64(n.set.Policy.IdleKeep) * cheapest / n.unitPrice(m))
-	return max(keep, n.types[m.flavour].Ready)
+	return max(idleLeast, time.Duration(float64(n.set.Policy.IdleKeep)*cheapest/n.unitPrice(m)))
 }
 
 func (n *Node) price(k kind) float64 {
@@ -494,37 +536,12 @@
 	return n.price(kind{m.flavour, m.zone, m.spot}) / max(m.size.CPU, 1)
 }
 
-// warmWindow is how far back arrivals are looked at.
-const warmWindow = 90 * time.Second
-
-// warmRoom is the processor room to keep free for work that has to start
-// within seconds: what arrives of it, on the average, while a machine boots.
-func (n *Node) warmRoom() float64 {
-	room := 0.0
-	for _, ob := range n.set.Objectives {
-		if ob.Kind != "wait" {
-			continue
-		}
-		as := n.owner.arrivals[ob.Workload]
-		for len(as) > 0 && n.now.Sub(as[0].at) > warmWindow {
-			as = as[1:]
-		}
-		n.owner.arrivals[ob.Workload] = as
-		sum := 0.0
-		for _, a := range as {
-			sum += float64(a.tasks) * a.need.CPU
-		}
-		span := min(warmWindow, max(n.now.Sub(n.owner.since), 15*time.Second))
-		var run time.Duration
-		if len(as) > 0 {
-			run = as[len(as)-1].spec.Expected
-		}
-		// Work arriving during half a run time: the rest of what is kept
-		// comes from work that ends meanwhile.
-		room += n.set.Policy.WarmRoom * sum / span.Seconds() * max(run.Seconds()/2, 5)
-	}
-	return room
-}
+// warmWindow is how far back arrivals are looked at, and lately the part of it
+// that shows soonest when they have ended.
+const (
+	warmWindow = 90 * time.Second
+	lately     = 30 * time.Second
+)
 
 // rent asks the cloud for machines. It plays forward, in the order of placement,
 // when each waiting or expected task would start on the machines there are, by
@@ -556,7 +573,7 @@
 		}
 	}
 	wants := map[kind]int{}
-	demands := n.demands(horizon)
+	demands := n.demands(horizon, 1, false)
 	unmet := 0.0
 	for _, d := range demands {
 		unmet += float64(d.count) * d.j.Need.CPU
@@ -565,28 +582,13 @@
 	for _, d := range demands {
 		j := d.j
 		zones := newZonePlan(j)
-		run := max(n.expects(j), time.Second)
-		if j.Standing {
-			run = forever
-		}
+		run := n.runs(j)
 		for i := range d.count {
 			if played++; played > playMost {
 				break
 			}
-			from := n.now
-			if d.spread > 0 {
-				from = n.now.Add(d.spread * time.Duration(i+1) / time.Duration(d.count+1))
-			}
-			var best *virtual
-			var at time.Time
-			for _, v := range vs {
-				if !j.allows(v.k.flavour, v.k.zone, v.k.spot) || zones.room(v.k.zone) == 0 {
-					continue
-				}
-				if t, ok := v.earliest(j.Need, from, j.Gang); ok && (best == nil || t.Before(at)) {
-					best, at = v, t
-				}
-			}
+			from := d.from(n.now, i)
+			best, at := bestPlace(j, vs, from, zones)
 			if k, ok := n.worthRenting(d, best != nil, at, from, unmet, zones); ok {
 				wants[k]++
 				f := n.types[k.flavour]
@@ -651,6 +653,8 @@
 // tasks will leave later.
 type virtual struct {
 	k    kind
+	m    *machine
+	idle bool
 	at   time.Time
 	free Resources
 	ends []release
@@ -712,7 +716,7 @@
 		if !n.usable(m) {
 			continue
 		}
-		v := &virtual{k: kind{m.flavour, m.zone, m.spot}, at: n.now, free: m.size.Plus(m.used, -1)}
+		v := &virtual{k: kind{m.flavour, m.zone, m.spot}, m: m, idle: len(m.attempts) == 0, at: n.now, free: m.size.Plus(m.used, -1)}
 		for _, k := range sortedAttempts(m) {
 			j := n.owner.jobs[k.job]
 			t := m.attempts[k]
@@ -743,7 +747,10 @@
 // demands is what wants room within the horizon, most urgent first: the waiting
 // tasks, as far as the teams' limits let them run, then the arrivals that the
 // last minutes make likely, with more of those that must start at once.
-func (n *Node) demands(horizon time.Duration) []demand {
+//
+// The forecast is the average times the factor; cautious, it follows at once
+// when arrivals end.
+func (n *Node) demands(horizon time.Duration, factor float64, cautious bool) []demand {
 	o := n.owner
 	over := map[string]Resources{}
 	var out []demand
@@ -768,7 +775,10 @@
 			continue
 		}
 		spread := horizon
-		count := n.arrivalRate(name) * spread.Seconds()
+		count := n.arrivalRate(name, warmWindow) * spread.Seconds() * factor
+		if cautious {
+			count = min(count, 2*n.arrivalRate(name, lately)*spread.Seconds()*factor)
+		}
 		if n.waitBound(name) > 0 {
 			count *= n.set.Policy.WarmRoom
 		}
@@ -782,7 +792,7 @@
 }
 
 // arrivalRate is the workload's tasks a second over the last while.
-func (n *Node) arrivalRate(name string) float64 {
+func (n *Node) arrivalRate(name string, window time.Duration) float64 {
 	o := n.owner
 	as := o.arrivals[name]
 	for len(as) > 0 && n.now.Sub(as[0].at) > warmWindow {
@@ -796,11 +806,11 @@
 	}
 	sum := 0
 	for _, a := range as {
-		if a.at.Sub(o.since) > time.Second {
+		if a.at.Sub(o.since) > time.Second && n.now.Sub(a.at) <= window {
 			sum += a.tasks
 		}
 	}
-	return float64(sum) / min(warmWindow, span).Seconds()
+	return float64(sum) / min(window, span).Seconds()
 }
 
 // zonePlan keeps machines from being rented in a zone where same_place or apart
