--- a/internal/core/fleet.go
+++ b/internal/core/fleet.go
@@ -222,6 +222,7 @@
 	if n.now.After(n.sess.sureUntil) {
 		return
 	}
+	n.retire()
 	n.returns()
 	n.rent()
 	if n.now.Sub(l.told) >= fleetLog {
@@ -470,6 +471,78 @@
 	return out
 }
 
+// dear is how many times the cheapest price a machine must cost to be retired
+// while others can do its work.
+const dear = 1.5
+
+// retire takes dear machines out of use, one after another, as long as the
+// others would start everything in time without them; what runs there ends in
+// peace. Without this, work spreads over all machines there are, none goes idle,
+// and the ordinary ones of one rush are paid for ever after.
+func (n *Node) retire() {
+	var dearOnes []*machine
+	cheapest := n.cheapest()
+	for _, id := range sortedKeys(n.owner.machines) {
+		m := n.owner.machines[id]
+		m.retiring = false
+		if n.usable(m) && n.unitPrice(m) > dear*cheapest {
+			dearOnes = append(dearOnes, m)
+		}
+	}
+	if len(dearOnes) == 0 {
+		return
+	}
+	// The emptiest go first.
+	slices.SortStableFunc(dearOnes, func(a, b *machine) int {
+		return cmp.Compare(a.used.CPU/max(a.size.CPU, 1), b.used.CPU/max(b.size.CPU, 1))
+	})
+	demands := n.demands(n.horizon(), burst, false)
+	base := n.lateTasks(demands, nil)
+	out := map[*machine]bool{}
+	misses := 0
+	for _, m := range dearOnes {
+		out[m] = true
+		if n.lateTasks(demands, out) > base {
+			delete(out, m)
+			if misses++; misses >= retireTries {
+				break
+			}
+		}
+	}
+	for m := range out {
+		m.retiring = true
+	}
+}
+
+// retireTries bounds the machines that are tried in vain in one look.
+const retireTries = 4
+
+// lateTasks counts the tasks that would start too late without some machines.
+func (n *Node) lateTasks(demands []demand, without map[*machine]bool) int {
+	vs := slices.DeleteFunc(n.futureRoom(), func(v *virtual) bool { return without[v.m] })
+	late := 0
+	for _, d := range demands {
+		run := n.runs(d.j)
+		zones := newZonePlan(d.j)
+		bound := n.waitBound(d.j.Workload)
+		margin := lateMargin + time.Duration(lateShare*float64(run))
+		for i := range min(d.count, playMost) {
+			from := d.from(n.now, i)
+			best, at := bestPlace(d.j, vs, from, zones)
+			if best == nil {
+				late++
+				continue
+			}
+			best.take(d.j.Need, at, run)
+			zones.take(best.k.zone, 1)
+			if at.Add(margin).After(d.latest) || bound > 0 && at.Sub(from) > bound {
+				late++
+			}
+		}
+	}
+	return late
+}
+
 // playDemand places a demand's tasks on the machines as they will be.
 func (n *Node) playDemand(d demand, vs []*virtual, used func(*virtual)) {
 	run := n.runs(d.j)
--- a/internal/core/machines.go
+++ b/internal/core/machines.go
@@ -53,6 +53,8 @@
 	recall    bool
 	recallAt  time.Time
 	returning bool
+	// retiring: others can do its work more cheaply; see retire.
+	retiring  bool
 	bad       bool
 	badJobs   map[string]bool
 	idleSince time.Time
--- a/internal/core/place.go
+++ b/internal/core/place.go
@@ -452,6 +452,9 @@
 		if pull > fetch {
 			continue
 		}
+		if m.retiring && n.waitBound(j.Workload) == 0 {
+			continue
+		}
 		s := pull.Seconds()
 		if keep[m.id] {
 			s += keepPenalty.Seconds()
