--- a/internal/core/effects.go
+++ b/internal/core/effects.go
@@ -70,6 +70,17 @@
 	Progress []Progress
 	Wants    []Want
 	Idle     []string
+	Loads    []Load
+}
+
+// Load is what an owner has seen of a workload: its tasks a second, and how
+// its run times compare with their estimates, over so many samples. A
+// successor goes on with it.
+type Load struct {
+	Workload string
+	Rate     float64
+	Ratio    float64
+	Samples  int
 }
 
 // Progress is a job's count of tasks, for display.
--- a/internal/core/fleet.go
+++ b/internal/core/fleet.go
@@ -489,7 +489,9 @@
 			dearOnes = append(dearOnes, m)
 		}
 	}
-	if len(dearOnes) == 0 {
+	// After a takeover the forecast comes from the former owner's news, or is
+	// not there yet.
+	if len(dearOnes) == 0 || n.now.Sub(n.owner.since) < lately && len(n.inherited) == 0 {
 		return
 	}
 	// The emptiest go first.
@@ -864,7 +866,8 @@
 	return out
 }
 
-// arrivalRate is the workload's tasks a second over the last while.
+// arrivalRate is the workload's tasks a second over the last while. After a
+// takeover, what a former owner told of it fills in for what was not seen.
 func (n *Node) arrivalRate(name string, window time.Duration) float64 {
 	o := n.owner
 	as := o.arrivals[name]
@@ -872,18 +875,47 @@
 		as = as[1:]
 	}
 	o.arrivals[name] = as
-	// What was there at the start came before, not within the window.
-	span := n.now.Sub(o.since)
-	if span < settleTime {
-		return 0
-	}
+	span := n.now.Sub(o.readyAt)
 	sum := 0
 	for _, a := range as {
-		if a.at.Sub(o.since) > time.Second && n.now.Sub(a.at) <= window {
+		if n.now.Sub(a.at) <= window {
 			sum += a.tasks
 		}
 	}
-	return float64(sum) / min(window, span).Seconds()
+	if span >= window {
+		return float64(sum) / window.Seconds()
+	}
+	old, told := n.inherited[name]
+	if !told {
+		if span < settleTime {
+			return 0
+		}
+		return float64(sum) / span.Seconds()
+	}
+	return (float64(sum) + old.Rate*(window-span).Seconds()) / window.Seconds()
+}
+
+// loads is what a successor has to know of the workloads.
+func (n *Node) loads() []Load {
+	var out []Load
+	for _, name := range sortedKeys(n.owner.workloads) {
+		l := Load{Workload: name, Rate: n.arrivalRate(name, warmWindow), Ratio: 1}
+		if e := n.errs[name]; e != nil {
+			l.Ratio, l.Samples = e.ratio, e.n
+		}
+		out = append(out, l)
+	}
+	return out
+}
+
+// inherit keeps what another controller, the owner now, tells of workloads.
+func (n *Node) inherit(ls []Load) {
+	for _, l := range ls {
+		n.inherited[l.Workload] = l
+		if l.Samples > 0 {
+			n.errs[l.Workload] = &estimate{ratio: l.Ratio, n: l.Samples}
+		}
+	}
 }
 
 // zonePlan keeps machines from being rented in a zone where same_place or apart
--- a/internal/core/node.go
+++ b/internal/core/node.go
@@ -31,6 +31,8 @@
 	// returned remembers machines whose return was asked for: neither an old
 	// list nor a late report may bring them back.
 	returned map[string]bool
+	// inherited is what the owner before told of the workloads.
+	inherited map[string]Load
 }
 
 type timer struct {
@@ -47,7 +49,7 @@
 		calls:    map[uint64]func(WorkerDone){},
 		display:  map[string]Progress{},
 		errs:     map[string]*estimate{},
-		returned: map[string]bool{},
+		returned: map[string]bool{}, inherited: map[string]Load{},
 	}
 	n.users.init()
 	return n
@@ -113,6 +115,9 @@
 		for _, p := range c.Progress {
 			n.display[p.ID] = p
 		}
+		if n.owner == nil {
+			n.inherit(c.Loads)
+		}
 		if n.leader != nil {
 			n.leader.news[c.From] = peerWants{at: n.now, wants: c.Wants, idle: c.Idle}
 		}
--- a/internal/core/owner.go
+++ b/internal/core/owner.go
@@ -14,6 +14,8 @@
 	chunkTxns = 3
 	// ownerPeriod is how often the owner looks round without being asked.
 	ownerPeriod = 500 * time.Millisecond
+	// loadsEvery is how often the others are told of the workloads.
+	loadsEvery = 5 * time.Second
 	// raiseEvery bounds how often an owner raises its epoch by itself.
 	raiseEvery = 3 * time.Second
 )
@@ -43,8 +45,9 @@
 	// workloads holds the newest job of each workload.
 	workloads map[string]*workload
 	// waiting names the workloads with tasks that wait for a place.
-	waiting map[string]bool
-	told    time.Time
+	waiting   map[string]bool
+	told      time.Time
+	toldLoads time.Time
 }
 
 type workload struct {
@@ -337,7 +340,10 @@
 		if !r.Cancelled {
 			n.debug("job", "job", id, "workload", j.Workload, "tasks", j.Tasks, "due", j.Due, "image", j.Image, "age", n.now.Sub(j.at))
 			o.workloads[j.Workload] = &workload{&j.Spec, n.now}
-			o.arrivals[j.Workload] = append(o.arrivals[j.Workload], arrival{n.now, j.Tasks, j.Need, &j.Spec})
+			if o.ready {
+				// What is there at a takeover came before.
+				o.arrivals[j.Workload] = append(o.arrivals[j.Workload], arrival{n.now, j.Tasks, j.Need, &j.Spec})
+			}
 		}
 	}
 	j.stamp = it.Stamp
@@ -747,7 +753,11 @@
 			news.Progress = append(news.Progress, p)
 		}
 	}
-	if len(news.Progress) == 0 {
+	if n.now.Sub(o.toldLoads) >= loadsEvery {
+		o.toldLoads = n.now
+		news.Loads = n.loads()
+	}
+	if len(news.Progress) == 0 && len(news.Loads) == 0 {
 		return
 	}
 	for _, p := range n.set.Peers {
--- a/internal/core/place.go
+++ b/internal/core/place.go
@@ -38,8 +38,11 @@
 	// hopeful is the part of the expected run time that must at least be left
 	// before a deadline for it to be worth trying; run times are uncertain.
 	hopeful = 0.7
-	// patience is when a job without an aim, or beyond all of them, is due.
+	// patience is when a job beyond all its aims is due.
 	patience = 10 * time.Minute
+	// A job without any aim is due after some of its run times, or this.
+	aimlessRuns  = 4
+	aimlessLeast = time.Minute
 )
 
 // latest is when a task of the job should start at the latest to meet the next
@@ -47,13 +50,19 @@
 // meet no aim any more goes last: in its place before the others it would only
 // make those late as well.
 func (n *Node) latest(j *job) time.Time {
+	if j.Standing {
+		// Replicas are to run at all times.
+		return j.at
+	}
 	d := n.expects(j)
 	soonest := n.now.Add(time.Duration(hopeful * float64(d)))
 	aim := j.at.Add(patience)
 	if soonest.After(aim) {
 		aim = soonest
 	}
+	aims := 0
 	try := func(t time.Time) {
+		aims++
 		if t.Before(aim) && !soonest.After(t) {
 			aim = t
 		}
@@ -70,6 +79,9 @@
 			try(j.at.Add(o.Within))
 		}
 	}
+	if aims == 0 {
+		try(j.at.Add(max(aimlessLeast, aimlessRuns*d)))
+	}
 	return aim.Add(-d)
 }
 
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -155,6 +155,9 @@
 	for _, w := range n.Wants {
 		m.Wants = append(m.Wants, &Want{Flavour: w.Flavour, Zone: w.Zone, Spot: w.Spot, Count: int64(w.Count)})
 	}
+	for _, l := range n.Loads {
+		m.Loads = append(m.Loads, &Load{Workload: l.Workload, Rate: l.Rate, Ratio: l.Ratio, Samples: int64(l.Samples)})
+	}
 	return m
 }
 
@@ -166,5 +169,8 @@
 	for _, w := range m.Wants {
 		n.Wants = append(n.Wants, core.Want{Flavour: w.Flavour, Zone: w.Zone, Spot: w.Spot, Count: int(w.Count)})
 	}
+	for _, l := range m.Loads {
+		n.Loads = append(n.Loads, core.Load{Workload: l.Workload, Rate: l.Rate, Ratio: l.Ratio, Samples: int(l.Samples)})
+	}
 	return n
 }
