--- a/internal/core/effects.go
+++ b/internal/core/effects.go
@@ -80,6 +80,7 @@
 	Workload string
 	Rate     float64
 	Ratio    float64
+	Dev      float64
 	Samples  int
 }
 
--- a/internal/core/fleet.go
+++ b/internal/core/fleet.go
@@ -462,11 +462,16 @@
 		return out
 	}
 	vs := n.futureRoom()
+	p := &plan{n: n, vs: vs}
 	slices.SortStableFunc(vs, func(a, b *virtual) int {
 		return cmp.Or(cmp.Compare(b2f(a.idle), b2f(b.idle)), cmp.Compare(n.unitPrice(a.m), n.unitPrice(b.m)))
 	})
 	for _, d := range n.demands(n.horizon(), burst, true) {
-		n.playDemand(d, vs, func(v *virtual) { delete(out, v.m.id) })
+		p.play(d, func(_ int, v *virtual, _ time.Time) {
+			if v != nil {
+				delete(out, v.m.id)
+			}
+		})
 	}
 	return out
 }
@@ -499,12 +504,12 @@
 		return cmp.Compare(a.used.CPU/max(a.size.CPU, 1), b.used.CPU/max(b.size.CPU, 1))
 	})
 	demands := n.demands(n.horizon(), burst, false)
-	base := n.lateTasks(demands, nil)
+	base := n.lateness(demands, nil)
 	out := map[*machine]bool{}
 	misses := 0
 	for _, m := range dearOnes {
 		out[m] = true
-		if n.lateTasks(demands, out) > base {
+		if n.lateness(demands, out) > base {
 			delete(out, m)
 			if misses++; misses >= retireTries {
 				break
@@ -519,76 +524,6 @@
 // retireTries bounds the machines that are tried in vain in one look.
 const retireTries = 4
 
-// lateTasks counts the tasks that would start too late without some machines.
-func (n *Node) lateTasks(demands []demand, without map[*machine]bool) int {
-	vs := slices.DeleteFunc(n.futureRoom(), func(v *virtual) bool { return without[v.m] })
-	late := 0
-	for _, d := range demands {
-		run := n.runs(d.j)
-		zones := newZonePlan(d.j)
-		bound := n.waitBound(d.j.Workload)
-		margin := lateMargin + time.Duration(lateShare*float64(run))
-		for i := range min(d.count, playMost) {
-			from := d.from(n.now, i)
-			best, at := bestPlace(d.j, vs, from, zones)
-			if best == nil {
-				late++
-				continue
-			}
-			best.take(d.j.Need, at, run)
-			zones.take(best.k.zone, 1)
-			if at.Add(margin).After(d.latest) || bound > 0 && at.Sub(from) > bound {
-				late++
-			}
-		}
-	}
-	return late
-}
-
-// playDemand places a demand's tasks on the machines as they will be.
-func (n *Node) playDemand(d demand, vs []*virtual, used func(*virtual)) {
-	run := n.runs(d.j)
-	zones := newZonePlan(d.j)
-	for i := range min(d.count, playMost) {
-		from := d.from(n.now, i)
-		best, at := bestPlace(d.j, vs, from, zones)
-		if best == nil {
-			return
-		}
-		best.take(d.j.Need, at, run)
-		zones.take(best.k.zone, 1)
-		used(best)
-	}
-}
-
-// runs is how long a task of the job is expected to hold its room.
-func (n *Node) runs(j *job) time.Duration {
-	if j.Standing {
-		return forever
-	}
-	return max(n.expects(j), time.Second)
-}
-
-// bestPlace is the machine on which a task could start first.
-func bestPlace(j *job, vs []*virtual, from time.Time, zones *zonePlan) (*virtual, time.Time) {
-	var best *virtual
-	var at time.Time
-	for _, v := range vs {
-		if !j.allows(v.k.flavour, v.k.zone, v.k.spot) || zones.room(v.k.zone) == 0 {
-			continue
-		}
-		if t, ok := v.earliest(j.Need, from, j.Gang); ok && (best == nil || t.Before(at)) {
-			best, at = v, t
-		}
-	}
-	return best, at
-}
-
-// from is when the demand's task i is there.
-func (d demand) from(now time.Time, i int) time.Time {
-	return now.Add(d.spread * time.Duration(i+1) / time.Duration(d.count+1))
-}
-
 // idleKeep is how long a machine stays idle before it may go back: the longer
 // the cheaper it is.
 func (n *Node) idleKeep(m *machine, cheapest float64) time.Duration {
@@ -625,13 +560,7 @@
 // the task would otherwise start later than it must.
 func (n *Node) rent() {
 	l, o := n.leader, n.owner
-	horizon := n.horizon()
-	vs := n.futureRoom()
-	boot := func(k kind, since time.Time) {
-		f := n.types[k.flavour]
-		ready := later(since.Add(f.Ready), n.now.Add(f.Ready/4))
-		vs = append(vs, &virtual{k: k, at: ready, free: f.Size})
-	}
+	p := &plan{n: n, vs: n.futureRoom()}
 	for _, id := range sortedKeys(l.rentals) {
 		r := l.rentals[id]
 		m := o.machines[id]
@@ -639,42 +568,36 @@
 			continue
 		}
 		if f, ok := n.types[r.flavour]; ok && n.now.Sub(r.since) < 2*f.Ready+bootSlack {
-			boot(r.kind, r.since)
+			p.boot(r.kind, later(r.since.Add(f.Ready), n.now.Add(f.Ready/4)))
 		}
 	}
 	for _, k := range sortedKinds(l.renting) {
 		for range l.renting[k] {
-			boot(k, n.now)
+			p.boot(k, n.now.Add(n.types[k.flavour].Ready))
 		}
 	}
 	wants := map[kind]int{}
-	demands := n.demands(horizon, 1, false)
+	demands := n.demands(n.horizon(), 1, false)
 	unmet := 0.0
 	for _, d := range demands {
 		unmet += float64(d.count) * d.j.Need.CPU
 	}
 	played := 0
 	for _, d := range demands {
-		j := d.j
-		zones := newZonePlan(j)
-		run := n.runs(j)
+		zones := newZonePlan(d.j)
 		for i := range d.count {
 			if played++; played > playMost {
 				break
 			}
 			from := d.from(n.now, i)
-			best, at := bestPlace(j, vs, from, zones)
-			if k, ok := n.worthRenting(d, best != nil, at, from, unmet, zones); ok {
+			v, at := p.best(d.j, from, zones)
+			if k, ok := n.worthRenting(d, v != nil, at, from, unmet, zones); ok {
 				wants[k]++
-				f := n.types[k.flavour]
-				best = &virtual{k: k, at: n.now.Add(f.Ready), free: f.Size}
-				vs = append(vs, best)
-				at, _ = best.earliest(j.Need, from, j.Gang)
+				v = p.boot(k, n.now.Add(n.types[k.flavour].Ready))
 			}
-			unmet -= j.Need.CPU
-			if best != nil {
-				best.take(j.Need, at, run)
-				zones.take(best.k.zone, 1)
+			unmet -= d.j.Need.CPU
+			if v != nil {
+				p.take(v, d.j, from, zones)
 			}
 		}
 	}
@@ -685,17 +608,6 @@
 	}
 }
 
-const (
-	// playMost bounds the tasks that are played forward at once.
-	playMost = 600
-	// lateMargin and lateShare of the run time are kept in hand, since run
-	// times are only expected.
-	lateMargin = 5 * time.Second
-	lateShare  = 0.25
-	// forever is how long a replica runs, for all that is planned here.
-	forever = 24 * time.Hour
-)
-
 // worthRenting says what to rent for a task that would start at the time at
 // (if it has a place at all).
 func (n *Node) worthRenting(d demand, placed bool, at, from time.Time, unmet float64, zones *zonePlan) (kind, bool) {
@@ -709,244 +621,21 @@
 		if !placed {
 			return k, true
 		}
-		ready := n.now.Add(n.types[k.flavour].Ready)
+		f := n.types[k.flavour]
+		ready := n.now.Add(f.Ready + pull(&f, j))
 		if !at.After(later(ready, from).Add(lateMargin)) {
 			continue
 		}
 		if spot {
 			return k, true
 		}
-		slackLeft := d.latest.Sub(at) - lateMargin - time.Duration(lateShare*float64(n.expects(j)))
-		if slackLeft < 0 {
+		if at.Add(n.margin(j)).After(d.latest) {
 			return k, true
 		}
 	}
 	return kind{}, false
 }
 
-// virtual is a machine played forward: its free room at a time, and what running
-// tasks will leave later.
-type virtual struct {
-	k    kind
-	m    *machine
-	idle bool
-	at   time.Time
-	free Resources
-	ends []release
-}
-
-type release struct {
-	at   time.Time
-	need Resources
-}
-
-// earliest is when a task fits, not before from. A gang's tasks need their room
-// all at once, so room that is left one after another is none to them.
-func (v *virtual) earliest(need Resources, from time.Time, gang bool) (time.Time, bool) {
-	free, at := v.free, later(v.at, from)
-	if need.Fits(free) {
-		return at, true
-	}
-	if gang {
-		return time.Time{}, false
-	}
-	for _, e := range v.ends {
-		free = free.Plus(e.need, 1)
-		if need.Fits(free) {
-			return later(at, e.at), true
-		}
-	}
-	return time.Time{}, false
-}
-
-// take lets a task start at the time that earliest gave.
-func (v *virtual) take(need Resources, at time.Time, run time.Duration) {
-	for len(v.ends) > 0 && !need.Fits(v.free) {
-		v.free = v.free.Plus(v.ends[0].need, 1)
-		v.at = later(v.at, v.ends[0].at)
-		v.ends = v.ends[1:]
-	}
-	v.free = v.free.Plus(need, -1)
-	end := release{at.Add(run), need}
-	i, _ := slices.BinarySearchFunc(v.ends, end, func(a, b release) int { return a.at.Compare(b.at) })
-	v.ends = slices.Insert(v.ends, i, end)
-}
-
-// horizon is the time until a machine rented now is of use.
-func (n *Node) horizon() time.Duration {
-	var sum time.Duration
-	for _, f := range n.types {
-		sum += f.Ready
-	}
-	return sum / time.Duration(max(1, len(n.types)))
-}
-
-// futureRoom is each usable machine with what its running tasks will leave, as
-// far as their expected ends tell. What runs longer than expected is taken to
-// go on for a while.
-func (n *Node) futureRoom() []*virtual {
-	var vs []*virtual
-	for _, id := range sortedKeys(n.owner.machines) {
-		m := n.owner.machines[id]
-		if !n.usable(m) {
-			continue
-		}
-		v := &virtual{k: kind{m.flavour, m.zone, m.spot}, m: m, idle: len(m.attempts) == 0, at: n.now, free: m.size.Plus(m.used, -1)}
-		for _, k := range sortedAttempts(m) {
-			j := n.owner.jobs[k.job]
-			t := m.attempts[k]
-			if j.Standing {
-				continue
-			}
-			e := n.expects(j)
-			left := e
-			if !t.started.IsZero() {
-				left = max(e-n.now.Sub(t.started), e/5)
-			}
-			v.ends = append(v.ends, release{n.now.Add(left), j.Need})
-		}
-		slices.SortFunc(v.ends, func(a, b release) int { return a.at.Compare(b.at) })
-		vs = append(vs, v)
-	}
-	return vs
-}
-
-// demand is some tasks of a job: waiting now, or expected, spread over a time.
-type demand struct {
-	j      *job
-	count  int
-	latest time.Time
-	spread time.Duration
-}
-
-// demands is what wants room within the horizon, most urgent first: the waiting
-// tasks, as far as the teams' limits let them run, then the arrivals that the
-// last minutes make likely, with more of those that must start at once.
-//
-// The forecast is the average times the factor; cautious, it follows at once
-// when arrivals end.
-func (n *Node) demands(horizon time.Duration, factor float64, cautious bool) []demand {
-	o := n.owner
-	over := map[string]Resources{}
-	var out []demand
-	for _, j := range n.order() {
-		count := j.pending()
-		if t := n.team(j.Team); t != nil {
-			u := o.used[j.Team].Plus(over[j.Team], 1)
-			left := Resources{CPU: t.Limit.CPU - u.CPU, GPU: t.Limit.GPU - u.GPU}
-			if t.Limit.CPU > 0 {
-				count = min(count, Resources{CPU: left.CPU}.Times(Resources{CPU: j.Need.CPU}))
-			}
-			if t.Limit.GPU > 0 {
-				count = min(count, Resources{GPU: left.GPU}.Times(Resources{GPU: j.Need.GPU}))
-			}
-			over[j.Team] = over[j.Team].Plus(j.Need, float64(count))
-		}
-		out = append(out, demand{j: j, count: count, latest: n.latest(j)})
-	}
-	for _, name := range sortedKeys(o.workloads) {
-		w := o.workloads[name]
-		if w.spec.Standing || w.spec.Gang {
-			continue
-		}
-		spread := horizon
-		count := n.arrivalRate(name, warmWindow) * spread.Seconds() * factor
-		if cautious {
-			count = min(count, 2*n.arrivalRate(name, lately)*spread.Seconds()*factor)
-		}
-		if n.waitBound(name) > 0 {
-			count *= n.set.Policy.WarmRoom
-		}
-		if k := int(count + 0.5); k > 0 {
-			j := &job{Spec: *w.spec, tasks: make([]task, k), at: n.now.Add(spread / 2)}
-			out = append(out, demand{j: j, count: k, latest: n.latest(j), spread: spread})
-		}
-	}
-	slices.SortStableFunc(out, func(a, b demand) int { return cmp.Compare(b.j.Urgency, a.j.Urgency) })
-	return out
-}
-
-// arrivalRate is the workload's tasks a second over the last while. After a
-// takeover, what a former owner told of it fills in for what was not seen.
-func (n *Node) arrivalRate(name string, window time.Duration) float64 {
-	o := n.owner
-	as := o.arrivals[name]
-	for len(as) > 0 && n.now.Sub(as[0].at) > warmWindow {
-		as = as[1:]
-	}
-	o.arrivals[name] = as
-	span := n.now.Sub(o.readyAt)
-	sum := 0
-	for _, a := range as {
-		if n.now.Sub(a.at) <= window {
-			sum += a.tasks
-		}
-	}
-	if span >= window {
-		return float64(sum) / window.Seconds()
-	}
-	old, told := n.inherited[name]
-	if !told {
-		if span < settleTime {
-			return 0
-		}
-		return float64(sum) / span.Seconds()
-	}
-	return (float64(sum) + old.Rate*(window-span).Seconds()) / window.Seconds()
-}
-
-// loads is what a successor has to know of the workloads.
-func (n *Node) loads() []Load {
-	var out []Load
-	for _, name := range sortedKeys(n.owner.workloads) {
-		l := Load{Workload: name, Rate: n.arrivalRate(name, warmWindow), Ratio: 1}
-		if e := n.errs[name]; e != nil {
-			l.Ratio, l.Samples = e.ratio, e.n
-		}
-		out = append(out, l)
-	}
-	return out
-}
-
-// inherit keeps what another controller, the owner now, tells of workloads.
-func (n *Node) inherit(ls []Load) {
-	for _, l := range ls {
-		n.inherited[l.Workload] = l
-		if l.Samples > 0 {
-			n.errs[l.Workload] = &estimate{ratio: l.Ratio, n: l.Samples}
-		}
-	}
-}
-
-// zonePlan keeps machines from being rented in a zone where same_place or apart
-// keep the job's tasks from starting.
-type zonePlan struct {
-	j     *job
-	tasks map[string]int
-}
-
-func newZonePlan(j *job) *zonePlan {
-	z := &zonePlan{j, map[string]int{}}
-	for zone, k := range j.zoneLive {
-		if k > 0 {
-			z.tasks[zone] = k
-		}
-	}
-	return z
-}
-
-func (z *zonePlan) room(zone string) int {
-	switch {
-	case z.j.SamePlace && len(z.tasks) > 0 && z.tasks[zone] == 0:
-		return 0
-	case z.j.Apart:
-		return max(0, (len(z.j.tasks)+1)/2-z.tasks[zone])
-	}
-	return len(z.j.tasks)
-}
-
-func (z *zonePlan) take(zone string, k int) { z.tasks[zone] += k }
-
 func sortedKinds[V any](m map[kind]V) []kind {
 	ks := make([]kind, 0, len(m))
 	for k := range m {
--- a/internal/core/jobs.go
+++ b/internal/core/jobs.go
@@ -1,6 +1,7 @@
 package core
 
 import (
+	"math"
 	"slices"
 	"sort"
 	"strconv"
@@ -243,7 +244,10 @@
 // estimate learns how wrong a workload's estimates have lately been.
 type estimate struct {
 	ratio float64
-	n     int
+	// dev is how far single run times are from the corrected estimate, as a
+	// share of it.
+	dev float64
+	n   int
 }
 
 // estimateWeight is the weight of the newest finished task in the average.
@@ -255,13 +259,15 @@
 	}
 	e := n.errs[j.Workload]
 	if e == nil {
-		e = &estimate{ratio: 1}
+		e = &estimate{ratio: 1, dev: lateShare}
 		n.errs[j.Workload] = e
 	}
 	e.n++
 	r := ran.Seconds() / j.Expected.Seconds()
 	w := max(estimateWeight, 1/float64(e.n+1))
-	e.ratio += w * (min(r, 4) - e.ratio)
+	r = min(r, 4)
+	e.dev += w * (math.Abs(r-e.ratio)/max(e.ratio, 0.1) - e.dev)
+	e.ratio += w * (r - e.ratio)
 }
 
 // expects is the corrected estimate of a task's run time.
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -156,7 +156,7 @@
 		m.Wants = append(m.Wants, &Want{Flavour: w.Flavour, Zone: w.Zone, Spot: w.Spot, Count: int64(w.Count)})
 	}
 	for _, l := range n.Loads {
-		m.Loads = append(m.Loads, &Load{Workload: l.Workload, Rate: l.Rate, Ratio: l.Ratio, Samples: int64(l.Samples)})
+		m.Loads = append(m.Loads, &Load{Workload: l.Workload, Rate: l.Rate, Ratio: l.Ratio, Dev: l.Dev, Samples: int64(l.Samples)})
 	}
 	return m
 }
@@ -170,7 +170,7 @@
 		n.Wants = append(n.Wants, core.Want{Flavour: w.Flavour, Zone: w.Zone, Spot: w.Spot, Count: int(w.Count)})
 	}
 	for _, l := range m.Loads {
-		n.Loads = append(n.Loads, core.Load{Workload: l.Workload, Rate: l.Rate, Ratio: l.Ratio, Samples: int(l.Samples)})
+		n.Loads = append(n.Loads, core.Load{Workload: l.Workload, Rate: l.Rate, Ratio: l.Ratio, Dev: l.Dev, Samples: int(l.Samples)})
 	}
 	return n
 }
