--- a/internal/core/owner.go
+++ b/internal/core/owner.go
@@ -630,6 +630,7 @@
 		o := n.owner
 		if d.Status == StateOK && !j.cancelled {
 			n.setFinal(j.ID, Done)
+			n.debug("job done", "job", j.ID, "workload", j.Workload, "age", n.now.Sub(j.at))
 		}
 		if o == nil || o.gen != gen {
 			return
