Of equally pressing jobs the one with less left to do goes first

Cause: under overload, deadline order lets one job of 35 tasks make a dozen small ones late, and aims count jobs.

--- a/internal/core/place.go
+++ b/internal/core/place.go
@@ -26,6 +26,9 @@
 	// keepPenalty keeps other work off machines that hold the images of work
 	// whose wait is bounded, as long as a fetch elsewhere is quicker.
 	keepPenalty = 3 * time.Second
+	// smallFirst weighs the time that the whole fleet would need for a job
+	// against its slack.
+	smallFirst = 2
 	// stopPatience is how long a stopped task's room is waited for.
 	stopPatience = 1500 * time.Millisecond
 	// slowMachine is how much slower than expected a machine's tasks must run,
@@ -123,13 +126,21 @@
 		weight float64
 	}
 	var rs []ranked
+	cpus := 0.0
+	for _, m := range n.owner.machines {
+		cpus += m.size.CPU
+	}
 	for _, id := range sortedKeys(n.owner.jobs) {
 		j := n.owner.jobs[id]
 		if j.pending() == 0 || j.notBefore.After(n.now) {
 			continue
 		}
 		w := n.set.Policy.Weight[j.Workload]
-		rs = append(rs, ranked{j, n.guaranteed(j), n.latest(j), w})
+		// Aims count jobs, so of two that are as pressing the one with less
+		// left to do goes first: together they are done the sooner.
+		left := float64(len(j.tasks)-j.done) * j.Need.CPU * n.expects(j).Seconds()
+		key := n.latest(j).Add(Seconds(smallFirst * left / max(cpus, 1)))
+		rs = append(rs, ranked{j, n.guaranteed(j), key, w})
 	}
 	slices.SortStableFunc(rs, func(a, b ranked) int {
 		switch {
