--- a/cmd/micahill/main.go
+++ b/cmd/micahill/main.go
@@ -13,12 +13,15 @@
 	"os"
 	"runtime"
 	"runtime/debug"
+	"time"
 
 	"github.com/micahill/micahill/internal/api"
 	"github.com/micahill/micahill/internal/cloud"
 	"github.com/micahill/micahill/internal/config"
 	"github.com/micahill/micahill/internal/core"
+	"github.com/micahill/micahill/internal/metrics"
 	"github.com/micahill/micahill/internal/peer"
+	"github.com/micahill/micahill/internal/policy"
 	"github.com/micahill/micahill/internal/server"
 	"github.com/micahill/micahill/internal/state"
 	"github.com/micahill/micahill/internal/worker"
@@ -44,7 +47,7 @@
 }
 
 func command() *cobra.Command {
-	var path string
+	var path, script string
 	root := &cobra.Command{
 		Use:           "micahill --config FILE",
 		Short:         "A cluster scheduler for rented machines",
@@ -56,10 +59,11 @@
 			if path == "" {
 				return errors.New("--config FILE is missing; see --help")
 			}
-			return serve(cmd.Context(), path)
+			return serve(cmd.Context(), path, script)
 		},
 	}
 	root.Flags().StringVar(&path, "config", "", "settings file (TOML)")
+	root.Flags().StringVar(&script, "policy", "", "operators' policy (Starlark); absent: built-in defaults")
 	check := &cobra.Command{
 		Use: "check", Short: "Check a settings file and say what is wrong with it", Args: cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
@@ -70,12 +74,16 @@
 			if err != nil {
 				return err
 			}
+			if _, err := policy.Load(script); err != nil {
+				return err
+			}
 			fmt.Fprintf(cmd.OutOrStdout(), "%s: controller %s of %d, %d team(s): ok\n", path, c.HostName, len(c.Seeds)+1, len(c.Deployment.Teams))
 			return nil
 		},
 	}
 	check.Flags().StringVar(&path, "config", "", "settings file (TOML)")
-	root.AddCommand(check, &cobra.Command{
+	check.Flags().StringVar(&script, "policy", "", "operators' policy (Starlark) to check as well")
+	root.AddCommand(check, statusCommand(), &cobra.Command{
 		Use: "version", Short: "Print the version", Args: cobra.NoArgs,
 		Run: func(cmd *cobra.Command, _ []string) { fmt.Fprintln(cmd.OutOrStdout(), "micahill", version) },
 	})
@@ -92,7 +100,7 @@
 	return slog.LevelInfo
 }
 
-func serve(ctx context.Context, path string) error {
+func serve(ctx context.Context, path, script string) error {
 	if ctx == nil {
 		ctx = context.Background()
 	}
@@ -101,6 +109,10 @@
 	if err != nil {
 		return err
 	}
+	pol, err := policy.Load(script)
+	if err != nil {
+		return err
+	}
 	// One thread at a time runs here anyway; more would only switch.
 	runtime.GOMAXPROCS(1)
 	debug.SetMemoryLimit(int64(c.Deployment.Quota.RAMMB * memoryPart * (1 << 20)))
@@ -111,7 +123,7 @@
 		return fmt.Errorf("seed: %w", err)
 	}
 	nonce := fmt.Sprintf("%x", binary.LittleEndian.Uint64(seed[:8]))
-	set := c.Core(core.DefaultPolicy(), nonce)
+	set := c.Core(pol, nonce)
 	node := core.New(set, rand.New(rand.NewChaCha8(seed)))
 
 	ctx, cancel := context.WithCancel(ctx)
@@ -122,20 +134,44 @@
 	}
 	d := &c.Deployment
 	st := state.New(c.Outside.State, d.State.RPS, d.State.WriteRPS, len(c.Seeds)+1)
+	cl := cloud.New(c.Outside.Cloud, d.Cloud.RPS)
+	wk := worker.New()
 	pn := peer.Start(ctx, peers)
+	met := metrics.New()
 	srv := server.New(node, server.Outside{
-		State:  st.Do,
-		Cloud:  cloud.New(c.Outside.Cloud, d.Cloud.RPS).Do,
-		Worker: worker.New().Do,
-		Peer:   pn.Send,
-		Role:   func(r core.Role) { st.SetMain(r.Owner) },
+		State: func(ctx context.Context, op core.StateOp) core.StateDone {
+			began := time.Now()
+			done := st.Do(ctx, op)
+			met.State(op.Kind, done.Status, time.Since(began))
+			return done
+		},
+		Cloud: func(ctx context.Context, op core.CloudOp) core.CloudDone {
+			began := time.Now()
+			done := cl.Do(ctx, op)
+			met.Cloud(op.Kind, done.Status, time.Since(began))
+			return done
+		},
+		Worker: func(ctx context.Context, op core.WorkerOp) core.WorkerDone {
+			began := time.Now()
+			done := wk.Do(ctx, op)
+			met.Orders(done, time.Since(began))
+			return done
+		},
+		Peer: pn.Send,
+		Role: func(r core.Role) {
+			st.SetMain(r.Owner)
+			met.Role(r)
+		},
+		Observe: met.Step,
 	})
-	if err := peer.Listen(ctx, c.Back, func(n core.PeerNews) { srv.Post(n) }); err != nil {
+	back, err := peer.Listen(ctx, c.Back, func(n core.PeerNews) { srv.Post(n) })
+	if err != nil {
 		return err
 	}
 	slog.Info("micahill starts", "version", version, "host", c.HostName, "nonce", nonce)
-	errs := make(chan error, 2)
-	go func() { errs <- api.Serve(ctx, c.APIAddr, d.Quota.Sockets, srv) }()
+	errs := make(chan error, 3)
+	go func() { errs <- api.Serve(ctx, c.APIAddr, d.Quota.Sockets, srv, met.Request) }()
+	go func() { errs <- api.Operators(ctx, back, srv, met.Handler()) }()
 	go func() { errs <- srv.Run(ctx) }()
 	return <-errs
 }
--- /dev/null
+++ b/cmd/micahill/status.go
@@ -0,0 +1,90 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"github.com/micahill/micahill/internal/core"
+	"github.com/spf13/cobra"
+)
+
+// statusTimeout is how long an operator waits for a controller.
+const statusTimeout = 5 * time.Second
+
+// statusCommand shows what a controller runs, to an operator at a terminal.
+func statusCommand() *cobra.Command {
+	var addr string
+	c := &cobra.Command{
+		Use: "status", Short: "Show what a controller runs", Args: cobra.NoArgs,
+		Long: "Shows a controller's roles, open jobs by workload, and machines. ADDR is the\ncontroller's own address, \"back\" in its settings; the owner shows the jobs.",
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			if addr == "" {
+				return errors.New("--addr HOST:PORT is missing; see status --help")
+			}
+			ctx, cancel := context.WithTimeout(cmd.Context(), statusTimeout)
+			defer cancel()
+			s, err := fetchStatus(ctx, addr)
+			if err != nil {
+				return err
+			}
+			return printStatus(cmd.OutOrStdout(), s)
+		},
+	}
+	c.Flags().StringVar(&addr, "addr", "", "the controller's own address (back)")
+	return c
+}
+
+func fetchStatus(ctx context.Context, addr string) (*core.StatusReply, error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+addr+"/status", nil)
+	if err != nil {
+		return nil, fmt.Errorf("status: %w", err)
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return nil, fmt.Errorf("status: %w", err)
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return nil, fmt.Errorf("status: %s answers %s", addr, resp.Status)
+	}
+	var s core.StatusReply
+	if err := json.NewDecoder(resp.Body).Decode(&s); err != nil {
+		return nil, fmt.Errorf("status: %w", err)
+	}
+	return &s, nil
+}
+
+func printStatus(out io.Writer, s *core.StatusReply) error {
+	roles := []string{}
+	if s.IsLeader {
+		roles = append(roles, "leader")
+	}
+	if s.IsOwner {
+		roles = append(roles, fmt.Sprintf("owner of %s (epoch %d)", strings.Join(s.Teams, ", "), s.Epoch))
+	}
+	if len(roles) == 0 {
+		roles = append(roles, "standing by")
+	}
+	fmt.Fprintf(out, "%s: %s; healthy: %v; leader: %s; controllers: %s\n", s.Host, strings.Join(roles, ", "), s.Healthy, s.Leader, strings.Join(s.Nodes, ", "))
+	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
+	if len(s.Workloads) > 0 {
+		fmt.Fprintln(w, "\nWORKLOAD\tJOBS\tWAITING\tLIVE\tDONE\tTASKS/S\tRUN/ESTIMATE")
+		for _, l := range s.Workloads {
+			fmt.Fprintf(w, "%s\t%d\t%d\t%d\t%d\t%.2f\t%.2f\n", l.Name, l.Jobs, l.Waiting, l.Live, l.Done, l.Rate, l.Ratio)
+		}
+	}
+	if len(s.Machines) > 0 {
+		fmt.Fprintln(w, "\nMACHINE\tFLAVOUR\tZONE\tSPOT\tSTATE\tTASKS\tCPU\tHEARD")
+		for _, m := range s.Machines {
+			fmt.Fprintf(w, "%s\t%s\t%s\t%v\t%s\t%d\t%.0f/%.0f\t%s\n", m.ID, m.Flavour, m.Zone, m.Spot, m.State, m.Tasks, m.UsedCPU, m.CPU, m.Heard)
+		}
+	}
+	return w.Flush()
+}
--- a/internal/api/api.go
+++ b/internal/api/api.go
@@ -50,11 +50,62 @@
 
 type handlers struct{ core Core }
 
+// Observer is told of every answer.
+type Observer func(route, status string, took time.Duration)
+
+// Operators serves the operators' view on the controllers' own address: the
+// status as JSON and the metrics. Users do not reach it.
+func Operators(ctx context.Context, ln net.Listener, c Core, metrics http.Handler) error {
+	h := &handlers{c}
+	e := echo.New()
+	e.HideBanner, e.HidePort = true, true
+	e.GET("/metrics", echo.WrapHandler(metrics))
+	e.GET("/status", h.status)
+	return serve(ctx, ln, e)
+}
+
+func (h *handlers) status(c echo.Context) error {
+	ctx, cancel := context.WithTimeout(c.Request().Context(), patience)
+	defer cancel()
+	e, err := h.core.Ask(ctx, func(r uint64) core.Command { return core.StatusQuery{Reply: r} })
+	if err != nil {
+		return busy(c)
+	}
+	return c.JSON(http.StatusOK, e)
+}
+
+func serve(ctx context.Context, ln net.Listener, handler http.Handler) error {
+	srv := &http.Server{
+		Handler: handler, ReadHeaderTimeout: headerTimeout, ReadTimeout: headerTimeout,
+		WriteTimeout: writeTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: 16 << 10,
+		ErrorLog: slog.NewLogLogger(slog.Default().Handler(), slog.LevelDebug),
+	}
+	go func() {
+		<-ctx.Done()
+		srv.Close()
+	}()
+	if err := srv.Serve(ln); !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
+		return fmt.Errorf("api: %w", err)
+	}
+	return nil
+}
+
 // Serve listens on addr until the context ends.
-func Serve(ctx context.Context, addr string, sockets int, c Core) error {
+func Serve(ctx context.Context, addr string, sockets int, c Core, observe Observer) error {
 	h := &handlers{c}
 	e := echo.New()
 	e.HideBanner, e.HidePort = true, true
+	e.Use(func(next echo.HandlerFunc) echo.HandlerFunc {
+		return func(c echo.Context) error {
+			began := time.Now()
+			err := next(c)
+			if err != nil {
+				c.Error(err)
+			}
+			observe(c.Path(), strconv.Itoa(c.Response().Status), time.Since(began))
+			return nil
+		}
+	})
 	e.POST("/v2/runs", h.submit)
 	e.GET("/v2/runs/:id", h.query)
 	e.POST("/v2/runs/:id/abort", h.abort)
@@ -77,19 +128,7 @@
 	if err != nil {
 		return fmt.Errorf("api: %w", err)
 	}
-	srv := &http.Server{
-		Handler: e, ReadHeaderTimeout: headerTimeout, ReadTimeout: headerTimeout,
-		WriteTimeout: writeTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: 16 << 10,
-		ErrorLog: slog.NewLogLogger(slog.Default().Handler(), slog.LevelDebug),
-	}
-	go func() {
-		<-ctx.Done()
-		srv.Close()
-	}()
-	if err := srv.Serve(netutil.LimitListener(ln, max(8, int(float64(sockets)*userSockets)))); !errors.Is(err, http.ErrServerClosed) {
-		return fmt.Errorf("api: %w", err)
-	}
-	return nil
+	return serve(ctx, netutil.LimitListener(ln, max(8, int(float64(sockets)*userSockets))), e)
 }
 
 func answer(c echo.Context, status int, v any) error {
--- a/internal/core/node.go
+++ b/internal/core/node.go
@@ -111,6 +111,8 @@
 			delete(n.calls, c.ID)
 			fn(c)
 		}
+	case StatusQuery:
+		n.status(c)
 	case PeerNews:
 		for _, p := range c.Progress {
 			n.display[p.ID] = p
--- /dev/null
+++ b/internal/metrics/metrics.go
@@ -0,0 +1,97 @@
+// Package metrics counts and times what a controller does, for the operators'
+// Prometheus.
+package metrics
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/micahill/micahill/internal/core"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+)
+
+// Set is one controller's metrics.
+type Set struct {
+	reg      *prometheus.Registry
+	requests *prometheus.HistogramVec
+	state    *prometheus.HistogramVec
+	cloud    *prometheus.HistogramVec
+	orders   *prometheus.HistogramVec
+	steps    prometheus.Histogram
+	batch    prometheus.Histogram
+	role     *prometheus.GaugeVec
+}
+
+// New makes and registers the metrics.
+func New() *Set {
+	// From a millisecond to some seconds: what users and workers wait for.
+	waits := prometheus.ExponentialBuckets(0.001, 2.5, 10)
+	vec := func(name, help string, labels ...string) *prometheus.HistogramVec {
+		return prometheus.NewHistogramVec(prometheus.HistogramOpts{Namespace: "micahill", Name: name, Help: help, Buckets: waits}, labels)
+	}
+	s := &Set{
+		reg:      prometheus.NewRegistry(),
+		requests: vec("request_seconds", "Answers to users, workers and health checks.", "route", "status"),
+		state:    vec("state_seconds", "Requests to the state service, with waits for their rate.", "kind", "outcome"),
+		cloud:    vec("cloud_seconds", "Requests to the cloud, with waits for their rate.", "kind", "outcome"),
+		orders:   vec("order_seconds", "Direct orders to workers.", "outcome"),
+		steps: prometheus.NewHistogram(prometheus.HistogramOpts{Namespace: "micahill", Name: "step_seconds", Help: "Steps of the core with their effects handed out.",
+			Buckets: prometheus.ExponentialBuckets(0.00005, 3, 10)}),
+		batch: prometheus.NewHistogram(prometheus.HistogramOpts{Namespace: "micahill", Name: "step_commands", Help: "Commands taken by a step.",
+			Buckets: prometheus.ExponentialBuckets(1, 2, 9)}),
+		role: prometheus.NewGaugeVec(prometheus.GaugeOpts{Namespace: "micahill", Name: "role", Help: "1 while the controller has the role."}, []string{"role"}),
+	}
+	s.reg.MustRegister(s.requests, s.state, s.cloud, s.orders, s.steps, s.batch, s.role)
+	return s
+}
+
+// Handler serves the metrics.
+func (s *Set) Handler() http.Handler { return promhttp.HandlerFor(s.reg, promhttp.HandlerOpts{}) }
+
+// Request notes an answer.
+func (s *Set) Request(route, status string, took time.Duration) {
+	s.requests.WithLabelValues(route, status).Observe(took.Seconds())
+}
+
+// Step notes a step of the core.
+func (s *Set) Step(took time.Duration, commands int) {
+	s.steps.Observe(took.Seconds())
+	s.batch.Observe(float64(commands))
+}
+
+// State notes a request to the state service. Watches wait by design and are
+// left out.
+func (s *Set) State(kind core.StateKind, status core.StateStatus, took time.Duration) {
+	if kind != core.OpFollow {
+		s.state.WithLabelValues(kind.String(), status.String()).Observe(took.Seconds())
+	}
+}
+
+// Cloud notes a request to the cloud.
+func (s *Set) Cloud(kind core.CloudKind, status core.CloudStatus, took time.Duration) {
+	s.cloud.WithLabelValues(kind.String(), status.String()).Observe(took.Seconds())
+}
+
+// Orders notes a direct order.
+func (s *Set) Orders(done core.WorkerDone, took time.Duration) {
+	outcome := "executed"
+	switch {
+	case done.Report == nil:
+		outcome = "unanswered"
+	case !done.OK:
+		outcome = "refused"
+	}
+	s.orders.WithLabelValues(outcome).Observe(took.Seconds())
+}
+
+// Role notes the controller's roles.
+func (s *Set) Role(r core.Role) {
+	for name, on := range map[string]bool{"leader": r.Leader, "owner": r.Owner} {
+		v := 0.0
+		if on {
+			v = 1
+		}
+		s.role.WithLabelValues(name).Set(v)
+	}
+}
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -87,6 +87,11 @@
 				slog.Debug("peer not reached", "addr", addr, "err", err)
 				continue
 			}
+			c.SetWriteDeadline(time.Now().Add(writeTimeout))
+			if _, err := c.Write([]byte{hello}); err != nil {
+				c.Close()
+				continue
+			}
 			conn = c
 		}
 		conn.SetWriteDeadline(time.Now().Add(writeTimeout))
@@ -98,13 +103,19 @@
 	}
 }
 
-// Listen takes news from peers and hands it to post.
-func Listen(ctx context.Context, addr string, post func(core.PeerNews)) error {
+// hello is the first byte of a peer's connection. Anything else that connects
+// here, an operator's tool, speaks HTTP, which never begins with it.
+const hello = 0
+
+// Listen takes news from peers and hands it to post. Connections that are not
+// a peer's come out of the listener it returns.
+func Listen(ctx context.Context, addr string, post func(core.PeerNews)) (net.Listener, error) {
 	ln, err := (&net.ListenConfig{}).Listen(ctx, "tcp", addr)
 	if err != nil {
-		return fmt.Errorf("peer: %w", err)
+		return nil, fmt.Errorf("peer: %w", err)
 	}
 	free := make(chan struct{}, maxPeerConns)
+	rest := &others{addr: ln.Addr(), conns: make(chan net.Conn), done: ctx.Done()}
 	go func() {
 		<-ctx.Done()
 		ln.Close()
@@ -122,7 +133,7 @@
 			select {
 			case free <- struct{}{}:
 				go func() {
-					receive(conn, post)
+					accept(conn, post, rest)
 					<-free
 				}()
 			default:
@@ -130,12 +141,60 @@
 			}
 		}
 	}()
-	return nil
+	return rest, nil
 }
 
-func receive(conn net.Conn, post func(core.PeerNews)) {
-	defer conn.Close()
+// accept tells a peer from others by the first byte.
+func accept(conn net.Conn, post func(core.PeerNews), rest *others) {
+	conn.SetReadDeadline(time.Now().Add(idleTimeout))
 	r := bufio.NewReader(conn)
+	first, err := r.Peek(1)
+	if err != nil {
+		conn.Close()
+		return
+	}
+	if first[0] == hello {
+		r.Discard(1)
+		receive(conn, r, post)
+		return
+	}
+	conn.SetReadDeadline(time.Time{})
+	select {
+	case rest.conns <- &peeked{conn, r}:
+	case <-rest.done:
+		conn.Close()
+	}
+}
+
+// peeked is a connection whose first bytes have been read already.
+type peeked struct {
+	net.Conn
+	r *bufio.Reader
+}
+
+func (p *peeked) Read(b []byte) (int, error) { return p.r.Read(b) }
+
+// others is a listener for the connections that are not a peer's.
+type others struct {
+	addr  net.Addr
+	conns chan net.Conn
+	done  <-chan struct{}
+}
+
+func (o *others) Accept() (net.Conn, error) {
+	select {
+	case c := <-o.conns:
+		return c, nil
+	case <-o.done:
+		return nil, net.ErrClosed
+	}
+}
+
+func (o *others) Close() error   { return nil }
+func (o *others) Addr() net.Addr { return o.addr }
+
+func receive(conn net.Conn, r *bufio.Reader, post func(core.PeerNews)) {
+	defer conn.Close()
 	opts := protodelim.UnmarshalOptions{MaxSize: maxMessage}
 	for {
 		conn.SetReadDeadline(time.Now().Add(idleTimeout))
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -155,6 +155,8 @@
 		s.reply(e.Reply, e)
 	case core.ReportReply:
 		s.reply(e.Reply, e)
+	case core.StatusReply:
+		s.reply(e.Reply, e)
 	case core.StateOp:
 		go func() { s.Post(s.out.State(ctx, e)) }()
 	case core.CloudOp:
