--- /dev/null
+++ b/cmd/micahill/main_test.go
@@ -0,0 +1,242 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/micahill/micahill/internal/core"
+	"github.com/micahill/micahill/internal/standin"
+	"github.com/vmihailenco/msgpack/v5"
+)
+
+type obj = map[string]any
+
+func freeAddr(t *testing.T) string {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	return ln.Addr().String()
+}
+
+func settings(i int, api, back []string, live *standin.Live) string {
+	var b strings.Builder
+	fmt.Fprintf(&b, "host_name = \"node-%d\"\narea = \"a\"\napi_addr = %q\nback = %q\n", i, api[i], back[i])
+	for k := range api {
+		if k != i {
+			fmt.Fprintf(&b, "[[seeds]]\nhost_name = \"node-%d\"\narea = \"a\"\naddress = %q\n", k, back[k])
+		}
+	}
+	fmt.Fprintf(&b, "[outside]\ncloud = %q\nstate = %q\n", live.Cloud, live.State)
+	b.WriteString(`[deployment]
+initial_size = 3
+zones = ["a"]
+[[deployment.teams]]
+name = "ops"
+[[deployment.teams]]
+name = "lab"
+[deployment.workers]
+report_s = 0.4
+lease_s = 4.0
+cancel_s = 10.0
+[deployment.state]
+rps = 100.0
+write_rps = 50.0
+value_kb = 4.0
+txn_ops = 12
+[deployment.cloud]
+rps = 10.0
+list_lag_s = 0.5
+[deployment.quota]
+cpu = 1.0
+ram_mb = 512.0
+sockets = 500
+`)
+	return b.String()
+}
+
+func job(id, team string, tasks int) obj {
+	return obj{"id": id, "workload": "batch", "owner": team, "shape": "array", "urgency": "normal", "pieces": tasks,
+		"vcpus": 1.0, "gpus": 0.0, "memory_gb": 1.0, "bundle": "img", "image_gb": 0.1, "flavours": nil, "site": nil,
+		"same_place": false, "apart": false, "loaner": true, "expected_s": 0.5, "snapshot_every_s": 0.0, "snapshot_cost_s": 0.0, "due_s": nil}
+}
+
+func spec(o obj) core.Spec {
+	return core.Spec{ID: o["id"].(string), Team: o["owner"].(string), Tasks: o["pieces"].(int), Need: core.Resources{CPU: 1, Memory: 1}, Image: "img", ImageGB: 0.1, Spot: true}
+}
+
+func call(t *testing.T, method, url string, body any) (int, obj, http.Header) {
+	t.Helper()
+	var rd io.Reader
+	if body != nil {
+		b, ok := body.([]byte)
+		if !ok {
+			var err error
+			if b, err = msgpack.Marshal(body); err != nil {
+				t.Fatal(err)
+			}
+		}
+		rd = bytes.NewReader(b)
+	}
+	req, err := http.NewRequest(method, url, rd)
+	if err != nil {
+		t.Fatal(err)
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return 0, nil, nil
+	}
+	defer resp.Body.Close()
+	b, _ := io.ReadAll(resp.Body)
+	var o obj
+	msgpack.Unmarshal(b, &o)
+	return resp.StatusCode, o, resp.Header
+}
+
+func eventually(t *testing.T, what string, fn func() bool) {
+	t.Helper()
+	for end := time.Now().Add(30 * time.Second); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
+		if fn() {
+			return
+		}
+	}
+	t.Fatalf("not in time: %s", what)
+}
+
+// TestControllers runs three whole controllers over HTTP against the stand-ins:
+// the wire forms both ways, what users are told, and the loss of a controller
+// and of the state service.
+func TestControllers(t *testing.T) {
+	t.Setenv("LOG_LEVEL", "error")
+	var api, back []string
+	for range 3 {
+		api, back = append(api, freeAddr(t)), append(back, freeAddr(t))
+	}
+	types := []core.Flavour{{Name: "small", Size: core.Resources{CPU: 4, Memory: 8}, DiskGB: 10, PullRate: 1, Price: 1, SpotPrice: 0.3, Ready: 300 * time.Millisecond, Zones: []string{"a"}}}
+	set := core.Settings{ReportEvery: 400 * time.Millisecond, Lease: 4 * time.Second, ListLag: 500 * time.Millisecond}
+	live := standin.NewLive(set, 100, 50, types, map[string]int{"small/a/true": 3, "small/a/false": 4}, api)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer live.Stop()
+	defer cancel()
+	go live.Run(ctx)
+	stop := make([]context.CancelFunc, 3)
+	ended := make(chan struct{}, 3)
+	for i := range 3 {
+		path := filepath.Join(t.TempDir(), "settings.toml")
+		if err := os.WriteFile(path, []byte(settings(i, api, back, live)), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		var nodeCtx context.Context
+		nodeCtx, stop[i] = context.WithCancel(ctx)
+		go func() {
+			serve(nodeCtx, path, "")
+			ended <- struct{}{}
+		}()
+	}
+	url := func(i int, path string) string { return "http://" + api[i] + path }
+	for i := range 3 {
+		eventually(t, "a controller is healthy", func() bool { s, _, _ := call(t, "GET", url(i, "/healthz"), nil); return s == 200 })
+	}
+	submit := func(i int, o obj) int {
+		live.Know(spec(o), 700*time.Millisecond)
+		status := 0
+		eventually(t, "a submission is decided", func() bool {
+			status, _, _ = call(t, "POST", url(i, "/v2/runs"), o)
+			return status != 503 && status != 0
+		})
+		return status
+	}
+	done := func(i int, id string) {
+		t.Helper()
+		eventually(t, id+" is done", func() bool {
+			_, o, _ := call(t, "GET", url(i, "/v2/runs/"+id), nil)
+			return o["status"] == "done"
+		})
+	}
+
+	if s := submit(0, job("job-000001", "ops", 6)); s != 201 {
+		t.Errorf("submission: %d", s)
+	}
+	if s := submit(1, job("job-000001", "ops", 6)); s != 200 {
+		t.Errorf("the same again: %d", s)
+	}
+	submit(1, job("job-000002", "lab", 3))
+	done(2, "job-000001")
+	done(0, "job-000002")
+
+	bad := job("job-000009", "ops", 1)
+	bad["vcpus"] = "many"
+	half := job("job-000009", "ops", 1)
+	half["pieces"] = 2.5
+	missing := job("job-000009", "ops", 1)
+	delete(missing, "loaner")
+	knownBad := job("job-000001", "ops", 6)
+	knownBad["urgency"] = "whenever"
+	big := job("job-000009", "ops", 1)
+	big["vcpus"] = 64.0
+	for _, c := range []struct {
+		what, method, path string
+		body               any
+		want               int
+	}{
+		{"not MessagePack", "POST", "/v2/runs", []byte("{]"), 400},
+		{"not a map", "POST", "/v2/runs", 7, 400},
+		{"text for a number", "POST", "/v2/runs", bad, 400},
+		{"half a task", "POST", "/v2/runs", half, 400},
+		{"a field missing", "POST", "/v2/runs", missing, 400},
+		{"known, whatever the body", "POST", "/v2/runs", knownBad, 200},
+		{"too large for any flavour", "POST", "/v2/runs", big, 422},
+		{"unknown team", "POST", "/v2/runs", job("job-000009", "nobody", 1), 422},
+		{"oversized", "POST", "/v2/runs", make([]byte, 70<<10), 413},
+		{"unknown job", "GET", "/v2/runs/job-000009", nil, 404},
+		{"abort of an unknown job", "POST", "/v2/runs/job-000009/abort", nil, 404},
+		{"abort of what is done", "POST", "/v2/runs/job-000001/abort", nil, 200},
+	} {
+		if s, o, _ := call(t, c.method, url(0, c.path), c.body); s != c.want {
+			t.Errorf("%s: %d %v, want %d", c.what, s, o, c.want)
+		}
+	}
+
+	live.Away(true)
+	eventually(t, "a refusal at once with Retry-After", func() bool {
+		began := time.Now()
+		s, _, h := call(t, "POST", url(0, "/v2/runs"), job("job-000003", "ops", 1))
+		return s == 503 && h.Get("Retry-After") != "" && time.Since(began) < time.Second
+	})
+	live.Away(false)
+
+	if s, _, _ := call(t, "GET", "http://"+back[0]+"/metrics", nil); s != 200 {
+		t.Errorf("metrics: %d", s)
+	}
+	owner := -1
+	eventually(t, "an owner shows its status", func() bool {
+		for i := range 3 {
+			if s, err := fetchStatus(ctx, back[i]); err == nil && s.IsOwner {
+				owner = i
+				return printStatus(io.Discard, s) == nil
+			}
+		}
+		return false
+	})
+	submit((owner+1)%3, job("job-000004", "ops", 8))
+	stop[owner]()
+	<-ended
+	done((owner+1)%3, "job-000004")
+	for _, b := range live.Broken() {
+		t.Error(b)
+	}
+	cancel()
+	<-ended
+	<-ended
+}
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -11,6 +11,7 @@
 // Worker is a model of one machine's worker.
 type Worker struct {
 	ID      string
+	Addr    string
 	Flavour string
 	Zone    string
 	Spot    bool
@@ -71,7 +72,7 @@
 func (m *Worker) report(now time.Time) core.Report {
 	m.tick++
 	r := core.Report{
-		Machine: m.ID, Addr: m.ID, Flavour: m.Flavour, Zone: m.Zone, Spot: m.Spot,
+		Machine: m.ID, Addr: m.Addr, Flavour: m.Flavour, Zone: m.Zone, Spot: m.Spot,
 		Tenure: m.tenure, Tick: m.tick, Epoch: m.epoch, Recall: -1,
 	}
 	if !m.recallAt.IsZero() {
@@ -206,13 +207,13 @@
 	}
 	// No more often than every half second, and every report interval.
 	if !m.reporting && (!w.now.Before(m.nextAt) || m.changed && w.now.Sub(m.lastAt) >= 500*time.Millisecond) {
-		w.sendReport(m)
+		m.reporting, m.changed, m.lastAt = true, false, w.now
+		m.nextAt = w.now.Add(w.jitter(w.set.ReportEvery))
+		w.reporter(m)
 	}
 }
 
 func (w *World) sendReport(m *Worker) {
-	m.reporting, m.changed, m.lastAt = true, false, w.now
-	m.nextAt = w.now.Add(w.jitter(w.set.ReportEvery))
 	sent, tenure, to := w.now, m.tenure, m.node
 	answered := false
 	r := m.report(w.now)
--- a/internal/standin/world.go
+++ b/internal/standin/world.go
@@ -48,6 +48,9 @@
 	sabotage func(core.Effect) core.Effect
 	// coreLease, when set, is the wrong lease that the cores are told.
 	coreLease time.Duration
+	// reporter sends a worker's report, and rented is told of new machines.
+	reporter func(*Worker)
+	rented   func(*Worker)
 	// trace names a job whose debug lines are kept as well.
 	trace string
 }
@@ -107,6 +110,7 @@
 		room: room, booked: map[string][]string{}, jobs: map[string]*userJob{}, cuts: map[string]*cut{},
 	}
 	w.began = w.now
+	w.reporter, w.rented = w.sendReport, func(*Worker) {}
 	for _, t := range types {
 		w.types[t.Name] = t
 	}
@@ -417,7 +421,7 @@
 			if m.returned || w.now.Sub(m.rentedAt) < w.set.ListLag {
 				continue
 			}
-			l := core.Listed{ID: id, Addr: id, Flavour: m.Flavour, Zone: m.Zone, Spot: m.Spot, Status: "running", Held: w.now.Sub(m.rentedAt)}
+			l := core.Listed{ID: id, Addr: m.Addr, Flavour: m.Flavour, Zone: m.Zone, Spot: m.Spot, Status: "running", Held: w.now.Sub(m.rentedAt)}
 			switch {
 			case m.dead:
 				l.Status = "failed"
@@ -435,12 +439,14 @@
 		for range min(op.Count, w.room[key]) {
 			w.names++
 			f := w.types[op.Flavour]
+			id := fmt.Sprintf("vm-%06d", w.names)
 			m := &Worker{
-				ID: fmt.Sprintf("vm-%06d", w.names), Flavour: op.Flavour, Zone: op.Zone, Spot: op.Spot, Size: f.Size,
+				ID: id, Addr: id, Flavour: op.Flavour, Zone: op.Zone, Spot: op.Spot, Size: f.Size,
 				Pull: f.PullRate, rentedAt: w.now, upAt: w.now.Add(w.jitter(f.Ready)),
-				images: map[string]time.Time{}, tasks: map[string]*workerTask{}, node: w.rng.IntN(len(w.nodes)),
+				images: map[string]time.Time{}, tasks: map[string]*workerTask{}, node: w.rng.IntN(max(1, len(w.nodes))),
 			}
 			w.machine[m.ID] = m
+			w.rented(m)
 			d.Rented = append(d.Rented, m.ID)
 		}
 		w.room[key] -= len(d.Rented)
