Teams divided among controllers, machines with them

A dead controller's share goes to one other as a whole; a team moves to one with less only when its owner has given it up. Owners ask the leader for machines over protobuf.

--- a/internal/core/effects.go
+++ b/internal/core/effects.go
@@ -64,13 +64,37 @@
 	Report *Report
 }
 
-// PeerNews is what another controller says of the jobs it runs.
+// PeerNews is what controllers tell each other. All of it may be lost or late.
 type PeerNews struct {
 	From     string
 	Progress []Progress
+	Loads    []Load
+	// Asks: an owner asks the leader for machines it wants, and to return
+	// those that are idle; Seq is the newest news it has of the leader.
+	// Released are teams it has given up.
+	Asks     bool
+	Seq      uint64
 	Wants    []Want
 	Idle     []string
-	Loads    []Load
+	Released []string
+	// Tells: the leader tells an owner of its machines, and which team to give
+	// up.
+	Tells   bool
+	Rentals []RentalNews
+	Blocked []Want
+	Renting []Want
+	Release []string
+}
+
+// RentalNews is a machine as the leader knows it.
+type RentalNews struct {
+	ID      string
+	Addr    string
+	Flavour string
+	Zone    string
+	Spot    bool
+	Status  string
+	Age     time.Duration
 }
 
 // Load is what an owner has seen of a workload: its tasks a second, and how
--- a/internal/core/fleet.go
+++ b/internal/core/fleet.go
@@ -41,9 +41,26 @@
 }
 
 type peerWants struct {
-	at    time.Time
-	wants []Want
-	idle  []string
+	at   time.Time
+	news PeerNews
+}
+
+// newsFresh is how long an owner's wishes and a leader's view hold.
+const newsFresh = 4 * time.Second
+
+// ask is a booking under way for an owner.
+type ask struct {
+	owner string
+	kind  kind
+}
+
+// view is what an owner knows of its machines from the leader.
+type view struct {
+	seq     uint64
+	at      time.Time
+	rentals map[string]*rental
+	blocked map[kind]time.Time
+	renting map[kind]int
 }
 
 // rental is a machine as the cloud knows it.
@@ -55,6 +72,10 @@
 	status    string
 	returning bool
 	listed    time.Time
+	// owner is whom it was rented for, as long as no share says so.
+	owner string
+	// gone is when its return was answered; kept a while for its owner to hear.
+	gone time.Time
 }
 
 // leader owns the dealings with the cloud and writes the shares.
@@ -70,10 +91,17 @@
 	listing  bool
 	listAt   time.Time
 	blocked  map[kind]time.Time
-	renting  map[kind]int
-	booked   uint64
-	sharing  bool
-	news     map[string]peerWants
+	renting  map[ask]int
+	// seq numbers what the owners are told; an owner's wishes count only when
+	// it knows of what was rented for it last, which is needSeq.
+	seq     uint64
+	needSeq map[string]uint64
+	// moved is when a team was moved last, release what is asked for.
+	moved   time.Time
+	release map[string]string
+	booked  uint64
+	sharing bool
+	news    map[string]peerWants
 }
 
 func (n *Node) loadTypes() {
@@ -104,7 +132,7 @@
 	}
 	n.leader = &leader{
 		stamp: n.sess.leadStamp, gen: int(n.id()), since: n.now,
-		rentals: map[string]*rental{}, blocked: map[kind]time.Time{}, renting: map[kind]int{},
+		rentals: map[string]*rental{}, blocked: map[kind]time.Time{}, renting: map[ask]int{}, needSeq: map[string]uint64{}, release: map[string]string{}, moved: n.now,
 		news: map[string]peerWants{},
 	}
 	n.info("leader", "stamp", n.sess.leadStamp)
@@ -145,7 +173,7 @@
 		w, ok := want[h]
 		have, had := s.shares[h]
 		fresh := s.stamps[sharePrefix+h] < l.stamp
-		same := ok == had && slices.Equal(w.Teams, have.Teams) && w.Rest == have.Rest && slices.Equal(w.Machines, have.Machines)
+		same := ok == had && w.Nonce == have.Nonce && slices.Equal(w.Teams, have.Teams) && w.Rest == have.Rest && slices.Equal(w.Machines, have.Machines)
 		if same && (!fresh || !ok) {
 			continue
 		}
@@ -191,14 +219,154 @@
 	})
 }
 
-// division says which controller runs which teams.
+// division says which controller runs which teams and machines. A share stays
+// where it is while its controller lives; the share of a dead one goes to one
+// other as a whole, since its teams' tasks are mixed on its machines. A team
+// moves to a controller that has less only when its owner has given it up.
 func (n *Node) division() map[string]shareRecord {
-	var teams []string
+	s := &n.sess
+	out := map[string]shareRecord{n.set.Host: {Nonce: n.set.Nonce}}
+	for host, r := range s.nodes {
+		if host != n.set.Host {
+			out[host] = shareRecord{Nonce: r.Nonce}
+		}
+	}
+	known := map[string]bool{}
+	for _, t := range n.set.Teams {
+		known[t.Name] = true
+	}
+	give := func(host string, teams, machines []string, rest bool) {
+		r := out[host]
+		for _, t := range teams {
+			if known[t] {
+				known[t] = false
+				r.Teams = append(r.Teams, t)
+			}
+		}
+		r.Machines = append(r.Machines, machines...)
+		r.Rest = r.Rest || rest
+		out[host] = r
+	}
+	least := func() string {
+		best := n.set.Host
+		for _, h := range sortedKeys(out) {
+			if len(out[h].Teams) < len(out[best].Teams) {
+				best = h
+			}
+		}
+		return best
+	}
+	for _, pass := range [...]bool{true, false} {
+		for _, host := range sortedKeys(s.shares) {
+			r := s.shares[host]
+			now, live := out[host]
+			if live = live && now.Nonce == r.Nonce; live != pass {
+				continue
+			}
+			if !live {
+				host = least()
+			}
+			give(host, r.Teams, r.Machines, r.Rest)
+		}
+	}
 	for _, t := range n.set.Teams {
-		teams = append(teams, t.Name)
+		if known[t.Name] {
+			give(least(), []string{t.Name}, nil, false)
+		}
+	}
+	n.balance(out)
+	rest := ""
+	for _, h := range sortedKeys(out) {
+		if r := out[h]; r.Rest && len(r.Teams) > 0 && rest == "" {
+			rest = h
+		}
+	}
+	if rest == "" {
+		rest = n.set.Host
+		if len(out[rest].Teams) == 0 {
+			for _, h := range sortedKeys(out) {
+				if len(out[h].Teams) > 0 {
+					rest = h
+					break
+				}
+			}
+		}
+	}
+	for h, r := range out {
+		r.Rest = h == rest
+		r.Machines = n.listedFor(h, r)
+		slices.Sort(r.Teams)
+		if len(r.Teams) == 0 {
+			delete(out, h)
+			continue
+		}
+		out[h] = r
+	}
+	return out
+}
+
+// listedFor is the machines that a share names: those of before that are not
+// gone, and those rented for it. The share that has the rest names none.
+func (n *Node) listedFor(host string, r shareRecord) []string {
+	if r.Rest {
+		return nil
+	}
+	var out []string
+	for _, id := range r.Machines {
+		if m := n.leader.rentals[id]; !n.leader.listedOK || m != nil && m.gone.IsZero() {
+			out = append(out, id)
+		}
+	}
+	for _, id := range sortedKeys(n.leader.rentals) {
+		if m := n.leader.rentals[id]; m.owner == host && m.gone.IsZero() && !slices.Contains(out, id) {
+			out = append(out, id)
+		}
+	}
+	slices.Sort(out)
+	return slices.Compact(out)
+}
+
+// balance moves a team from the controller with most to the one with least,
+// now and then, once it has been given up there.
+func (n *Node) balance(out map[string]shareRecord) {
+	l := n.leader
+	var most, least string
+	for _, h := range sortedKeys(out) {
+		if most == "" || len(out[h].Teams) > len(out[most].Teams) {
+			most = h
+		}
+		if least == "" || len(out[h].Teams) < len(out[least].Teams) {
+			least = h
+		}
 	}
-	slices.Sort(teams)
-	return map[string]shareRecord{n.set.Host: {Teams: teams, Rest: true}}
+	clear(l.release)
+	if len(out[most].Teams) < len(out[least].Teams)+2 || n.now.Sub(l.moved) < n.set.Policy.ShareInterval {
+		return
+	}
+	from := out[most]
+	slices.Sort(from.Teams)
+	team := from.Teams[len(from.Teams)-1]
+	l.release[most] = team
+	var free []string
+	if most == n.set.Host {
+		if n.owner == nil || !n.owner.ready {
+			return
+		}
+		n.freeze(team)
+		free = n.released()
+	} else if w, ok := l.news[most]; ok && n.now.Sub(w.at) < newsFresh {
+		free = w.news.Released
+	}
+	if !slices.Contains(free, team) {
+		return
+	}
+	l.moved = n.now
+	n.info("team moves", "team", team, "from", most, "to", least)
+	from.Teams = slices.Clone(from.Teams[:len(from.Teams)-1])
+	out[most] = from
+	to := out[least]
+	to.Teams = append(to.Teams, team)
+	out[least] = to
 }
 
 func (n *Node) leaderTick() {
@@ -212,25 +380,173 @@
 	if !l.listing && n.now.Sub(l.listAt) >= max(n.set.ListLag/2, 2*time.Second) {
 		n.list("", nil)
 	}
-	if n.owner == nil || !n.owner.ready || !l.listedOK {
-		return
+	for id, r := range l.rentals {
+		if !r.gone.IsZero() && n.now.Sub(r.gone) > 2*newsFresh {
+			delete(l.rentals, id)
+		}
 	}
 	// A leader that is cut off finds every machine silent, and the returns it
 	// asks for are held on the way and executed when the cut ends, under a
 	// successor that uses the machines. So nothing is decided unless the
 	// grant surely lives.
-	if n.now.After(n.sess.sureUntil) {
+	if !l.listedOK || n.now.After(n.sess.sureUntil) {
 		return
 	}
-	n.retire()
-	n.returns()
-	n.rent()
-	if n.now.Sub(l.told) >= fleetLog {
+	n.share()
+	if o := n.owner; o != nil && o.ready {
+		n.execute(n.set.Host, o.wants, o.gone)
+		o.wants, o.gone = nil, nil
+	}
+	for _, host := range sortedKeys(l.news) {
+		w := l.news[host]
+		if n.now.Sub(w.at) > newsFresh || w.news.Seq < l.needSeq[host] {
+			continue
+		}
+		wants := map[kind]int{}
+		for _, x := range w.news.Wants {
+			wants[kind{x.Flavour, x.Zone, x.Spot}] += x.Count
+		}
+		n.execute(host, wants, w.news.Idle)
+	}
+	n.tellOwners()
+	if n.owner != nil && n.now.Sub(l.told) >= fleetLog {
 		l.told = n.now
 		n.logFleet()
 	}
 }
 
+// execute does what an owner asks of the cloud, for its own machines.
+func (n *Node) execute(host string, wants map[kind]int, gone []string) {
+	l := n.leader
+	var back []string
+	for _, id := range gone {
+		if r := l.rentals[id]; len(back) < returnMost && n.ownerOf(id) == host && (r == nil || !r.returning) {
+			back = append(back, id)
+		}
+	}
+	if len(back) > 0 {
+		n.giveBack(back)
+	}
+	for _, k := range sortedKinds(wants) {
+		if l.renting[ask{host, k}] == 0 && !l.blocked[k].After(n.now) {
+			n.rentKind(host, k, min(wants[k], rentMost), "")
+		}
+	}
+}
+
+// ownerOf is whose machine it is: whose share names it, or whom it was rented
+// for, or whoever has the rest.
+func (n *Node) ownerOf(id string) string {
+	named, rest := n.holder(id)
+	if named != "" {
+		return named
+	}
+	if r := n.leader.rentals[id]; r != nil && r.owner != "" {
+		if _, ok := n.sess.shares[r.owner]; ok {
+			return r.owner
+		}
+	}
+	return rest
+}
+
+// tellOwners tells the other owners of their machines.
+func (n *Node) tellOwners() {
+	l := n.leader
+	for _, host := range sortedKeys(n.sess.shares) {
+		if host == n.set.Host || !slices.Contains(n.set.Peers, host) {
+			continue
+		}
+		l.seq++
+		news := PeerNews{From: n.set.Host, Tells: true, Seq: l.seq}
+		if t, ok := l.release[host]; ok {
+			news.Release = []string{t}
+		}
+		for _, id := range sortedKeys(l.rentals) {
+			r := l.rentals[id]
+			if n.ownerOf(id) != host {
+				continue
+			}
+			status := r.status
+			if !r.gone.IsZero() {
+				status = "returned"
+			}
+			news.Rentals = append(news.Rentals, RentalNews{r.id, r.addr, r.flavour, r.zone, r.spot, status, n.now.Sub(r.since)})
+		}
+		for _, k := range sortedKinds(l.blocked) {
+			if l.blocked[k].After(n.now) {
+				news.Blocked = append(news.Blocked, Want{k.flavour, k.zone, k.spot, 1})
+			}
+		}
+		n.emit(PeerSend{To: host, News: news})
+	}
+}
+
+// viewNews takes in what the leader tells of this owner's machines. Its word
+// that a return was answered, or that the cloud calls a machine failed, is the
+// proof that the machine is gone.
+func (n *Node) viewNews(c PeerNews) {
+	o := n.owner
+	if o.view != nil && o.view.seq > c.Seq && n.now.Sub(o.view.at) < newsFresh {
+		return
+	}
+	v := &view{seq: c.Seq, at: n.now, rentals: map[string]*rental{}, blocked: map[kind]time.Time{}, renting: map[kind]int{}}
+	for _, x := range c.Rentals {
+		r := &rental{id: x.ID, addr: x.Addr, kind: kind{x.Flavour, x.Zone, x.Spot}, since: n.now.Add(-x.Age), status: x.Status, returning: n.returned[x.ID]}
+		v.rentals[x.ID] = r
+		if !o.ready {
+			continue
+		}
+		if m := o.machines[x.ID]; m != nil && (x.Status == "returned" || x.Status == "failed") {
+			n.dropMachine(m, x.Status)
+		}
+		if x.Status != "returned" && !n.returned[x.ID] {
+			n.adopt(r)
+		}
+	}
+	for _, w := range c.Blocked {
+		v.blocked[kind{w.Flavour, w.Zone, w.Spot}] = n.now.Add(newsFresh)
+	}
+	o.view = v
+	for _, t := range c.Release {
+		if o.ready {
+			n.freeze(t)
+		}
+	}
+}
+
+// planFleet decides which machines this owner wants and which may go.
+func (n *Node) planFleet() {
+	o := n.owner
+	if n.now.Sub(o.planned) < leaderPeriod {
+		return
+	}
+	o.planned = n.now
+	if l := n.leader; l != nil {
+		if !l.listedOK {
+			return
+		}
+		v := &view{at: n.now, rentals: map[string]*rental{}, blocked: l.blocked, renting: map[kind]int{}}
+		for id, r := range l.rentals {
+			if r.gone.IsZero() && n.ownerOf(id) == n.set.Host {
+				v.rentals[id] = r
+			}
+		}
+		for a, c := range l.renting {
+			if a.owner == n.set.Host {
+				v.renting[a.kind] = c
+			}
+		}
+		o.view = v
+	}
+	o.wants, o.gone = nil, nil
+	if o.view == nil || n.now.Sub(o.view.at) > newsFresh || n.now.After(n.sess.sureUntil) {
+		return
+	}
+	n.retire()
+	n.returns()
+	n.rent()
+}
+
 // fleetLog is how often the fleet is described in the log, at debug.
 const fleetLog = 10 * time.Second
 
@@ -325,7 +641,12 @@
 		// older than the one before, so wait some lists before forgetting;
 		// absence is no proof for its tasks, which go on by reports, lease or
 		// the answer to a return.
-		if !r.listed.IsZero() && n.now.Sub(r.listed) > 4*n.set.ListLag+5*time.Second {
+		patience := 4*n.set.ListLag + 5*time.Second
+		if n.ownerOf(id) != n.set.Host {
+			// Its owner has to learn of it and may still need it returned.
+			patience += 2 * n.set.Lease
+		}
+		if !r.listed.IsZero() && n.now.Sub(r.listed) > patience {
 			if n.owner != nil {
 				if m := n.owner.machines[id]; m != nil && (len(m.attempts) > 0 || !n.silent(m)) {
 					continue
@@ -343,6 +664,9 @@
 	if o == nil || r.status == "failed" || r.returning || !o.ready {
 		return
 	}
+	if n.leader != nil && n.ownerOf(r.id) != n.set.Host {
+		return
+	}
 	m := n.machine(r.id)
 	if m.flavour == "" || m.addr == "" {
 		n.describe(m, r.addr, r.flavour, r.zone, r.spot)
@@ -352,11 +676,11 @@
 	}
 }
 
-// returns gives machines back: failed ones, such as never came up, silent
+// returns picks the machines to give back: failed ones, such as never came up, silent
 // ones, faulty ones and idle ones that are not needed.
 func (n *Node) returns() {
-	l, o := n.leader, n.owner
-	settled := n.now.Sub(l.since) > settleTime && n.now.Sub(o.since) > settleTime
+	o := n.owner
+	settled := n.now.Sub(o.since) > settleTime
 	heard, silent := 0, 0
 	for _, m := range o.machines {
 		if m.heard || len(m.attempts) > 0 {
@@ -369,10 +693,13 @@
 	// When all fall silent together, the fault is likely ours.
 	ours := silent > 0 && silent == heard && heard > 1
 	spare := n.spare()
-	var gone []string
-	for _, id := range sortedKeys(l.rentals) {
-		r := l.rentals[id]
+	for _, id := range sortedKeys(o.view.rentals) {
+		r := o.view.rentals[id]
 		m := o.machines[id]
+		if r.returning && n.leader == nil {
+			// Asked for already; the wish may have been lost.
+			o.gone = append(o.gone, id)
+		}
 		if r.returning {
 			continue
 		}
@@ -390,16 +717,20 @@
 		case settled && m.heard && len(m.attempts) == 0 && spare[id]:
 			why = "idle"
 		}
-		if why != "" && len(gone) < returnMost {
-			gone = append(gone, id)
-			n.info("return", "machine", id, "why", why)
+		if why == "" || len(o.gone) >= returnMost {
+			continue
+		}
+		n.info("return", "machine", id, "why", why)
+		o.gone = append(o.gone, id)
+		// Never given work again, whatever becomes of the return.
+		n.returned[id] = true
+		if m != nil {
+			m.returning = true
 		}
-	}
-	if len(gone) > 0 {
-		n.giveBack(gone)
 	}
 }
 
+// giveBack asks the cloud to take machines back until it says that it has.
 func (n *Node) giveBack(ids []string) {
 	l := n.leader
 	for _, id := range ids {
@@ -407,9 +738,6 @@
 		if r := l.rentals[id]; r != nil {
 			r.returning = true
 		}
-		if m := n.owner.machines[id]; m != nil {
-			m.returning = true
-		}
 	}
 	gen := l.gen
 	n.askCloud(CloudOp{Kind: CloudReturn, Machines: ids}, func(d CloudDone) {
@@ -419,7 +747,7 @@
 		if d.Status != CloudOK {
 			// Executed or not, they get no more work; ask until it is sure.
 			n.after(n.jitter(time.Second), func() {
-				if n.leader != nil && n.leader.gen == gen && n.owner != nil {
+				if n.leader != nil && n.leader.gen == gen {
 					n.giveBack(ids)
 				}
 			})
@@ -431,7 +759,9 @@
 					n.dropMachine(m, "returned")
 				}
 			}
-			delete(n.leader.rentals, id)
+			if r := n.leader.rentals[id]; r != nil {
+				r.gone = n.now
+			}
 		}
 	})
 }
@@ -559,20 +889,20 @@
 // sooner, a spot one is rented; an ordinary one, several times as dear, only if
 // the task would otherwise start later than it must.
 func (n *Node) rent() {
-	l, o := n.leader, n.owner
+	o := n.owner
 	p := &plan{n: n, vs: n.futureRoom()}
-	for _, id := range sortedKeys(l.rentals) {
-		r := l.rentals[id]
+	for _, id := range sortedKeys(o.view.rentals) {
+		r := o.view.rentals[id]
 		m := o.machines[id]
-		if r.returning || r.status == "failed" || m != nil && m.heard {
+		if r.returning || r.status == "returned" || r.status == "failed" || m != nil && m.heard {
 			continue
 		}
 		if f, ok := n.types[r.flavour]; ok && n.now.Sub(r.since) < 2*f.Ready+bootSlack {
 			p.boot(r.kind, later(r.since.Add(f.Ready), n.now.Add(f.Ready/4)))
 		}
 	}
-	for _, k := range sortedKinds(l.renting) {
-		for range l.renting[k] {
+	for _, k := range sortedKinds(o.view.renting) {
+		for range o.view.renting[k] {
 			p.boot(k, n.now.Add(n.types[k.flavour].Ready))
 		}
 	}
@@ -601,11 +931,7 @@
 			}
 		}
 	}
-	for _, k := range sortedKinds(wants) {
-		if l.renting[k] == 0 {
-			n.rentKind(k, min(wants[k], rentMost), "")
-		}
-	}
+	o.wants = wants
 }
 
 // worthRenting says what to rent for a task that would start at the time at
@@ -661,7 +987,7 @@
 		}
 		for _, z := range f.Zones {
 			k := kind{name, z, spot}
-			if !j.allows(name, z, spot) || zones.room(z) == 0 || n.leader.blocked[k].After(n.now) {
+			if !j.allows(name, z, spot) || zones.room(z) == 0 || n.owner.view.blocked[k].After(n.now) {
 				continue
 			}
 			cost := n.price(k) / float64(min(fit, max(count, 1)))
@@ -673,16 +999,17 @@
 	return best, found
 }
 
-// rentKind sends one booking. A booking without an answer is repeated under
-// the same name, which rents nothing twice.
-func (n *Node) rentKind(k kind, count int, booking string) {
+// rentKind sends one booking for an owner. A booking without an answer is
+// repeated under the same name, which rents nothing twice.
+func (n *Node) rentKind(host string, k kind, count int, booking string) {
 	l := n.leader
 	if booking == "" {
 		l.booked++
 		booking = fmt.Sprintf("%d-%s-%s-%d", l.stamp, n.set.Host, n.set.Nonce, l.booked)
-		n.debug("rent", "flavour", k.flavour, "spot", k.spot, "count", count)
+		n.debug("rent", "flavour", k.flavour, "spot", k.spot, "count", count, "for", host)
 	}
-	l.renting[k] = count
+	a := ask{host, k}
+	l.renting[a] = count
 	gen := l.gen
 	n.askCloud(CloudOp{Kind: CloudRent, Booking: booking, Flavour: k.flavour, Zone: k.zone, Spot: k.spot, Count: count}, func(d CloudDone) {
 		l := n.leader
@@ -691,26 +1018,29 @@
 		}
 		switch d.Status {
 		case CloudOK:
-			delete(l.renting, k)
+			delete(l.renting, a)
 			for _, id := range d.Rented {
-				r := &rental{id: id, kind: k, since: n.now, status: "booting"}
+				r := &rental{id: id, kind: k, since: n.now, status: "booting", owner: host}
 				l.rentals[id] = r
 				n.adopt(r)
 			}
+			// Its wishes count again when it knows of these.
+			l.needSeq[host] = l.seq + 1
 			if len(d.Rented) < count {
 				l.blocked[k] = n.now.Add(n.jitter(refusedPause))
 			}
+			n.share()
 		case CloudNoCapacity:
-			delete(l.renting, k)
+			delete(l.renting, a)
 			l.blocked[k] = n.now.Add(n.jitter(refusedPause))
 		case CloudBad:
-			delete(l.renting, k)
+			delete(l.renting, a)
 			l.blocked[k] = n.now.Add(time.Minute)
 			n.info("the cloud calls a booking malformed", "flavour", k.flavour)
 		default:
 			n.after(n.jitter(time.Second), func() {
 				if n.leader != nil && n.leader.gen == gen {
-					n.rentKind(k, count, booking)
+					n.rentKind(host, k, count, booking)
 				}
 			})
 		}
--- a/internal/core/node.go
+++ b/internal/core/node.go
@@ -120,8 +120,11 @@
 		if n.owner == nil {
 			n.inherit(c.Loads)
 		}
-		if n.leader != nil {
-			n.leader.news[c.From] = peerWants{at: n.now, wants: c.Wants, idle: c.Idle}
+		if c.Asks && n.leader != nil {
+			n.leader.news[c.From] = peerWants{at: n.now, news: c}
+		}
+		if c.Tells && n.owner != nil && n.leader == nil && c.From == n.sess.lead.Host {
+			n.viewNews(c)
 		}
 	}
 }
--- a/internal/core/owner.go
+++ b/internal/core/owner.go
@@ -36,6 +36,15 @@
 	wake     time.Time
 	swept    time.Time
 	place    bool
+	// view is the leader's knowledge of this owner's machines; wants and gone
+	// are what is asked of it.
+	view    *view
+	planned time.Time
+	wants   map[kind]int
+	gone    []string
+	// frozen teams are being given up: nothing more is started for them.
+	frozen   map[string]bool
+	frozenBy uint64
 	raised   time.Time
 	raising  bool
 	// orphans are task/ records whose job is over.
@@ -72,7 +81,7 @@
 func (n *Node) ownerCheck() {
 	s := &n.sess
 	share, ok := s.shares[n.set.Host]
-	if !ok || len(share.Teams) == 0 || s.grant == 0 || s.leadStamp == 0 {
+	if !ok || share.Nonce != n.set.Nonce || len(share.Teams) == 0 || s.grant == 0 || s.leadStamp == 0 {
 		if s.leadStamp != 0 || s.grant == 0 {
 			n.dropOwner("no share")
 		}
@@ -80,11 +89,17 @@
 	}
 	stamp := s.stamps[sharePrefix+n.set.Host]
 	if o := n.owner; o != nil {
+		if o.frozenBy != s.leadStamp {
+			// The leader that asked for a team has gone, and with it the
+			// condition of whatever move it may have sent.
+			o.frozenBy, o.frozen = s.leadStamp, map[string]bool{}
+		}
 		if o.epoch == stamp {
 			return
 		}
 		if slices.Equal(o.share.Teams, share.Teams) {
 			o.epoch, o.share = stamp, share
+			o.place = true
 			for _, m := range o.machines {
 				m.dirty = true
 			}
@@ -94,6 +109,7 @@
 	}
 	n.owner = &owner{
 		epoch: stamp, share: share, since: n.now, gen: int(n.id()),
+		frozen: map[string]bool{}, frozenBy: s.leadStamp,
 		jobs: map[string]*job{}, machines: map[string]*machine{}, used: map[string]Resources{},
 		arrivals: map[string][]arrival{}, workloads: map[string]*workload{},
 	}
@@ -420,6 +436,7 @@
 		}
 		n.relaunch()
 		n.maybeRaise()
+		n.planFleet()
 		n.tellPeers()
 		o.place = true
 	}
@@ -737,7 +754,8 @@
 	})
 }
 
-// tellPeers shows the progress of open jobs to the other controllers.
+// tellPeers shows the progress of open jobs to the other controllers, and asks
+// the leader for machines.
 func (n *Node) tellPeers() {
 	o := n.owner
 	if n.now.Sub(o.told) < time.Second {
@@ -758,11 +776,54 @@
 		o.toldLoads = n.now
 		news.Loads = n.loads()
 	}
-	if len(news.Progress) == 0 && len(news.Loads) == 0 {
-		return
-	}
 	for _, p := range n.set.Peers {
-		n.emit(PeerSend{To: p, News: news})
+		out := news
+		if n.leader == nil && p == n.sess.lead.Host && o.view != nil {
+			out.Seq, out.Idle, out.Released = o.view.seq, o.gone, n.released()
+			for _, k := range sortedKinds(o.wants) {
+				out.Wants = append(out.Wants, Want{k.flavour, k.zone, k.spot, o.wants[k]})
+			}
+			out.Asks = true
+		}
+		if len(out.Progress) > 0 || len(out.Loads) > 0 || out.Asks {
+			n.emit(PeerSend{To: p, News: out})
+		}
+	}
+}
+
+// released names the frozen teams of which nothing is left running or on its
+// way into the state service: the leader may give them to another.
+func (n *Node) released() []string {
+	var out []string
+	for _, team := range sortedKeys(n.owner.frozen) {
+		free := true
+		for _, j := range n.owner.jobs {
+			if j.Team != team && !(j.cancelled && j.Team == "") {
+				continue
+			}
+			free = free && j.live == 0 && !j.ending
+			for _, c := range j.chunks {
+				free = free && !c.busy && c.ver == c.saved
+			}
+		}
+		if free {
+			out = append(out, team)
+		}
+	}
+	return out
+}
+
+// freeze begins to give up a team that the leader wants to move. One with
+// replicas stays, since they never end.
+func (n *Node) freeze(team string) {
+	for _, j := range n.owner.jobs {
+		if j.Team == team && j.Standing {
+			return
+		}
+	}
+	if slices.Contains(n.owner.share.Teams, team) && !n.owner.frozen[team] {
+		n.info("giving up a team", "team", team)
+		n.owner.frozen[team] = true
 	}
 }
 
--- a/internal/core/place.go
+++ b/internal/core/place.go
@@ -132,7 +132,7 @@
 	}
 	for _, id := range sortedKeys(n.owner.jobs) {
 		j := n.owner.jobs[id]
-		if j.pending() == 0 || j.notBefore.After(n.now) {
+		if n.owner.frozen[j.Team] || j.pending() == 0 || j.notBefore.After(n.now) {
 			continue
 		}
 		w := n.set.Policy.Weight[j.Workload]
--- a/internal/core/record.go
+++ b/internal/core/record.go
@@ -34,6 +34,10 @@
 // shareRecord says what one controller runs. Rest: also every machine that no
 // share lists.
 type shareRecord struct {
+	// Nonce is the life of the controller that the share is for: a restarted
+	// one does not go on with its former life's epoch, under which orders may
+	// still be on their way.
+	Nonce    string   `msgpack:"nonce"`
 	Teams    []string `msgpack:"teams"`
 	Rest     bool     `msgpack:"rest"`
 	Machines []string `msgpack:"machines"`
--- a/internal/core/session.go
+++ b/internal/core/session.go
@@ -285,18 +285,27 @@
 	})
 }
 
-// steward is the controller that takes the reports of a machine.
-func (n *Node) steward(machine string) string {
-	rest := ""
+// holder says whose share names a machine, if any, and who has those that no
+// share names.
+func (n *Node) holder(machine string) (named, rest string) {
 	for _, host := range sortedKeys(n.sess.shares) {
 		r := n.sess.shares[host]
 		if slices.Contains(r.Machines, machine) {
-			return host
+			return host, rest
 		}
 		if r.Rest {
 			rest = host
 		}
 	}
+	return "", rest
+}
+
+// steward is the controller that takes the reports of a machine.
+func (n *Node) steward(machine string) string {
+	named, rest := n.holder(machine)
+	if named != "" {
+		return named
+	}
 	return rest
 }
 
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -207,29 +207,51 @@
 }
 
 func wire(n core.PeerNews) *News {
-	m := &News{From: n.From, Idle: n.Idle}
+	m := &News{
+		From: n.From, Asks: n.Asks, Seq: n.Seq, Wants: wireWants(n.Wants), Idle: n.Idle, Released: n.Released,
+		Tells: n.Tells, Blocked: wireWants(n.Blocked), Renting: wireWants(n.Renting), Release: n.Release,
+	}
 	for _, p := range n.Progress {
 		m.Progress = append(m.Progress, &Progress{Id: p.ID, Done: int64(p.Done), Running: int64(p.Running)})
 	}
-	for _, w := range n.Wants {
-		m.Wants = append(m.Wants, &Want{Flavour: w.Flavour, Zone: w.Zone, Spot: w.Spot, Count: int64(w.Count)})
-	}
 	for _, l := range n.Loads {
 		m.Loads = append(m.Loads, &Load{Workload: l.Workload, Rate: l.Rate, Ratio: l.Ratio, Dev: l.Dev, Samples: int64(l.Samples)})
 	}
+	for _, r := range n.Rentals {
+		m.Rentals = append(m.Rentals, &Rental{Id: r.ID, Addr: r.Addr, Flavour: r.Flavour, Zone: r.Zone, Spot: r.Spot, Status: r.Status, AgeMs: r.Age.Milliseconds()})
+	}
 	return m
 }
 
+func wireWants(ws []core.Want) []*Want {
+	var out []*Want
+	for _, w := range ws {
+		out = append(out, &Want{Flavour: w.Flavour, Zone: w.Zone, Spot: w.Spot, Count: int64(w.Count)})
+	}
+	return out
+}
+
 func (m *News) core() core.PeerNews {
-	n := core.PeerNews{From: m.From, Idle: m.Idle}
+	n := core.PeerNews{
+		From: m.From, Asks: m.Asks, Seq: m.Seq, Wants: coreWants(m.Wants), Idle: m.Idle, Released: m.Released,
+		Tells: m.Tells, Blocked: coreWants(m.Blocked), Renting: coreWants(m.Renting), Release: m.Release,
+	}
 	for _, p := range m.Progress {
 		n.Progress = append(n.Progress, core.Progress{ID: p.Id, Done: int(p.Done), Running: int(p.Running)})
 	}
-	for _, w := range m.Wants {
-		n.Wants = append(n.Wants, core.Want{Flavour: w.Flavour, Zone: w.Zone, Spot: w.Spot, Count: int(w.Count)})
-	}
 	for _, l := range m.Loads {
 		n.Loads = append(n.Loads, core.Load{Workload: l.Workload, Rate: l.Rate, Ratio: l.Ratio, Dev: l.Dev, Samples: int(l.Samples)})
 	}
+	for _, r := range m.Rentals {
+		n.Rentals = append(n.Rentals, core.RentalNews{ID: r.Id, Addr: r.Addr, Flavour: r.Flavour, Zone: r.Zone, Spot: r.Spot, Status: r.Status, Age: time.Duration(r.AgeMs) * time.Millisecond})
+	}
 	return n
 }
+
+func coreWants(ws []*Want) []core.Want {
+	var out []core.Want
+	for _, w := range ws {
+		out = append(out, core.Want{Flavour: w.Flavour, Zone: w.Zone, Spot: w.Spot, Count: int(w.Count)})
+	}
+	return out
+}
