--- a/internal/core/jobs.go
+++ b/internal/core/jobs.go
@@ -158,6 +158,30 @@
 	return -1
 }
 
+// avoids says that none of the job's waiting tasks may go to the machine: it is
+// no room for them, and a plan that counted on it would leave them waiting
+// beside it for ever.
+func (j *job) avoids(machine string) bool {
+	if j.fresh < len(j.tasks) || len(j.again) == 0 {
+		return false
+	}
+	for _, i := range j.again {
+		if !j.tasks[i].shuns(machine) {
+			return false
+		}
+	}
+	return true
+}
+
+// shuns says that the task is to go elsewhere: it failed there, or was too slow.
+// One that has failed in many places may go anywhere.
+func (t *task) shuns(machine string) bool {
+	return t.avoid == machine && t.fails < failsAnywhere
+}
+
+// failsAnywhere is after how many failures the fault is likely the job's own.
+const failsAnywhere = 4
+
 // record is the chunk in durable form.
 func (j *job) record(c *chunk, writer string) chunkRecord {
 	r := chunkRecord{Writer: writer}
--- a/internal/core/machines.go
+++ b/internal/core/machines.go
@@ -296,6 +296,11 @@
 				j.times = append(j.times, ran)
 				n.learn(j, ran)
 			}
+			if x := n.owner.machines[t.avoid]; x != nil && x != m && t.fails > 0 && !x.bad {
+				// What failed there is done here: the fault was the machine's.
+				x.bad = true
+				n.info("machine is faulty", "machine", x.id)
+			}
 			n.gone(j, k.index, true)
 		case "error":
 			n.failed(m, j, t)
--- a/internal/core/place.go
+++ b/internal/core/place.go
@@ -464,7 +464,7 @@
 	cheapest := n.cheapest()
 	keep := n.warmed(j, ms)
 	for _, m := range ms {
-		if m.id == t.avoid && t.fails < 4 {
+		if t.shuns(m.id) {
 			continue
 		}
 		free := m.size.Plus(m.used, -1)
--- a/internal/core/play.go
+++ b/internal/core/play.go
@@ -38,7 +38,7 @@
 	var best *virtual
 	var at time.Time
 	for _, v := range p.vs {
-		if !j.allows(v.k.flavour, v.k.zone, v.k.spot) || zones.room(v.k.zone) == 0 {
+		if !j.allows(v.k.flavour, v.k.zone, v.k.spot) || zones.room(v.k.zone) == 0 || v.m != nil && j.avoids(v.m.id) {
 			continue
 		}
 		if t, ok := v.earliest(j.Need, from, j.Gang); ok {
