Successors know the machines and their images, and contact all of them

Idle machines stayed with an owner that had lost the state service alone, and images were fetched again after each takeover. Also: waiting work has its scarce flavours to itself only when its slack is short.

--- a/internal/core/effects.go
+++ b/internal/core/effects.go
@@ -69,6 +69,8 @@
 	From     string
 	Progress []Progress
 	Loads    []Load
+	// Hosts are the owner's machines, for a successor.
+	Hosts []HostNews
 	// Asks: an owner asks the leader for machines it wants, and to return
 	// those that are idle; Seq is the newest news it has of the leader.
 	// Released are teams it has given up.
@@ -97,6 +99,17 @@
 	Age     time.Duration
 }
 
+// HostNews is a machine as its owner knows it: where it is, and its images.
+type HostNews struct {
+	ID      string
+	Addr    string
+	Flavour string
+	Zone    string
+	Spot    bool
+	Images  map[string]float64
+	from    string
+}
+
 // Load is what an owner has seen of a workload: its tasks a second, and how
 // its run times compare with their estimates, over so many samples. A
 // successor goes on with it.
--- a/internal/core/fleet.go
+++ b/internal/core/fleet.go
@@ -671,7 +671,7 @@
 	if m.flavour == "" || m.addr == "" {
 		n.describe(m, r.addr, r.flavour, r.zone, r.spot)
 	}
-	if !m.heard && r.status == "running" && r.addr != "" && len(m.attempts) > 0 {
+	if !m.heard && r.status == "running" && r.addr != "" {
 		n.contact(m)
 	}
 }
--- a/internal/core/node.go
+++ b/internal/core/node.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"time"
 )
 
@@ -33,6 +34,8 @@
 	returned map[string]bool
 	// inherited is what the owner before told of the workloads.
 	inherited map[string]Load
+	// heirloom is what other owners last told of their machines.
+	heirloom map[string]HostNews
 }
 
 type timer struct {
@@ -49,7 +52,7 @@
 		calls:    map[uint64]func(WorkerDone){},
 		display:  map[string]Progress{},
 		errs:     map[string]*estimate{},
-		returned: map[string]bool{}, inherited: map[string]Load{},
+		returned: map[string]bool{}, inherited: map[string]Load{}, heirloom: map[string]HostNews{},
 	}
 	n.users.init()
 	return n
@@ -120,6 +123,18 @@
 		if n.owner == nil {
 			n.inherit(c.Loads)
 		}
+		for _, h := range c.Hosts {
+			h.from = c.From
+			n.heirloom[h.ID] = h
+		}
+		if len(c.Hosts) > 0 {
+			// What it no longer names is gone.
+			for id, h := range n.heirloom {
+				if h.from == c.From && !slices.ContainsFunc(c.Hosts, func(x HostNews) bool { return x.ID == id }) {
+					delete(n.heirloom, id)
+				}
+			}
+		}
 		if c.Asks && n.leader != nil {
 			n.leader.news[c.From] = peerWants{at: n.now, news: c}
 		}
--- a/internal/core/owner.go
+++ b/internal/core/owner.go
@@ -53,8 +53,9 @@
 	arrivals map[string][]arrival
 	// workloads holds the newest job of each workload.
 	workloads map[string]*workload
-	// waiting names the workloads with tasks that wait for a place.
-	waiting   map[string]bool
+	// waiting is, for each workload with tasks that wait for a place, when the
+	// first of them should start at the latest.
+	waiting   map[string]time.Time
 	told      time.Time
 	toldLoads time.Time
 }
@@ -210,11 +211,41 @@
 	n.ownerFollow(o.gen)
 	// Reach the machines with living attempts at once: the higher epoch ends
 	// what a former owner may still order, and their reports are the proof.
+	// Those without are contacted as well, or they would stay with a former
+	// owner that has lost the state service alone, for the whole of its grace.
+	for _, id := range sortedKeys(n.heirloom) {
+		if h := n.heirloom[id]; n.steward(id) == n.set.Host && !n.returned[id] {
+			m := n.machine(id)
+			n.describe(m, h.Addr, h.Flavour, h.Zone, h.Spot)
+			for name, gb := range h.Images {
+				m.images[name] = &image{gb: gb, last: n.now, cached: true}
+			}
+		}
+	}
 	for _, id := range sortedKeys(o.machines) {
 		n.contact(o.machines[id])
 	}
 }
 
+// hosts is what a successor has to know of the machines.
+func (n *Node) hosts() []HostNews {
+	var out []HostNews
+	for _, id := range sortedKeys(n.owner.machines) {
+		m := n.owner.machines[id]
+		if !m.heard || m.returning || n.silent(m) {
+			continue
+		}
+		h := HostNews{ID: id, Addr: m.addr, Flavour: m.flavour, Zone: m.zone, Spot: m.spot, Images: map[string]float64{}}
+		for name, im := range m.images {
+			if im.cached {
+				h.Images[name] = im.gb
+			}
+		}
+		out = append(out, h)
+	}
+	return out
+}
+
 func (n *Node) otherTeams(open []Item, id string) bool {
 	for _, it := range open {
 		if it.Key == openPrefix+id {
@@ -775,6 +806,7 @@
 	if n.now.Sub(o.toldLoads) >= loadsEvery {
 		o.toldLoads = n.now
 		news.Loads = n.loads()
+		news.Hosts = n.hosts()
 	}
 	for _, p := range n.set.Peers {
 		out := news
@@ -785,7 +817,7 @@
 			}
 			out.Asks = true
 		}
-		if len(out.Progress) > 0 || len(out.Loads) > 0 || out.Asks {
+		if len(out.Progress) > 0 || len(out.Loads) > 0 || len(out.Hosts) > 0 || out.Asks {
 			n.emit(PeerSend{To: p, News: out})
 		}
 	}
--- a/internal/core/place.go
+++ b/internal/core/place.go
@@ -29,6 +29,9 @@
 	// smallFirst weighs the time that the whole fleet would need for a job
 	// against its slack.
 	smallFirst = 2
+	// scarceSlack is how near its latest start waiting work must be to have
+	// the flavours it depends on to itself.
+	scarceSlack = 45 * time.Second
 	// stopPatience is how long a stopped task's room is waited for.
 	stopPatience = 1500 * time.Millisecond
 	// slowMachine is how much slower than expected a machine's tasks must run,
@@ -196,9 +199,12 @@
 	if n.now.After(n.sess.sureUntil) {
 		return
 	}
-	o.waiting = map[string]bool{}
+	o.waiting = map[string]time.Time{}
 	for _, j := range jobs {
-		o.waiting[j.Workload] = true
+		l := n.latest(j)
+		if t, ok := o.waiting[j.Workload]; !ok || l.Before(t) {
+			o.waiting[j.Workload] = l
+		}
 	}
 	for _, j := range jobs {
 		if j.Gang {
@@ -544,7 +550,7 @@
 			continue
 		}
 		rate := scarceSoon
-		if w.spec.Urgency >= s.Urgency && n.owner.waiting[w.spec.Workload] {
+		if t, ok := n.owner.waiting[w.spec.Workload]; ok && w.spec.Urgency >= s.Urgency && t.Sub(n.now) < scarceSlack {
 			rate = scarceNow
 		}
 		if out == nil {
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -220,6 +220,9 @@
 	for _, r := range n.Rentals {
 		m.Rentals = append(m.Rentals, &Rental{Id: r.ID, Addr: r.Addr, Flavour: r.Flavour, Zone: r.Zone, Spot: r.Spot, Status: r.Status, AgeMs: r.Age.Milliseconds()})
 	}
+	for _, h := range n.Hosts {
+		m.Hosts = append(m.Hosts, &Host{Id: h.ID, Addr: h.Addr, Flavour: h.Flavour, Zone: h.Zone, Spot: h.Spot, Images: h.Images})
+	}
 	return m
 }
 
@@ -245,6 +248,9 @@
 	for _, r := range m.Rentals {
 		n.Rentals = append(n.Rentals, core.RentalNews{ID: r.Id, Addr: r.Addr, Flavour: r.Flavour, Zone: r.Zone, Spot: r.Spot, Status: r.Status, Age: time.Duration(r.AgeMs) * time.Millisecond})
 	}
+	for _, h := range m.Hosts {
+		n.Hosts = append(n.Hosts, core.HostNews{ID: h.Id, Addr: h.Addr, Flavour: h.Flavour, Zone: h.Zone, Spot: h.Spot, Images: h.Images})
+	}
 	return n
 }
 
