--- a/internal/core/fleet.go
+++ b/internal/core/fleet.go
@@ -173,7 +173,12 @@
 		w, ok := want[h]
 		have, had := s.shares[h]
 		fresh := s.stamps[sharePrefix+h] < l.stamp
-		same := ok == had && w.Nonce == have.Nonce && slices.Equal(w.Teams, have.Teams) && w.Rest == have.Rest && slices.Equal(w.Machines, have.Machines)
+		// A machine that a share no longer names falls to the one that has the
+		// rest, whose epoch must then be above all that the machine has seen.
+		falls := ok && w.Rest && slices.ContainsFunc(sortedKeys(s.shares), func(x string) bool {
+			return slices.ContainsFunc(s.shares[x].Machines, func(id string) bool { return !slices.Contains(want[x].Machines, id) })
+		})
+		same := !falls && ok == had && w.Nonce == have.Nonce && slices.Equal(w.Teams, have.Teams) && w.Rest == have.Rest && slices.Equal(w.Machines, have.Machines)
 		if same && (!fresh || !ok) {
 			continue
 		}
@@ -305,6 +310,10 @@
 	return out
 }
 
+// listPatience is how long after a change of leader the shares name machines
+// that the lists, which lag, have not shown yet.
+const listPatience = time.Minute
+
 // listedFor is the machines that a share names: those of before that are not
 // gone, and those rented for it. The share that has the rest names none.
 func (n *Node) listedFor(host string, r shareRecord) []string {
@@ -313,7 +322,8 @@
 	}
 	var out []string
 	for _, id := range r.Machines {
-		if m := n.leader.rentals[id]; !n.leader.listedOK || m != nil && m.gone.IsZero() {
+		m := n.leader.rentals[id]
+		if m != nil && m.gone.IsZero() || m == nil && n.now.Sub(n.leader.since) < listPatience {
 			out = append(out, id)
 		}
 	}
@@ -693,6 +703,15 @@
 	// When all fall silent together, the fault is likely ours.
 	ours := silent > 0 && silent == heard && heard > 1
 	spare := n.spare()
+	for _, id := range sortedKeys(o.machines) {
+		// One that the leader no longer lists may be gone, or a list was late;
+		// only the answer to a return is proof.
+		if m := o.machines[id]; o.view.rentals[id] == nil && len(m.attempts) > 0 && n.silent(m) && settled && !ours && len(o.gone) < returnMost {
+			n.returned[id] = true
+			m.returning = true
+			o.gone = append(o.gone, id)
+		}
+	}
 	for _, id := range sortedKeys(o.view.rentals) {
 		r := o.view.rentals[id]
 		m := o.machines[id]
--- a/internal/core/machines.go
+++ b/internal/core/machines.go
@@ -184,6 +184,11 @@
 	m.heard, m.tenure, m.tick = true, r.Tenure, r.Tick
 	m.seenEpoch = max(m.seenEpoch, r.Epoch)
 	m.lastHeard = n.now
+	if m.leaseEnd.IsZero() {
+		// Heard of by its answer to us, not by a report of which we prolonged
+		// the lease. A former owner may go on doing so for its grace.
+		m.leaseEnd = n.leaseAfter(n.now.Add(n.grace()))
+	}
 	m.noDirect = false
 	if r.Recall >= 0 {
 		if !m.recall {
