--- a/internal/core/fleet.go
+++ b/internal/core/fleet.go
@@ -943,6 +943,9 @@
 			if k, ok := n.worthRenting(d, v != nil, at, from, unmet, zones); ok {
 				wants[k]++
 				v = p.boot(k, n.now.Add(n.types[k.flavour].Ready))
+			} else if k, ok := n.relief(d.j, v, unmet, zones); ok {
+				wants[k]++
+				v = p.boot(k, n.now.Add(n.types[k.flavour].Ready))
 			}
 			unmet -= d.j.Need.CPU
 			if v != nil {
@@ -953,6 +956,32 @@
 	o.wants = wants
 }
 
+// relief is a cheap machine for a task that would else take room on which work
+// that waits, and fits little else, depends.
+func (n *Node) relief(j *job, v *virtual, unmet float64, zones *zonePlan) (kind, bool) {
+	if v == nil || !n.neededElsewhere(&j.Spec, v.k.flavour) {
+		return kind{}, false
+	}
+	k, ok := n.bestKind(j, max(1, int(unmet/max(j.Need.CPU, 0.1))), zones, true)
+	return k, ok && !n.neededElsewhere(&j.Spec, k.flavour)
+}
+
+// neededElsewhere says that another workload waits which fits the flavour and
+// fewer flavours than this one.
+func (n *Node) neededElsewhere(s *Spec, flavour string) bool {
+	mine := len(n.fitting(s))
+	for name := range n.owner.waiting {
+		w := n.owner.workloads[name]
+		if name == s.Workload || w == nil {
+			continue
+		}
+		if theirs := n.fitting(w.spec); len(theirs) < mine && slices.Contains(theirs, flavour) {
+			return true
+		}
+	}
+	return false
+}
+
 // worthRenting says what to rent for a task that would start at the time at
 // (if it has a place at all).
 func (n *Node) worthRenting(d demand, placed bool, at, from time.Time, unmet float64, zones *zonePlan) (kind, bool) {
