--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -139,9 +139,9 @@
 	s := core.Settings{
 		Host: c.HostName, Zones: d.Zones,
 		ReportEvery: core.Seconds(d.Workers.ReportS), Lease: core.Seconds(d.Workers.LeaseS),
-		TxnOps: d.State.TxnOps, ValueBytes: int(d.State.ValueKB * 1024), StateRPS: d.State.RPS,
-		CloudRPS: d.Cloud.RPS, ListLag: core.Seconds(d.Cloud.ListLagS),
-		Nonce: nonce, Policy: policy,
+		TxnOps: d.State.TxnOps, ValueBytes: int(d.State.ValueKB * 1024),
+		ListLag: core.Seconds(d.Cloud.ListLagS),
+		Nonce:   nonce, Policy: policy,
 	}
 	for _, p := range c.Seeds {
 		s.Peers = append(s.Peers, p.HostName)
--- a/internal/core/effects.go
+++ b/internal/core/effects.go
@@ -84,7 +84,6 @@
 	Tells   bool
 	Rentals []RentalNews
 	Blocked []Want
-	Renting []Want
 	Release []string
 }
 
--- a/internal/core/jobs.go
+++ b/internal/core/jobs.go
@@ -81,7 +81,6 @@
 	// ever more slowly.
 	failed    int
 	notBefore time.Time
-	zone      string
 	zoneLive  map[string]int
 	lastTold  Progress
 }
@@ -229,14 +228,6 @@
 	return s[len(s)/2], true
 }
 
-// due is the deadline, or zero.
-func (j *job) due() time.Time {
-	if j.Due <= 0 {
-		return time.Time{}
-	}
-	return j.at.Add(j.Due)
-}
-
 // allows says whether a task of the job may ever start on such a machine.
 func (j *job) allows(flavour, zone string, spot bool) bool {
 	if len(j.Flavours) > 0 && !slices.Contains(j.Flavours, flavour) {
--- a/internal/core/machines.go
+++ b/internal/core/machines.go
@@ -1,6 +1,7 @@
 package core
 
 import (
+	"cmp"
 	"slices"
 	"time"
 )
@@ -213,26 +214,24 @@
 	}
 	for _, k := range sortedAttempts(m) {
 		t := m.attempts[k]
-		if _, ok := m.pieces[k]; !ok && t.stop != stopNone && n.provenAbsent(m) {
+		if _, ok := m.pieces[k]; !ok && t.stop != stopNone && n.quiet(m) {
 			// To be stopped, and not there: the proof that it is gone.
 			n.gone(n.owner.jobs[k.job], k.index, false)
 		}
 	}
 }
 
-func sortedAttempts(m *machine) []taskKey {
-	keys := make([]taskKey, 0, len(m.attempts))
-	for k := range m.attempts {
+func sortedAttempts(m *machine) []taskKey { return sortedTasks(m.attempts) }
+
+// sortedTasks gives an order to what is kept by task, so that the same inputs
+// give the same decisions.
+func sortedTasks[V any](m map[taskKey]V) []taskKey {
+	keys := make([]taskKey, 0, len(m))
+	for k := range m {
 		keys = append(keys, k)
 	}
 	slices.SortFunc(keys, func(a, b taskKey) int {
-		if a.job != b.job {
-			if a.job < b.job {
-				return -1
-			}
-			return 1
-		}
-		return a.index - b.index
+		return cmp.Or(cmp.Compare(a.job, b.job), cmp.Compare(a.index, b.index))
 	})
 	return keys
 }
@@ -242,10 +241,6 @@
 	return m.seenEpoch >= n.owner.epoch && m.unacked == 0 && m.replyTick == 0 && !m.inFlight
 }
 
-// provenAbsent says that what the newest report does not list is not there and
-// will not come.
-func (n *Node) provenAbsent(m *machine) bool { return n.quiet(m) }
-
 // stuck says that a start without an answer keeps m from being settled.
 func (m *machine) stuck() bool {
 	for _, t := range m.attempts {
@@ -416,7 +411,7 @@
 	m.dirty = false
 	var orders []Order
 	quiet := n.quiet(m)
-	for _, k := range sortedPieces(m) {
+	for _, k := range sortedTasks(m.pieces) {
 		p := m.pieces[k]
 		j := o.jobs[k.job]
 		var t *task
@@ -453,23 +448,6 @@
 	return orders
 }
 
-func sortedPieces(m *machine) []taskKey {
-	keys := make([]taskKey, 0, len(m.pieces))
-	for k := range m.pieces {
-		keys = append(keys, k)
-	}
-	slices.SortFunc(keys, func(a, b taskKey) int {
-		if a.job != b.job {
-			if a.job < b.job {
-				return -1
-			}
-			return 1
-		}
-		return a.index - b.index
-	})
-	return keys
-}
-
 // windDown is the time a stopped task gets to save.
 func (n *Node) windDown(m *machine, j *job, t *task) time.Duration {
 	if j.SaveEvery <= 0 || t.stop == stopCancel {
--- a/internal/core/owner.go
+++ b/internal/core/owner.go
@@ -506,7 +506,7 @@
 				if j.ending || j.cancelled {
 					continue
 				}
-				for _, k := range sortedInts(j.chunks) {
+				for _, k := range sortedKeys(j.chunks) {
 					c := j.chunks[k]
 					if c.busy || c.ver == c.saved || len(op.Apply) >= n.set.TxnOps {
 						continue
@@ -662,7 +662,7 @@
 	}
 	op.Apply = append(op.Apply, Change{Key: openPrefix + j.ID})
 	var rest []string
-	for _, k := range sortedInts(j.chunks) {
+	for _, k := range sortedKeys(j.chunks) {
 		c := j.chunks[k]
 		if len(op.Apply) < n.set.TxnOps {
 			if c.stamp != 0 || c.busy {
@@ -859,15 +859,6 @@
 	}
 }
 
-func sortedInts[V any](m map[int]V) []int {
-	keys := make([]int, 0, len(m))
-	for k := range m {
-		keys = append(keys, k)
-	}
-	slices.Sort(keys)
-	return keys
-}
-
 func later(a, b time.Time) time.Time {
 	if b.After(a) {
 		return b
--- a/internal/core/place.go
+++ b/internal/core/place.go
@@ -625,7 +625,7 @@
 			factor *= lonelyFactor
 		}
 		limit := time.Duration(factor * float64(med))
-		for _, gid := range sortedGroups(j.groups) {
+		for _, gid := range sortedKeys(j.groups) {
 			g := j.groups[gid]
 			if g.marked || n.now.Sub(g.start) < limit {
 				continue
@@ -685,12 +685,3 @@
 	}
 	return true
 }
-
-func sortedGroups(m map[int64]*group) []int64 {
-	keys := make([]int64, 0, len(m))
-	for k := range m {
-		keys = append(keys, k)
-	}
-	slices.Sort(keys)
-	return keys
-}
--- a/internal/core/session.go
+++ b/internal/core/session.go
@@ -1,6 +1,7 @@
 package core
 
 import (
+	"cmp"
 	"slices"
 	"strings"
 	"time"
@@ -309,8 +310,10 @@
 	return rest
 }
 
-func sortedKeys[V any](m map[string]V) []string {
-	keys := make([]string, 0, len(m))
+// sortedKeys gives an order to a map, so that the same inputs give the same
+// decisions.
+func sortedKeys[K cmp.Ordered, V any](m map[K]V) []K {
+	keys := make([]K, 0, len(m))
 	for k := range m {
 		keys = append(keys, k)
 	}
--- a/internal/core/types.go
+++ b/internal/core/types.go
@@ -121,8 +121,6 @@
 
 	TxnOps     int
 	ValueBytes int
-	StateRPS   float64
-	CloudRPS   float64
 	ListLag    time.Duration
 
 	// Nonce tells the lives of one controller apart.
--- a/internal/core/users.go
+++ b/internal/core/users.go
@@ -22,8 +22,7 @@
 
 type users struct {
 	// final caches terminal states for good.
-	final map[string]JobStatus
-	// known are jobs that this node saw accepted, with the stamp of job/.
+	final    map[string]JobStatus
 	queue    []*submission
 	inFlight int
 	polls    map[string]*pollState
--- a/internal/standin/scenario_test.go
+++ b/internal/standin/scenario_test.go
@@ -14,7 +14,7 @@
 func testSettings() core.Settings {
 	return core.Settings{
 		Zones: []string{"a", "b"}, ReportEvery: 3 * time.Second, Lease: 24 * time.Second,
-		TxnOps: 12, ValueBytes: 4096, StateRPS: 100, CloudRPS: 5, ListLag: 4 * time.Second,
+		TxnOps: 12, ValueBytes: 4096, ListLag: 4 * time.Second,
 		Policy: core.DefaultPolicy(),
 		Teams:  []core.Team{{Name: "ops"}, {Name: "lab", Limit: core.Resources{CPU: 40}}},
 	}
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -55,10 +55,6 @@
 
 func taskName(job string, i int) string { return fmt.Sprintf("%s/%d", job, i) }
 
-func (m *Worker) key(t *workerTask) string {
-	return fmt.Sprintf("%s#%d", taskName(t.job.spec.ID, t.index), t.try)
-}
-
 // up says that the worker runs and is not hanging.
 func (m *Worker) up(now time.Time) bool {
 	return !m.dead && !m.returned && !now.Before(m.upAt) && !now.Before(m.hungTill)
