Housekeeping, placing and planning without passes over all machines

Cause: after every batch of commands the owner sorted all machines and jobs, rated every machine anew for each task, and played tasks times machines forward; at 1,600 machines that is more than a whole core.

Now the owner keeps its machines in order and a list of those that have orders due, a report that tells nothing new is recognised at once, a round of placing rates each machine once for a job (a heap gives the next best), a kind of task that found no room is not tried again in the same round, and machines are chosen for retirement in parts. Medians and counts of running tasks are kept up to date instead of being counted anew. News of machines for a successor is spread over the seconds.

--- a/internal/core/effects.go
+++ b/internal/core/effects.go
@@ -106,7 +106,7 @@
 	Zone    string
 	Spot    bool
 	Images  map[string]float64
-	from    string
+	heard   time.Time
 }
 
 // Load is what an owner has seen of a workload: its tasks a second, and how
--- a/internal/core/fleet.go
+++ b/internal/core/fleet.go
@@ -552,9 +552,14 @@
 	if o.view == nil || n.now.Sub(o.view.at) > newsFresh || n.now.After(n.sess.sureUntil) {
 		return
 	}
-	n.retire()
-	n.returns()
-	n.rent()
+	// What runs and when it ends is the same for all that is planned now.
+	room := n.futureRoom()
+	if n.now.Sub(o.retired) >= leaderPeriod*time.Duration(1+len(o.byID)/retireSlow) {
+		o.retired = n.now
+		n.retire(room)
+	}
+	n.returns(room)
+	n.rent(room)
 }
 
 // fleetLog is how often the fleet is described in the log, at debug.
@@ -661,7 +666,9 @@
 				if m := n.owner.machines[id]; m != nil && (len(m.attempts) > 0 || !n.silent(m)) {
 					continue
 				}
-				delete(n.owner.machines, id)
+				if m := n.owner.machines[id]; m != nil {
+					n.owner.forget(m)
+				}
 			}
 			delete(l.rentals, id)
 		}
@@ -688,7 +695,7 @@
 
 // returns picks the machines to give back: failed ones, such as never came up, silent
 // ones, faulty ones and idle ones that are not needed.
-func (n *Node) returns() {
+func (n *Node) returns(room []*virtual) {
 	o := n.owner
 	settled := n.now.Sub(o.since) > settleTime
 	heard, silent := 0, 0
@@ -702,11 +709,11 @@
 	}
 	// When all fall silent together, the fault is likely ours.
 	ours := silent > 0 && silent == heard && heard > 1
-	spare := n.spare()
-	for _, id := range sortedKeys(o.machines) {
+	spare := n.spare(room)
+	for _, m := range o.byID {
 		// One that the leader no longer lists may be gone, or a list was late;
 		// only the answer to a return is proof.
-		if m := o.machines[id]; o.view.rentals[id] == nil && len(m.attempts) > 0 && n.silent(m) && settled && !ours && len(o.gone) < returnMost {
+		if id := m.id; o.view.rentals[id] == nil && len(m.attempts) > 0 && n.silent(m) && settled && !ours && len(o.gone) < returnMost {
 			n.returned[id] = true
 			m.returning = true
 			o.gone = append(o.gone, id)
@@ -796,13 +803,13 @@
 // spare picks the idle machines that are not needed: for what waits or for
 // what the last while makes likely, played forward on the cheapest machines
 // first. A machine that is cheap is kept the longer.
-func (n *Node) spare() map[string]bool {
+func (n *Node) spare(room []*virtual) map[string]bool {
 	o := n.owner
 	out := map[string]bool{}
 	cheapest := n.cheapest()
 	idle := false
-	for _, m := range o.machines {
-		if len(m.attempts) == 0 && n.usable(m) && n.now.Sub(m.idleSince) > n.idleKeep(m, cheapest) {
+	for _, m := range o.byID {
+		if len(m.attempts) == 0 && n.now.Sub(m.idleSince) > n.idleKeep(m, cheapest) && n.usable(m) {
 			out[m.id] = true
 			idle = true
 		}
@@ -810,7 +817,7 @@
 	if !idle {
 		return out
 	}
-	vs := n.futureRoom()
+	vs := copyRoom(room, nil)
 	p := &plan{n: n, vs: vs}
 	slices.SortStableFunc(vs, func(a, b *virtual) int {
 		return cmp.Or(cmp.Compare(b2f(a.idle), b2f(b.idle)), cmp.Compare(n.unitPrice(a.m), n.unitPrice(b.m)))
@@ -833,11 +840,10 @@
 // others would start everything in time without them; what runs there ends in
 // peace. Without this, work spreads over all machines there are, none goes idle,
 // and the ordinary ones of one rush are paid for ever after.
-func (n *Node) retire() {
+func (n *Node) retire(room []*virtual) {
 	var dearOnes []*machine
 	cheapest := n.cheapest()
-	for _, id := range sortedKeys(n.owner.machines) {
-		m := n.owner.machines[id]
+	for _, m := range n.owner.byID {
 		m.retiring = false
 		if n.usable(m) && n.unitPrice(m) > dear*cheapest {
 			dearOnes = append(dearOnes, m)
@@ -853,25 +859,45 @@
 		return cmp.Compare(a.used.CPU/max(a.size.CPU, 1), b.used.CPU/max(b.size.CPU, 1))
 	})
 	demands := n.demands(n.horizon(), burst, false)
-	base := n.lateness(demands, nil)
+	base := n.lateness(room, demands, nil)
 	out := map[*machine]bool{}
 	misses := 0
-	for _, m := range dearOnes {
-		out[m] = true
-		if n.lateness(demands, out) > base {
+	// Of many, several are tried at once, and fewer when that is too much: each
+	// try plays all demands forward.
+	some := max(1, len(dearOnes)/retireParts)
+	for len(dearOnes) > 0 {
+		try := dearOnes[:min(some, len(dearOnes))]
+		for _, m := range try {
+			out[m] = true
+		}
+		if n.lateness(room, demands, out) <= base {
+			dearOnes = dearOnes[len(try):]
+			continue
+		}
+		for _, m := range try {
 			delete(out, m)
-			if misses++; misses >= retireTries {
-				break
-			}
 		}
+		if misses++; misses >= retireTries {
+			break
+		}
+		if some == 1 {
+			dearOnes = dearOnes[1:]
+		}
+		some = max(1, some/2)
 	}
 	for m := range out {
 		m.retiring = true
 	}
 }
 
-// retireTries bounds the machines that are tried in vain in one look.
-const retireTries = 4
+// retireTries bounds the tries in vain in one look.
+const (
+	retireTries = 4
+	// retireParts is in how many parts a long list of machines is tried, and
+	// retireSlow after how many machines in the pool the looks get rarer.
+	retireParts = 8
+	retireSlow  = 100
+)
 
 // idleKeep is how long a machine stays idle before it may go back: the longer
 // the cheaper it is.
@@ -907,9 +933,9 @@
 // the expected ends of what runs. Where a machine rented now would let it start
 // sooner, a spot one is rented; an ordinary one, several times as dear, only if
 // the task would otherwise start later than it must.
-func (n *Node) rent() {
+func (n *Node) rent(room []*virtual) {
 	o := n.owner
-	p := &plan{n: n, vs: n.futureRoom()}
+	p := &plan{n: n, vs: room}
 	for _, id := range sortedKeys(o.view.rentals) {
 		r := o.view.rentals[id]
 		m := o.machines[id]
--- a/internal/core/jobs.go
+++ b/internal/core/jobs.go
@@ -3,7 +3,6 @@
 import (
 	"math"
 	"slices"
-	"sort"
 	"strconv"
 	"time"
 )
@@ -71,16 +70,27 @@
 	per       int
 	tasks     []task
 	chunks    map[int]*chunk
-	fresh     int
-	again     []int
-	done      int
-	live      int
-	groups    map[int64]*group
-	times     []time.Duration
+	// unsaved: some chunk may have changed since it was written.
+	unsaved bool
+	fresh   int
+	again   []int
+	done    int
+	live    int
+	// running counts the attempts that are reported as running.
+	running int
+	groups  map[int64]*group
+	// times are the last finished run times, in the order of their ends;
+	// sorted holds all of them in order, so that the median costs nothing.
+	times  []time.Duration
+	sorted []time.Duration
 	// failed counts distinct failures, to retry a job that fails everywhere
 	// ever more slowly.
 	failed    int
 	notBefore time.Time
+	// preempted is when it last looked for work to stop, and coming for how
+	// many of its tasks that makes room.
+	preempted time.Time
+	coming    int
 	zoneLive  map[string]int
 	lastTold  Progress
 }
@@ -94,18 +104,26 @@
 }
 
 func (j *job) progress() Progress {
-	p := Progress{ID: j.ID, Done: j.done}
-	if j.live > 0 {
-		for i := range j.tasks[:j.fresh] {
-			t := &j.tasks[i]
-			if t.m != nil && t.seen && t.status == Running {
-				p.Running++
-			}
-		}
+	return Progress{ID: j.ID, Done: j.done, Running: j.running}
+}
+
+// isRunning says that a worker reports the attempt as running.
+func (t *task) isRunning() bool { return t.m != nil && t.seen && t.status == Running }
+
+// ran takes note of a finished run time.
+func (j *job) ran(d time.Duration) {
+	i, _ := slices.BinarySearch(j.sorted, d)
+	j.sorted = slices.Insert(j.sorted, i, d)
+	j.times = append(j.times, d)
+	if len(j.times) > 2*keptTimes {
+		j.times = slices.Clone(j.times[len(j.times)-keptTimes:])
 	}
-	return p
 }
 
+// keptTimes is how many of the last run times a record holds: enough for a
+// successor's median.
+const keptTimes = 16
+
 func (j *job) chunkOf(i int) *chunk {
 	c := j.chunks[i/j.per]
 	if c == nil {
@@ -124,6 +142,7 @@
 		c.since = now
 	}
 	c.ver++
+	j.unsaved = true
 	c.urgent = c.urgent || urgent
 	j.tasks[i].ver = c.ver
 }
@@ -210,8 +229,6 @@
 		}
 	}
 	slices.Sort(r.Marks)
-	// The last few run times are enough for a successor's median.
-	const keptTimes = 16
 	for _, d := range j.times[max(0, len(j.times)-keptTimes):] {
 		r.Times = append(r.Times, d.Milliseconds())
 	}
@@ -220,12 +237,10 @@
 
 // median is the middle of the job's finished run times.
 func (j *job) median() (time.Duration, bool) {
-	if len(j.times) == 0 {
+	if len(j.sorted) == 0 {
 		return 0, false
 	}
-	s := slices.Clone(j.times)
-	sort.Slice(s, func(a, b int) bool { return s[a] < s[b] })
-	return s[len(s)/2], true
+	return j.sorted[len(j.sorted)/2], true
 }
 
 // allows says whether a task of the job may ever start on such a machine.
--- a/internal/core/machines.go
+++ b/internal/core/machines.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"slices"
+	"strings"
 	"time"
 )
 
@@ -41,8 +42,11 @@
 
 	attempts map[taskKey]*task
 	used     Resources
-	// pieces is the newest report's list.
+	// pieces is the newest report's list, and last the same as it came.
 	pieces map[taskKey]TaskReport
+	last   []TaskReport
+	// strays: something runs there that should not; its size is not known.
+	strays bool
 	images map[string]*image
 
 	heard     bool
@@ -60,9 +64,11 @@
 	badJobs   map[string]bool
 	idleSince time.Time
 
-	// dirty: orders may be due.
-	dirty    bool
-	inFlight bool
+	// dirty: orders may be due; it is then in the owner's list. forgotten:
+	// the owner has dropped it.
+	dirty     bool
+	forgotten bool
+	inFlight  bool
 	// unacked is the epoch of an order with a start that got no answer and
 	// may be executed minutes later, until a higher epoch is reported.
 	unacked uint64
@@ -90,10 +96,54 @@
 	if m == nil {
 		m = &machine{id: id, attempts: map[taskKey]*task{}, images: map[string]*image{}, badJobs: map[string]bool{}, idleSince: n.now}
 		o.machines[id] = m
+		i, _ := slices.BinarySearchFunc(o.byID, id, machineID)
+		o.byID = slices.Insert(o.byID, i, m)
 	}
 	return m
 }
 
+func machineID(m *machine, id string) int { return strings.Compare(m.id, id) }
+
+// forget drops a machine on which nothing is left.
+func (o *owner) forget(m *machine) {
+	delete(o.machines, m.id)
+	if i, ok := slices.BinarySearchFunc(o.byID, m.id, machineID); ok && o.byID[i] == m {
+		o.byID = slices.Delete(o.byID, i, i+1)
+	}
+	m.forgotten = true
+}
+
+// mark notes that orders may be due for m. Going through all machines after
+// every batch of commands would cost a large pool more than its reports do.
+func (n *Node) mark(m *machine) {
+	if o := n.owner; o != nil && !m.dirty {
+		m.dirty = true
+		o.dirty = append(o.dirty, m)
+	}
+}
+
+// directAll sends the orders that are due.
+func (n *Node) directAll() {
+	o := n.owner
+	if len(o.dirty) == 0 {
+		return
+	}
+	slices.SortFunc(o.dirty, func(a, b *machine) int { return strings.Compare(a.id, b.id) })
+	now := o.dirty
+	o.dirty = nil
+	for _, m := range now {
+		if m.forgotten {
+			continue
+		}
+		if m.dirty {
+			n.direct(m)
+		}
+		if m.dirty {
+			o.dirty = append(o.dirty, m)
+		}
+	}
+}
+
 func (n *Node) describe(m *machine, addr, flavour, zone string, spot bool) {
 	if m.flavour == "" {
 		for k := range m.attempts {
@@ -203,6 +253,10 @@
 	if m.unacked != 0 && m.seenEpoch > m.unacked {
 		m.unacked = 0
 	}
+	if m.same(r) {
+		return
+	}
+	m.last = r.Tasks
 	m.pieces = make(map[taskKey]TaskReport, len(r.Tasks))
 	for _, p := range r.Tasks {
 		k := taskKey{p.Job, p.Index}
@@ -212,15 +266,48 @@
 		}
 		n.piece(m, k, p)
 	}
-	for _, k := range sortedAttempts(m) {
-		t := m.attempts[k]
-		if _, ok := m.pieces[k]; !ok && t.stop != stopNone && n.quiet(m) {
+	m.strays = false
+	for k, p := range m.pieces {
+		m.strays = m.strays || p.Status != Ended && m.attempts[k] == nil
+	}
+	for _, k := range m.attemptsIf(func(t *task) bool { return t.stop != stopNone }) {
+		if _, ok := m.pieces[k]; !ok && n.quiet(m) {
 			// To be stopped, and not there: the proof that it is gone.
 			n.gone(n.owner.jobs[k.job], k.index, false)
 		}
 	}
 }
 
+// attemptsIf names the attempts that fulfil a condition, in order. Mostly there
+// are none, and nothing is sorted.
+func (m *machine) attemptsIf(is func(*task) bool) []taskKey {
+	var keys []taskKey
+	for k, t := range m.attempts {
+		if is(t) {
+			keys = append(keys, k)
+		}
+	}
+	sortTasks(keys)
+	return keys
+}
+
+// same says that a report tells nothing that is not known: the attempts that
+// should be there run there, as before. Nearly all reports of a large pool are
+// like that, and cost next to nothing here.
+func (m *machine) same(r *Report) bool {
+	if len(r.Tasks) != len(m.attempts) || !slices.Equal(r.Tasks, m.last) || len(m.pieces) != len(m.last) {
+		return false
+	}
+	for i := range m.last {
+		p := &m.last[i]
+		t := m.attempts[taskKey{p.Job, p.Index}]
+		if t == nil || t.try != p.Try || t.stop != stopNone || !t.seen || t.status != p.Status || p.Status == Ended {
+			return false
+		}
+	}
+	return true
+}
+
 func sortedAttempts(m *machine) []taskKey { return sortedTasks(m.attempts) }
 
 // sortedTasks gives an order to what is kept by task, so that the same inputs
@@ -230,10 +317,20 @@
 	for k := range m {
 		keys = append(keys, k)
 	}
+	sortTasks(keys)
+	return keys
+}
+
+func sortTasks(keys []taskKey) {
+	if len(keys) < 2 {
+		return
+	}
 	slices.SortFunc(keys, func(a, b taskKey) int {
-		return cmp.Or(cmp.Compare(a.job, b.job), cmp.Compare(a.index, b.index))
+		if c := cmp.Compare(a.index, b.index); c != 0 && a.job == b.job {
+			return c
+		}
+		return strings.Compare(a.job, b.job)
 	})
-	return keys
 }
 
 // quiet says that no start for m is on its way anywhere.
@@ -256,16 +353,6 @@
 	return false
 }
 
-// owes says that the newest report lists an ended task of the job.
-func (m *machine) owes(job string) bool {
-	for k, p := range m.pieces {
-		if k.job == job && p.Status == Ended {
-			return true
-		}
-	}
-	return false
-}
-
 // piece takes in one line of a report.
 func (n *Node) piece(m *machine, k taskKey, p TaskReport) {
 	j := n.owner.jobs[k.job]
@@ -276,7 +363,13 @@
 	if t.m != m || t.try != p.Try {
 		return
 	}
+	if t.isRunning() {
+		j.running--
+	}
 	t.seen, t.status = true, p.Status
+	if t.isRunning() {
+		j.running++
+	}
 	switch p.Status {
 	case Fetching:
 		m.image(j, n.now, false)
@@ -293,7 +386,7 @@
 			if !t.started.IsZero() {
 				ran := n.now.Sub(t.started)
 				n.compare(m, j, ran)
-				j.times = append(j.times, ran)
+				j.ran(ran)
 				n.learn(j, ran)
 			}
 			if x := n.owner.machines[t.avoid]; x != nil && x != m && t.fails > 0 && !x.bad {
@@ -350,7 +443,7 @@
 // compare keeps a running ratio of run time against what was expected.
 func (n *Node) compare(m *machine, j *job, ran time.Duration) {
 	ref, ok := j.median()
-	if !ok || len(j.times) < 2 {
+	if !ok || len(j.sorted) < 2 {
 		return
 	}
 	m.speedN++
@@ -399,7 +492,7 @@
 		}
 		n.gone(n.owner.jobs[k.job], k.index, false)
 	}
-	m.pieces = nil
+	m.pieces, m.last, m.strays = nil, nil, false
 	m.images = map[string]*image{}
 }
 
@@ -409,6 +502,9 @@
 func (n *Node) reconcile(m *machine) []Order {
 	o := n.owner
 	m.dirty = false
+	if m.settled() {
+		return nil
+	}
 	var orders []Order
 	quiet := n.quiet(m)
 	for _, k := range sortedTasks(m.pieces) {
@@ -448,6 +544,21 @@
 	return orders
 }
 
+// settled says that what is there is what should be, so that there is nothing
+// to order.
+func (m *machine) settled() bool {
+	if len(m.attempts) != len(m.pieces) {
+		return false
+	}
+	for k, t := range m.attempts {
+		p, ok := m.pieces[k]
+		if !ok || p.Try != t.try || t.stop != stopNone || p.Status == Ended {
+			return false
+		}
+	}
+	return true
+}
+
 // windDown is the time a stopped task gets to save.
 func (n *Node) windDown(m *machine, j *job, t *task) time.Duration {
 	if j.SaveEvery <= 0 || t.stop == stopCancel {
@@ -537,7 +648,7 @@
 				m.seenEpoch = max(m.seenEpoch, epoch)
 			}
 			n.hear(m, d.Report, false)
-			m.dirty = true
+			n.mark(m)
 		}
 	})
 }
@@ -549,14 +660,13 @@
 	}
 	n.debug("machine gone", "machine", m.id, "why", why, "attempts", len(m.attempts))
 	n.loseAll(m, nil)
-	delete(n.owner.machines, m.id)
+	n.owner.forget(m)
 }
 
 // sweep looks for leases that ran out and for attempts that were never sent.
 func (n *Node) sweep() {
 	o := n.owner
-	for _, id := range sortedKeys(o.machines) {
-		m := o.machines[id]
+	for _, m := range slices.Clone(o.byID) {
 		if (m.heard || len(m.attempts) > 0) && n.quietFor(m) > time.Duration(probeReports*float64(n.longestReport())) {
 			n.contact(m)
 		}
@@ -566,18 +676,15 @@
 		}
 		if len(m.attempts) == 0 && !m.leaseEnd.IsZero() && n.now.After(m.leaseEnd) {
 			// If it is ever heard of again, it is in a later tenure and empty.
-			delete(o.machines, id)
+			o.forget(m)
 			continue
 		}
 		if m.recall {
 			n.drain(m)
 		}
-		for _, k := range sortedAttempts(m) {
-			t := m.attempts[k]
-			if t.stop != stopNone && !t.sent {
-				// Never told to anybody, so it is nowhere.
-				n.gone(o.jobs[k.job], k.index, false)
-			}
+		for _, k := range m.attemptsIf(func(t *task) bool { return t.stop != stopNone && !t.sent }) {
+			// Never told to anybody, so it is nowhere.
+			n.gone(o.jobs[k.job], k.index, false)
 		}
 	}
 }
@@ -603,7 +710,7 @@
 		saves := j.SaveEvery > 0 && !t.started.IsZero()
 		if saves && left < j.SaveCost+n.longestReport() || !saves && (j.Standing || rest.Seconds() > noticeError*left.Seconds()) {
 			t.stop = stopDrain
-			m.dirty = true
+			n.mark(m)
 		}
 	}
 }
--- a/internal/core/node.go
+++ b/internal/core/node.go
@@ -2,7 +2,6 @@
 
 import (
 	"math/rand/v2"
-	"slices"
 	"time"
 )
 
@@ -36,6 +35,7 @@
 	inherited map[string]Load
 	// heirloom is what other owners last told of their machines.
 	heirloom map[string]HostNews
+	pruned   time.Time
 }
 
 type timer struct {
@@ -124,13 +124,15 @@
 			n.inherit(c.Loads)
 		}
 		for _, h := range c.Hosts {
-			h.from = c.From
+			h.heard = n.now
 			n.heirloom[h.ID] = h
 		}
-		if len(c.Hosts) > 0 {
-			// What it no longer names is gone.
+		if len(c.Hosts) > 0 && n.now.Sub(n.pruned) > hostMemory {
+			// What nobody names any more is gone. The memory is judged again
+			// when it is used, from when the last news came.
+			n.pruned = n.now
 			for id, h := range n.heirloom {
-				if h.from == c.From && !slices.ContainsFunc(c.Hosts, func(x HostNews) bool { return x.ID == id }) {
+				if n.now.Sub(h.heard) > hostMemory {
 					delete(n.heirloom, id)
 				}
 			}
--- a/internal/core/owner.go
+++ b/internal/core/owner.go
@@ -14,8 +14,16 @@
 	chunkTxns = 3
 	// ownerPeriod is how often the owner looks round without being asked.
 	ownerPeriod = 500 * time.Millisecond
+	// hostTurns is in how many turns, a second each, the others are told of all
+	// machines, and hostMemory how long they remember one.
+	hostTurns  = 5
+	hostMemory = 15 * time.Second
 	// loadsEvery is how often the others are told of the workloads.
 	loadsEvery = 5 * time.Second
+	// placeEvery separates two rounds of placing. Ends and arrivals come by
+	// the dozen a second in a large pool; a round looks at every machine, and
+	// what it places shares a write.
+	placeEvery = 150 * time.Millisecond
 	// raiseEvery bounds how often an owner raises its epoch by itself.
 	raiseEvery = 3 * time.Second
 )
@@ -30,16 +38,25 @@
 	gen      int
 	jobs     map[string]*job
 	machines map[string]*machine
+	// byID are the machines in the order of their names, and dirty those for
+	// which orders may be due.
+	byID     []*machine
+	dirty    []*machine
 	used     map[string]Resources
 	rev      uint64
 	inFlight int
 	wake     time.Time
 	swept    time.Time
-	place    bool
+	// place: something has changed that may let tasks be placed, and hurry:
+	// for one whose wait is bounded. placed is when that was last done.
+	place, hurry bool
+	placed       time.Time
 	// view is the leader's knowledge of this owner's machines; wants and gone
 	// are what is asked of it.
 	view    *view
 	planned time.Time
+	// retired is when dear machines were last chosen to be retired.
+	retired time.Time
 	wants   map[kind]int
 	gone    []string
 	// frozen teams are being given up: nothing more is started for them.
@@ -58,6 +75,8 @@
 	waiting   map[string]time.Time
 	told      time.Time
 	toldLoads time.Time
+	// turn says which machines the others are told of next.
+	turn int
 }
 
 type workload struct {
@@ -101,8 +120,8 @@
 		if slices.Equal(o.share.Teams, share.Teams) {
 			o.epoch, o.share = stamp, share
 			o.place = true
-			for _, m := range o.machines {
-				m.dirty = true
+			for _, m := range o.byID {
+				n.mark(m)
 			}
 			return
 		}
@@ -214,7 +233,7 @@
 	// Those without are contacted as well, or they would stay with a former
 	// owner that has lost the state service alone, for the whole of its grace.
 	for _, id := range sortedKeys(n.heirloom) {
-		if h := n.heirloom[id]; n.steward(id) == n.set.Host && !n.returned[id] {
+		if h := n.heirloom[id]; n.now.Sub(h.heard) < hostMemory && n.steward(id) == n.set.Host && !n.returned[id] {
 			m := n.machine(id)
 			n.describe(m, h.Addr, h.Flavour, h.Zone, h.Spot)
 			for name, gb := range h.Images {
@@ -227,11 +246,16 @@
 	}
 }
 
-// hosts is what a successor has to know of the machines.
+// hosts is what a successor has to know of the machines: of some of them at a
+// time, so that news of a large pool is spread over the seconds.
 func (n *Node) hosts() []HostNews {
 	var out []HostNews
-	for _, id := range sortedKeys(n.owner.machines) {
-		m := n.owner.machines[id]
+	n.owner.turn = (n.owner.turn + 1) % hostTurns
+	for i, m := range n.owner.byID {
+		if i%hostTurns != n.owner.turn {
+			continue
+		}
+		id := m.id
 		if !m.heard || m.returning || n.silent(m) {
 			continue
 		}
@@ -298,9 +322,9 @@
 			g.tasks = append(g.tasks, row.Index)
 		}
 	}
-	if len(j.times) == 0 {
+	if len(j.sorted) == 0 {
 		for _, ms := range r.Times {
-			j.times = append(j.times, time.Duration(ms)*time.Millisecond)
+			j.ran(time.Duration(ms) * time.Millisecond)
 		}
 	}
 }
@@ -387,6 +411,7 @@
 		if !r.Cancelled {
 			n.debug("job", "job", id, "workload", j.Workload, "tasks", j.Tasks, "due", j.Due, "image", j.Image, "age", n.now.Sub(j.at))
 			o.workloads[j.Workload] = &workload{&j.Spec, n.now}
+			o.hurry = o.hurry || n.waitBound(j.Workload) > 0
 			if o.ready {
 				// What is there at a takeover came before.
 				o.arrivals[j.Workload] = append(o.arrivals[j.Workload], arrival{n.now, j.Tasks, j.Need, &j.Spec})
@@ -400,7 +425,7 @@
 		for i := range j.tasks[:j.fresh] {
 			if t := &j.tasks[i]; t.m != nil {
 				t.stop = stopCancel
-				t.m.dirty = true
+				n.mark(t.m)
 			}
 		}
 	}
@@ -436,6 +461,9 @@
 		m.idleSince = n.now
 		m.used = Resources{}
 	}
+	if t.isRunning() {
+		j.running--
+	}
 	t.m, t.seen, t.started = nil, false, time.Time{}
 	if t.stop == stopRelaunch {
 		t.avoid = m.id
@@ -471,25 +499,44 @@
 		n.tellPeers()
 		o.place = true
 	}
-	if o.place {
-		o.place = false
+	if o.place && (o.hurry || n.now.Sub(o.placed) >= placeEvery) {
+		o.place, o.hurry, o.placed = false, false, n.now
 		n.placeAll()
 	}
 	n.endJobs()
 	n.writeChunks()
-	for _, id := range sortedKeys(o.machines) {
-		if m := o.machines[id]; m.dirty {
-			n.direct(m)
+	n.directAll()
+	o.wake = o.swept.Add(ownerPeriod)
+	if next := o.placed.Add(placeEvery); o.place && next.Before(o.wake) {
+		o.wake = next
+	}
+}
+
+// unsaved are the jobs with chunks to write, in order.
+func (o *owner) unsaved() []*job {
+	var out []*job
+	for _, j := range o.jobs {
+		if !j.unsaved {
+			continue
+		}
+		j.unsaved = false
+		for _, c := range j.chunks {
+			j.unsaved = j.unsaved || c.busy || c.ver != c.saved
+		}
+		if j.unsaved {
+			out = append(out, j)
 		}
 	}
-	o.wake = o.swept.Add(ownerPeriod)
+	slices.SortFunc(out, func(a, b *job) int { return strings.Compare(a.ID, b.ID) })
+	return out
 }
 
 // writeChunks writes changed chunks, the urgent ones now and the others with
 // them or when they have waited long enough.
 func (n *Node) writeChunks() {
 	o := n.owner
-	for o.inFlight < chunkTxns {
+	unsaved := o.unsaved()
+	for len(unsaved) > 0 && o.inFlight < chunkTxns {
 		op := StateOp{Kind: OpTxn, Prio: PrioLazy, When: []Cond{{sharePrefix + n.set.Host, o.epoch}}}
 		type part struct {
 			j   *job
@@ -500,8 +547,8 @@
 		size := 0
 		based := map[string]bool{}
 		add := func(lazy bool) {
-			for _, id := range sortedKeys(o.jobs) {
-				j := o.jobs[id]
+			for _, j := range unsaved {
+				id := j.ID
 				// A cancelled job's records only go; see endJob.
 				if j.ending || j.cancelled {
 					continue
@@ -553,7 +600,7 @@
 				case StateOK:
 					p.c.busy = false
 					p.c.stamp, p.c.saved = d.Rev, p.ver
-					n.chunkSaved(p.j)
+					n.chunkSaved(p.j, p.c)
 				case StateConflict:
 					n.settle(p.j, p.c, d.Failed)
 				case StateRefused:
@@ -621,17 +668,11 @@
 	})
 }
 
-// chunkSaved sends what waited for the write.
-func (n *Node) chunkSaved(j *job) {
-	for _, m := range n.owner.machines {
-		for k := range m.attempts {
-			if k.job == j.ID {
-				m.dirty = true
-				break
-			}
-		}
-		if m.owes(j.ID) {
-			m.dirty = true
+// chunkSaved sends what waited for the write: starts.
+func (n *Node) chunkSaved(j *job, c *chunk) {
+	for i := c.n * j.per; i < min((c.n+1)*j.per, j.fresh); i++ {
+		if t := &j.tasks[i]; t.m != nil && (!t.sent || t.stop != stopNone) {
+			n.mark(t.m)
 		}
 	}
 }
@@ -640,13 +681,17 @@
 // cancelled ones whose tasks are all gone.
 func (n *Node) endJobs() {
 	o := n.owner
-	for _, id := range sortedKeys(o.jobs) {
-		j := o.jobs[id]
-		over := j.cancelled && j.live == 0 || !j.cancelled && j.done == len(j.tasks)
-		if !over || j.ending || o.inFlight >= chunkTxns+2 {
-			continue
+	var over []*job
+	for _, j := range o.jobs {
+		if !j.ending && (j.cancelled && j.live == 0 || !j.cancelled && j.done == len(j.tasks)) {
+			over = append(over, j)
+		}
+	}
+	slices.SortFunc(over, func(a, b *job) int { return strings.Compare(a.ID, b.ID) })
+	for _, j := range over {
+		if o.inFlight < chunkTxns+2 {
+			n.endJob(j)
 		}
-		n.endJob(j)
 	}
 	if len(o.orphans) > 0 && o.inFlight < chunkTxns {
 		n.dropOrphans()
@@ -720,11 +765,6 @@
 	o := n.owner
 	delete(o.jobs, j.ID)
 	o.orphans = append(o.orphans, rest...)
-	for _, m := range o.machines {
-		if m.owes(j.ID) {
-			m.dirty = true
-		}
-	}
 }
 
 func (n *Node) dropOrphans() {
@@ -806,8 +846,8 @@
 	if n.now.Sub(o.toldLoads) >= loadsEvery {
 		o.toldLoads = n.now
 		news.Loads = n.loads()
-		news.Hosts = n.hosts()
 	}
+	news.Hosts = n.hosts()
 	for _, p := range n.set.Peers {
 		out := news
 		if n.leader == nil && p == n.sess.lead.Host && o.view != nil {
--- a/internal/core/place.go
+++ b/internal/core/place.go
@@ -1,7 +1,10 @@
 package core
 
 import (
+	"cmp"
+	"container/heap"
 	"slices"
+	"strings"
 	"time"
 )
 
@@ -130,14 +133,17 @@
 	}
 	var rs []ranked
 	cpus := 0.0
-	for _, m := range n.owner.machines {
+	for _, m := range n.owner.byID {
 		cpus += m.size.CPU
 	}
-	for _, id := range sortedKeys(n.owner.jobs) {
-		j := n.owner.jobs[id]
-		if n.owner.frozen[j.Team] || j.pending() == 0 || j.notBefore.After(n.now) {
-			continue
+	var waiting []*job
+	for _, j := range n.owner.jobs {
+		if j.pending() > 0 && !n.owner.frozen[j.Team] && !j.notBefore.After(n.now) {
+			waiting = append(waiting, j)
 		}
+	}
+	slices.SortFunc(waiting, func(a, b *job) int { return strings.Compare(a.ID, b.ID) })
+	for _, j := range waiting {
 		w := n.set.Policy.Weight[j.Workload]
 		// Aims count jobs, so of two that are as pressing the one with less
 		// left to do goes first: together they are done the sooner.
@@ -171,16 +177,79 @@
 
 // usable says whether tasks may be placed on m now.
 func (n *Node) usable(m *machine) bool {
-	if !m.heard || m.recall || m.returning || m.bad || m.size.CPU <= 0 || n.silent(m) {
-		return false
+	return m.heard && !m.recall && !m.returning && !m.bad && !m.strays && m.size.CPU > 0 && !n.silent(m)
+}
+
+// round is what a look at the waiting jobs finds out once for all of them.
+type round struct {
+	// all are the usable machines, and open those with any room.
+	all, open []*machine
+	cheapest  float64
+	// warm are the images of workloads whose wait is bounded.
+	warm   map[string]bool
+	scarce map[string]map[string]scarcity
+	// full are the kinds of tasks for which no room was found anywhere. Of a
+	// long queue of alike jobs only the first looks at every machine.
+	full map[shape]bool
+}
+
+// shape is what of a task decides where it may go.
+type shape struct {
+	workload string
+	need     Resources
+	flavours string
+	zone     string
+	spot     bool
+}
+
+func (j *job) shape() shape {
+	s := shape{workload: j.Workload, need: j.Need, zone: j.Zone, spot: j.Spot}
+	if len(j.Flavours) > 0 {
+		s.flavours = strings.Join(j.Flavours, " ")
 	}
-	for k, p := range m.pieces {
-		if p.Status != Ended && m.attempts[k] == nil {
-			// Something runs there that should not; its size is not known.
-			return false
+	return s
+}
+
+func (n *Node) newRound() *round {
+	r := &round{cheapest: n.cheapest(), warm: map[string]bool{}, scarce: map[string]map[string]scarcity{}, full: map[shape]bool{}}
+	for _, m := range n.owner.byID {
+		if !n.usable(m) {
+			continue
+		}
+		r.all = append(r.all, m)
+		if free := m.size.Plus(m.used, -1); free.CPU > slack && free.Memory > slack {
+			r.open = append(r.open, m)
 		}
 	}
-	return true
+	for _, w := range n.owner.workloads {
+		if n.waitBound(w.spec.Workload) > 0 && n.now.Sub(w.last) < workloadMemory {
+			for _, a := range n.owner.arrivals[w.spec.Workload] {
+				r.warm[a.spec.Image] = true
+			}
+		}
+	}
+	return r
+}
+
+// warmed says that m holds an image of a workload with a bounded wait.
+func (r *round) warmed(m *machine) bool {
+	for name, im := range m.images {
+		if im.cached && r.warm[name] {
+			return true
+		}
+	}
+	return false
+}
+
+func (n *Node) scarceFor(r *round, j *job) map[string]scarcity {
+	s, ok := r.scarce[j.Workload]
+	if !ok || len(j.Flavours) > 0 {
+		s = n.scarce(&j.Spec)
+		if len(j.Flavours) == 0 {
+			r.scarce[j.Workload] = s
+		}
+	}
+	return s
 }
 
 // placeAll places what waits, in order.
@@ -190,15 +259,10 @@
 	if len(jobs) == 0 {
 		return
 	}
-	var ms []*machine
-	for _, id := range sortedKeys(o.machines) {
-		if m := o.machines[id]; n.usable(m) {
-			ms = append(ms, m)
-		}
-	}
 	if n.now.After(n.sess.sureUntil) {
 		return
 	}
+	r := n.newRound()
 	o.waiting = map[string]time.Time{}
 	for _, j := range jobs {
 		l := n.latest(j)
@@ -208,31 +272,43 @@
 	}
 	for _, j := range jobs {
 		if j.Gang {
-			n.placeGang(j, ms)
+			n.placeGang(j, r)
 			continue
 		}
 		bound := n.waitBound(j.Workload)
 		if bound == 0 || j.Urgency == BestEffort {
-			n.placeJob(j, ms, forever, j.pending())
+			n.placeJob(j, r, forever, j.pending())
 			continue
 		}
 		// Where an objective bounds the wait: first where the image is, then
 		// in the place of lower work there, and only then where it must be
 		// fetched first, which alone can take longer than the bound.
 		left := bound - n.now.Sub(j.at) - fetchMargin
-		n.placeJob(j, ms, max(left, 0), j.pending())
+		n.placeJob(j, r, max(left, 0), j.pending())
 		coming := 0
 		switch {
 		case j.pending() == 0:
 		case left > 0:
-			coming = n.preempt(j, ms, left)
+			coming = n.preemptFor(j, r, left)
 		case n.latest(j).Sub(n.now) < bound:
-			coming = n.preempt(j, ms, forever)
+			coming = n.preemptFor(j, r, forever)
 		}
-		n.placeJob(j, ms, forever, j.pending()-coming)
+		n.placeJob(j, r, forever, j.pending()-coming)
 	}
 }
 
+// preemptEvery is how often a waiting job may look for work to stop: it goes
+// through the attempts of many machines.
+const preemptEvery = 500 * time.Millisecond
+
+func (n *Node) preemptFor(j *job, r *round, fetch time.Duration) int {
+	if n.now.Sub(j.preempted) >= preemptEvery {
+		j.preempted = n.now
+		j.coming = n.preempt(j, r.all, fetch)
+	}
+	return min(j.coming, j.pending())
+}
+
 // preemptMost is how often a task may be stopped for others: work is not to be
 // stopped in turns and never end.
 const preemptMost = 2
@@ -247,31 +323,6 @@
 	return 0
 }
 
-// warmed names the machines that hold an image of a workload with a bounded
-// wait, when j is of another.
-func (n *Node) warmed(j *job, ms []*machine) map[string]bool {
-	if n.waitBound(j.Workload) > 0 {
-		return nil
-	}
-	images := map[string]bool{}
-	for _, w := range n.owner.workloads {
-		if n.waitBound(w.spec.Workload) > 0 && n.now.Sub(w.last) < workloadMemory {
-			for _, a := range n.owner.arrivals[w.spec.Workload] {
-				images[a.spec.Image] = true
-			}
-		}
-	}
-	out := map[string]bool{}
-	for _, m := range ms {
-		for name, im := range m.images {
-			if im.cached && images[name] {
-				out[m.id] = true
-			}
-		}
-	}
-	return out
-}
-
 // preempt stops tasks of lower urgency so that the waiting tasks of j find room
 // where the image takes no longer than fetch, the least work lost first. It says
 // for how many tasks room is coming, by these stops and by earlier ones.
@@ -296,30 +347,29 @@
 		free[m] = f
 		need -= f.Times(j.Need)
 	}
-	for need > 0 {
-		var best []*task
-		var at *machine
-		var least time.Duration
-		for _, m := range on {
-			victims, loss, ok := n.victims(j, m, free[m])
-			if !ok {
-				continue
-			}
-			if best == nil || loss < least {
-				best, at, least = victims, m, loss
-			}
-		}
-		if best == nil || least > n.expects(j) {
-			break
+	if need <= 0 {
+		return j.pending()
+	}
+	type choice struct {
+		m    *machine
+		ts   []*task
+		loss time.Duration
+	}
+	var cs []choice
+	for _, m := range on {
+		if ts, loss, ok := n.victims(j, m, free[m]); ok && loss <= n.expects(j) {
+			cs = append(cs, choice{m, ts, loss})
 		}
-		for _, t := range best {
+	}
+	slices.SortStableFunc(cs, func(a, b choice) int { return cmp.Compare(a.loss, b.loss) })
+	for _, c := range cs[:min(len(cs), need)] {
+		for _, t := range c.ts {
 			t.stop, t.stopped = stopPreempt, n.now
 			t.preempted++
 		}
-		at.dirty = true
-		free[at] = Resources{CPU: -1}
+		n.mark(c.m)
 		need--
-		n.debug("preempt", "for", j.ID, "machine", at.id, "stopped", len(best), "loss", least)
+		n.debug("preempt", "for", j.ID, "machine", c.m.id, "stopped", len(c.ts), "loss", c.loss)
 	}
 	return j.pending() - max(need, 0)
 }
@@ -332,10 +382,11 @@
 		loss time.Duration
 	}
 	var vs []victim
-	for _, k := range sortedAttempts(m) {
+	able := m.attemptsIf(func(t *task) bool { return t.stop == stopNone && t.preempted < preemptMost })
+	for _, k := range able {
 		t := m.attempts[k]
 		o := n.owner.jobs[k.job]
-		if o.Urgency >= j.Urgency || o.Gang || o.Standing || t.stop != stopNone || t.preempted >= preemptMost {
+		if o.Urgency >= j.Urgency || o.Gang || o.Standing {
 			continue
 		}
 		var loss time.Duration
@@ -369,7 +420,7 @@
 
 // placeGang places all tasks of a gang or none, in one zone after another when
 // they must be in the same place.
-func (n *Node) placeGang(j *job, ms []*machine) {
+func (n *Node) placeGang(j *job, r *round) {
 	if j.live > 0 {
 		// Some were lost. The workers end the others by themselves; those
 		// that do not are stopped.
@@ -377,7 +428,7 @@
 			t := &j.tasks[i]
 			if t.m != nil && t.stop == stopNone && n.now.Sub(time.UnixMilli(t.group)) > gangPatience {
 				t.stop = stopDrain
-				t.m.dirty = true
+				n.mark(t.m)
 			}
 		}
 		return
@@ -387,12 +438,13 @@
 		zones = n.set.Zones
 	}
 	for _, z := range zones {
-		in := ms
+		in := *r
 		if z != "" {
-			in = slices.DeleteFunc(slices.Clone(ms), func(m *machine) bool { return m.zone != z })
+			in.open = slices.DeleteFunc(slices.Clone(r.open), func(m *machine) bool { return m.zone != z })
+			in.full = map[shape]bool{}
 		}
-		if n.fitsAll(j, in) {
-			n.placeJob(j, in, forever, j.pending())
+		if n.fitsAll(j, in.open) {
+			n.placeJob(j, &in, forever, j.pending())
 			return
 		}
 	}
@@ -427,22 +479,68 @@
 	return room >= j.pending()
 }
 
+// place is a machine on which a task of a job may go, and how well it suits;
+// less is better.
+type place struct {
+	m     *machine
+	i     int
+	score float64
+}
+
+type places []place
+
+func (p places) Len() int { return len(p) }
+func (p places) Less(a, b int) bool {
+	return p[a].score < p[b].score || p[a].score == p[b].score && p[a].i < p[b].i
+}
+func (p places) Swap(a, b int) { p[a], p[b] = p[b], p[a] }
+func (p *places) Push(x any)   { *p = append(*p, x.(place)) }
+func (p *places) Pop() any {
+	o := *p
+	x := o[len(o)-1]
+	*p = o[:len(o)-1]
+	return x
+}
+
 // placeJob places up to count waiting tasks on machines that need no longer than
-// fetch to have the image.
-func (n *Node) placeJob(j *job, ms []*machine, fetch time.Duration, count int) {
+// fetch to have the image. All machines are rated once for the job; a placement
+// changes the rating of one of them.
+func (n *Node) placeJob(j *job, r *round, fetch time.Duration, count int) {
+	if count <= 0 || j.pending() == 0 || !n.withinLimit(j) {
+		return
+	}
+	like := j.shape()
+	if r.full[like] {
+		return
+	}
+	sc := n.scarceFor(r, j)
+	var ps places
+	for i, m := range r.open {
+		if s, ok := n.rate(j, m, r, sc, fetch); ok {
+			ps = append(ps, place{m, i, s})
+		}
+	}
+	heap.Init(&ps)
 	var g *group
 	id := n.now.UnixMilli()
+	var shunned []place
 	for ; count > 0 && j.pending() > 0 && n.withinLimit(j); count-- {
 		i := j.nextPending(n.now)
 		if i < 0 {
 			return
 		}
 		t := &j.tasks[i]
-		m := n.pick(j, t, ms, fetch)
-		if m == nil {
+		for len(ps) > 0 && t.shuns(ps[0].m.id) {
+			shunned = append(shunned, heap.Pop(&ps).(place))
+		}
+		if len(ps) == 0 {
 			j.again = append([]int{i}, j.again...)
+			if fetch == forever && len(shunned) == 0 && !j.SamePlace && !j.Apart {
+				r.full[like] = true
+			}
 			return
 		}
+		m := ps[0].m
 		if g == nil {
 			g = j.groups[id]
 			if g == nil {
@@ -458,53 +556,57 @@
 		m.image(j, n.now, false)
 		j.touch(i, n.now, true)
 		n.debug("placed", "job", j.ID, "task", i, "try", t.try, "machine", m.id)
-	}
-}
-
-// pick chooses the machine for a task: first where the image is, then where it
-// is coming, then the fullest, so that machines go empty.
-func (n *Node) pick(j *job, t *task, ms []*machine, fetch time.Duration) *machine {
-	var best *machine
-	var bestScore float64
-	scarce := n.scarce(&j.Spec)
-	cheapest := n.cheapest()
-	keep := n.warmed(j, ms)
-	for _, m := range ms {
-		if t.shuns(m.id) {
-			continue
-		}
-		free := m.size.Plus(m.used, -1)
-		if !j.Need.Fits(free) || !j.allows(m.flavour, m.zone, m.spot) || !j.zoneOK(m.zone) {
-			continue
-		}
-		pull := n.fetchTime(m, j)
-		if pull > fetch {
-			continue
-		}
-		if m.retiring && n.waitBound(j.Workload) == 0 {
-			continue
+		if j.SamePlace || j.Apart {
+			// Where the next may go depends on the zone of this one.
+			ps = slices.DeleteFunc(ps, func(p place) bool { return !j.zoneOK(p.m.zone) })
+			heap.Init(&ps)
 		}
-		s := pull.Seconds()
-		if keep[m.id] {
-			s += keepPenalty.Seconds()
-		}
-		if m.speedN >= slowSeen && m.speed > slowMachine {
-			s += n.expects(j).Seconds() * (m.speed - 1)
-		}
-		switch scarce[m.flavour] {
-		case scarceNow:
-			continue
-		case scarceSoon:
-			s += scarcePenalty.Seconds()
+		for k := range ps {
+			if ps[k].m != m {
+				continue
+			}
+			if s, ok := n.rate(j, m, r, sc, fetch); ok {
+				ps[k].score = s
+				heap.Fix(&ps, k)
+			} else {
+				heap.Remove(&ps, k)
+			}
+			break
 		}
-		s += dearPenalty.Seconds() * (n.unitPrice(m)/cheapest - 1)
-		left := (free.CPU - j.Need.CPU) / max(m.size.CPU, 1)
-		s += left
-		if best == nil || s < bestScore {
-			best, bestScore = m, s
+		for _, p := range shunned {
+			heap.Push(&ps, p)
 		}
+		shunned = shunned[:0]
+	}
+}
+
+// rate says how well a machine suits a task of j: best where the image is, then
+// where it is coming, then the fullest, so that machines go empty.
+func (n *Node) rate(j *job, m *machine, r *round, sc map[string]scarcity, fetch time.Duration) (float64, bool) {
+	free := m.size.Plus(m.used, -1)
+	if !j.Need.Fits(free) || !j.allows(m.flavour, m.zone, m.spot) || !j.zoneOK(m.zone) {
+		return 0, false
+	}
+	bounded := n.waitBound(j.Workload) > 0
+	if m.retiring && !bounded || sc[m.flavour] == scarceNow {
+		return 0, false
+	}
+	pull := n.fetchTime(m, j)
+	if pull > fetch {
+		return 0, false
+	}
+	s := pull.Seconds()
+	if !bounded && r.warmed(m) {
+		s += keepPenalty.Seconds()
+	}
+	if m.speedN >= slowSeen && m.speed > slowMachine {
+		s += n.expects(j).Seconds() * (m.speed - 1)
+	}
+	if sc[m.flavour] == scarceSoon {
+		s += scarcePenalty.Seconds()
 	}
-	return best
+	s += dearPenalty.Seconds() * (n.unitPrice(m)/r.cheapest - 1)
+	return s + (free.CPU-j.Need.CPU)/max(m.size.CPU, 1), true
 }
 
 // cheapest is the lowest price of a processor among all kinds.
@@ -656,7 +758,7 @@
 			for _, i := range late {
 				t := &j.tasks[i]
 				t.relaunched, t.stop = true, stopRelaunch
-				t.m.dirty = true
+				n.mark(t.m)
 				j.touch(i, n.now, true)
 				n.debug("relaunch", "job", j.ID, "task", i, "machine", t.m.id, "limit", limit)
 			}
@@ -673,8 +775,8 @@
 			return false
 		}
 		room := false
-		for _, m := range n.owner.machines {
-			if m != t.m && n.usable(m) && j.Need.Fits(m.size.Plus(m.used, -1)) && j.allows(m.flavour, m.zone, m.spot) {
+		for _, m := range n.owner.byID {
+			if m != t.m && j.Need.Fits(m.size.Plus(m.used, -1)) && j.allows(m.flavour, m.zone, m.spot) && n.usable(m) {
 				room = true
 				break
 			}
