Planning on heaps of entries without pointers; a benchmark over sizes

Cause found with it: nine tenths of the core's time was the plan, mostly comparing moments and looking up images.

--- a/internal/core/play.go
+++ b/internal/core/play.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"container/heap"
 	"slices"
 	"time"
 )
@@ -26,130 +25,166 @@
 	vs []*virtual
 	// queues hold, for each kind of task that was asked for, the machines by
 	// when one could run there.
-	queues map[task1]*queue
+	queues map[work]*queue
 }
 
-// task1 is what of a task decides when it could run on which machine.
-type task1 struct {
+// work is what of a task decides when it could run on which machine.
+type work struct {
 	shape
 	image string
 	gb    float64
 }
 
-// queue orders machines for alike tasks. Entries may be out of date: a machine
-// that other tasks took room on is later than its entry says, and is put back
-// when it comes up.
+// queue orders machines for alike tasks, as a heap. Entries may be out of date:
+// a machine that other tasks took room on is later than its entry says, which
+// is put right when it comes up. It is the innermost part of all planning, and
+// so a plain heap without pointers.
 type queue struct {
 	known int
-	ready bool
-	es    entries
+	es    []entry
 }
 
+// entry is a machine: where it stands in the plan, when a task could start to
+// fetch and how long that takes, and how many tasks it had taken by then.
 type entry struct {
-	v  *virtual
-	i  int
-	at time.Time
+	start, fetch time.Duration
+	i, taken     int
 }
 
-type entries []entry
+func (e *entry) at() time.Duration { return e.start + e.fetch }
 
-func (q entries) Len() int { return len(q) }
-func (q entries) Less(a, b int) bool {
-	if c := q[a].at.Compare(q[b].at); c != 0 {
-		return c < 0
+func (e *entry) before(o *entry) bool {
+	a, b := e.at(), o.at()
+	return a < b || a == b && e.i < o.i
+}
+
+func (q *queue) up(k int) {
+	for k > 0 {
+		p := (k - 1) / 2
+		if !q.es[k].before(&q.es[p]) {
+			return
+		}
+		q.es[k], q.es[p] = q.es[p], q.es[k]
+		k = p
+	}
+}
+
+func (q *queue) down(k int) {
+	for {
+		c := 2*k + 1
+		if c >= len(q.es) {
+			return
+		}
+		if c+1 < len(q.es) && q.es[c+1].before(&q.es[c]) {
+			c++
+		}
+		if !q.es[c].before(&q.es[k]) {
+			return
+		}
+		q.es[k], q.es[c] = q.es[c], q.es[k]
+		k = c
 	}
-	return q[a].i < q[b].i
 }
-func (q entries) Swap(a, b int) { q[a], q[b] = q[b], q[a] }
-func (q *entries) Push(x any)   { *q = append(*q, x.(entry)) }
-func (q *entries) Pop() any {
-	o := *q
-	x := o[len(o)-1]
-	*q = o[:len(o)-1]
-	return x
+
+func (q *queue) push(e entry) {
+	q.es = append(q.es, e)
+	q.up(len(q.es) - 1)
+}
+
+func (q *queue) pop() entry {
+	e := q.es[0]
+	last := len(q.es) - 1
+	q.es[0] = q.es[last]
+	q.es = q.es[:last]
+	q.down(0)
+	return e
 }
 
 // boot adds a machine that is not up yet.
 func (p *plan) boot(k kind, ready time.Time) *virtual {
-	v := &virtual{k: k, at: ready, free: p.n.types[k.flavour].Size}
+	v := &virtual{k: k, at: max(0, ready.Sub(p.n.now)), free: p.n.types[k.flavour].Size}
 	p.vs = append(p.vs, v)
 	return v
 }
 
-// when is the earliest that a task of j could run on v, its image there.
-func (p *plan) when(v *virtual, j *job, from time.Time) (time.Time, bool) {
-	t, ok := v.earliest(j.Need, from, j.Gang)
+// entry says when a task of j could run on the machine at place i.
+func (p *plan) entry(i int, j *job) (entry, bool) {
+	v := p.vs[i]
+	start, ok := v.earliest(j.Need, j.Gang)
 	if !ok {
-		return t, false
+		return entry{}, false
 	}
-	return t.Add(p.fetch(v, j)), true
+	return entry{start, p.fetch(v, j), i, v.taken}, true
 }
 
-// best is the machine on which a task could run first, its image there, and
-// when.
-func (p *plan) best(j *job, from time.Time, zones *zonePlan) (*virtual, time.Time) {
-	if j.Gang || j.SamePlace || j.Apart || len(j.again) > 0 {
-		return p.bestOfAll(j, from, zones)
-	}
-	like := task1{j.shape(), j.Image, j.ImageGB}
+// queue is that of tasks like j's, with all machines in it.
+func (p *plan) queue(j *job) *queue {
+	like := work{j.shape(), j.Image, j.ImageGB}
 	q := p.queues[like]
 	if q == nil {
-		q = &queue{}
 		if p.queues == nil {
-			p.queues = map[task1]*queue{}
+			p.queues = map[work]*queue{}
 		}
+		q = &queue{es: make([]entry, 0, len(p.vs)+8)}
 		p.queues[like] = q
 	}
-	now := p.n.now
 	for ; q.known < len(p.vs); q.known++ {
-		v := p.vs[q.known]
-		if !j.allows(v.k.flavour, v.k.zone, v.k.spot) {
+		k := p.vs[q.known].k
+		if !j.allows(k.flavour, k.zone, k.spot) {
 			continue
 		}
-		if t, ok := p.when(v, j, now); ok {
-			q.es = append(q.es, entry{v, q.known, t})
-			if q.ready {
-				heap.Fix(&q.es, len(q.es)-1)
-			}
+		if e, ok := p.entry(q.known, j); ok {
+			q.push(e)
 		}
 	}
-	if !q.ready {
-		heap.Init(&q.es)
-		q.ready = true
+	return q
+}
+
+// best is the machine on which a task could run first, its image there, and
+// when.
+func (p *plan) best(j *job, from time.Time, zones *zonePlan) (*virtual, time.Time) {
+	now := p.n.now
+	wait := max(0, from.Sub(now))
+	if j.Gang || j.SamePlace || j.Apart || len(j.again) > 0 {
+		v, at := p.bestOfAll(j, wait, zones)
+		return v, now.Add(at)
 	}
+	q := p.queue(j)
 	// Entries tell of the earliest moment; for a task that comes later the
 	// first ones may all be as good, or one behind them better by its image.
-	var best *virtual
-	var at time.Time
+	best, at := -1, time.Duration(0)
 	var seen [lookAhead]entry
-	k, first := 0, 0
+	k := 0
 	for len(q.es) > 0 && k < lookAhead {
-		e := q.es[0]
-		if best != nil && e.at.After(at) {
+		e := &q.es[0]
+		if best >= 0 && e.at() > at {
 			break
 		}
-		t, ok := p.when(e.v, j, now)
-		if !ok {
-			heap.Pop(&q.es)
+		if p.vs[e.i].taken != e.taken {
+			if x, ok := p.entry(e.i, j); ok {
+				*e = x
+				q.down(0)
+			} else {
+				q.pop()
+			}
 			continue
 		}
-		if t.After(e.at) {
-			q.es[0].at = t
-			heap.Fix(&q.es, 0)
-			continue
+		if t := max(e.start, wait) + e.fetch; best < 0 || t < at || t == at && e.i < best {
+			best, at = e.i, t
 		}
-		heap.Pop(&q.es)
-		seen[k] = e
-		k++
-		t, ok = p.when(e.v, j, from)
-		if ok && (best == nil || t.Before(at) || t.Equal(at) && e.i < first) {
-			best, at, first = e.v, t, e.i
+		if e.start >= wait {
+			break
 		}
+		seen[k] = q.pop()
+		k++
 	}
 	for _, e := range seen[:k] {
-		heap.Push(&q.es, e)
+		q.push(e)
 	}
-	return best, at
+	if best < 0 {
+		return nil, now
+	}
+	return p.vs[best], now.Add(at)
 }
 
 // lookAhead is how many of the first machines are compared for a task that
@@ -157,15 +192,17 @@
 const lookAhead = 8
 
 // bestOfAll looks at every machine, for tasks that are not all alike.
-func (p *plan) bestOfAll(j *job, from time.Time, zones *zonePlan) (*virtual, time.Time) {
+func (p *plan) bestOfAll(j *job, wait time.Duration, zones *zonePlan) (*virtual, time.Duration) {
 	var best *virtual
-	var at time.Time
-	for _, v := range p.vs {
+	var at time.Duration
+	for i, v := range p.vs {
 		if !j.allows(v.k.flavour, v.k.zone, v.k.spot) || zones.room(v.k.zone) == 0 || v.m != nil && j.avoids(v.m.id) {
 			continue
 		}
-		if t, ok := p.when(v, j, from); ok && (best == nil || t.Before(at)) {
-			best, at = v, t
+		if e, ok := p.entry(i, j); ok {
+			if t := max(e.start, wait) + e.fetch; best == nil || t < at {
+				best, at = v, t
+			}
 		}
 	}
 	return best, at
@@ -174,7 +211,7 @@
 // fetch is how long v would take to have the image.
 func (p *plan) fetch(v *virtual, j *job) time.Duration {
 	switch {
-	case v.has[j.Image]:
+	case slices.Contains(v.has, j.Image):
 		return 0
 	case v.m != nil:
 		return p.n.fetchTime(v.m, j)
@@ -185,18 +222,18 @@
 
 // take lets a task of j start on v, and says when.
 func (p *plan) take(v *virtual, j *job, from time.Time, zones *zonePlan) time.Time {
-	at, ok := v.earliest(j.Need, from, j.Gang)
+	at, ok := v.earliest(j.Need, j.Gang)
 	if !ok {
 		return from
 	}
+	at = max(at, from.Sub(p.n.now))
 	fetch := p.fetch(v, j)
-	if v.has == nil {
-		v.has = map[string]bool{}
+	if !slices.Contains(v.has, j.Image) {
+		v.has = append(slices.Clip(v.has), j.Image)
 	}
-	v.has[j.Image] = true
 	v.take(j.Need, at, fetch+p.n.runs(j))
 	zones.take(v.k.zone, 1)
-	return at.Add(fetch)
+	return p.n.now.Add(at + fetch)
 }
 
 // play places a demand's tasks and tells of each where and when; v is nil for
@@ -280,53 +317,57 @@
 	return out
 }
 
-// virtual is a machine played forward: its free room at a time, and what running
-// tasks will leave later.
+// virtual is a machine played forward: its free room at a time from now, and
+// what running tasks will leave later.
 type virtual struct {
 	k    kind
 	m    *machine
 	idle bool
-	// has are the images that tasks played onto it have fetched.
-	has  map[string]bool
-	at   time.Time
-	free Resources
-	ends []release
+	// has are the images that tasks played onto it have fetched, and taken
+	// counts those tasks.
+	has   []string
+	taken int
+	at    time.Duration
+	free  Resources
+	ends  []release
 }
 
 type release struct {
-	at   time.Time
+	at   time.Duration
 	need Resources
 }
 
-// earliest is when a task fits, not before from. A gang's tasks need their room
-// all at once, so room that is left one after another is none to them.
-func (v *virtual) earliest(need Resources, from time.Time, gang bool) (time.Time, bool) {
-	free, at := v.free, later(v.at, from)
+// earliest is when a task fits. A gang's tasks need their room all at once, so
+// room that is left one after another is none to them.
+func (v *virtual) earliest(need Resources, gang bool) (time.Duration, bool) {
+	free := v.free
 	if need.Fits(free) {
-		return at, true
+		return v.at, true
 	}
 	if gang {
-		return time.Time{}, false
+		return 0, false
 	}
-	for _, e := range v.ends {
+	for i := range v.ends {
+		e := &v.ends[i]
 		free = free.Plus(e.need, 1)
 		if need.Fits(free) {
-			return later(at, e.at), true
+			return max(v.at, e.at), true
 		}
 	}
-	return time.Time{}, false
+	return 0, false
 }
 
-// take lets a task start at the time that earliest gave.
-func (v *virtual) take(need Resources, at time.Time, run time.Duration) {
+// take lets a task start at the time that earliest gave, or later.
+func (v *virtual) take(need Resources, at, run time.Duration) {
 	for len(v.ends) > 0 && !need.Fits(v.free) {
 		v.free = v.free.Plus(v.ends[0].need, 1)
-		v.at = later(v.at, v.ends[0].at)
+		v.at = max(v.at, v.ends[0].at)
 		v.ends = v.ends[1:]
 	}
+	v.taken++
 	v.free = v.free.Plus(need, -1)
-	end := release{at.Add(run), need}
-	i, _ := slices.BinarySearchFunc(v.ends, end, func(a, b release) int { return a.at.Compare(b.at) })
+	end := release{at + run, need}
+	i, _ := slices.BinarySearchFunc(v.ends, end, func(a, b release) int { return cmp.Compare(a.at, b.at) })
 	v.ends = slices.Insert(v.ends, i, end)
 }
 
@@ -348,7 +389,7 @@
 		if !n.usable(m) {
 			continue
 		}
-		v := &virtual{k: kind{m.flavour, m.zone, m.spot}, m: m, idle: len(m.attempts) == 0, at: n.now, free: m.size.Plus(m.used, -1)}
+		v := &virtual{k: kind{m.flavour, m.zone, m.spot}, m: m, idle: len(m.attempts) == 0, free: m.size.Plus(m.used, -1)}
 		v.ends = make([]release, 0, len(m.attempts)+1)
 		for k, t := range m.attempts {
 			j := n.owner.jobs[k.job]
@@ -360,10 +401,10 @@
 			if !t.started.IsZero() {
 				left = max(e-n.now.Sub(t.started), e/5)
 			}
-			v.ends = append(v.ends, release{n.now.Add(left), j.Need})
+			v.ends = append(v.ends, release{left, j.Need})
 		}
 		slices.SortFunc(v.ends, func(a, b release) int {
-			return cmp.Or(a.at.Compare(b.at), cmp.Compare(a.need.CPU, b.need.CPU), cmp.Compare(a.need.Memory, b.need.Memory))
+			return cmp.Or(cmp.Compare(a.at, b.at), cmp.Compare(a.need.CPU, b.need.CPU), cmp.Compare(a.need.Memory, b.need.Memory))
 		})
 		vs = append(vs, v)
 	}
--- a/internal/core/types.go
+++ b/internal/core/types.go
@@ -122,6 +122,8 @@
 	TxnOps     int
 	ValueBytes int
 	ListLag    time.Duration
+	// CloudRPS is the cloud's limit of requests a second.
+	CloudRPS float64
 
 	// Nonce tells the lives of one controller apart.
 	Nonce  string
--- /dev/null
+++ b/internal/standin/large_test.go
@@ -0,0 +1,93 @@
+package standin
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/micahill/micahill/internal/core"
+)
+
+// largeWorld is a pool of some hundred machines and more, with three workloads:
+// rush with a bounded wait, batch of middle size, and wide tasks.
+func largeWorld(seed uint64, scale float64) *World {
+	set := testSettings()
+	set.Zones = []string{"a"}
+	set.ReportEvery, set.Lease = 8*time.Second, 34*time.Second
+	set.Teams = []core.Team{{Name: "ops"}}
+	set.CloudRPS = 10
+	set.Objectives = []core.Objective{
+		{Kind: "wait", Workload: "rush", Within: 3 * time.Second, Share: 0.88},
+		{Kind: "deadline", Workload: "rush", Share: 0.98, Times: 1},
+		{Kind: "finished", Workload: "wide", Within: 120 * time.Second, Share: 0.85},
+	}
+	room := func(n float64) int { return max(1, int(n*scale)) }
+	return NewWorld(seed, 3, set, 64*time.Second, []core.Flavour{
+		{Name: "box", Size: core.Resources{CPU: 4, Memory: 32}, DiskGB: 50, PullRate: 0.3, Price: 0.2, SpotPrice: 0.07, Ready: 50 * time.Second, Zones: []string{"a"}},
+		{Name: "rack", Size: core.Resources{CPU: 32, Memory: 128}, DiskGB: 70, PullRate: 0.4, Price: 1.45, SpotPrice: 0.53, Ready: 20 * time.Second, Zones: []string{"a"}},
+	}, map[string]int{"box/a/true": room(800), "box/a/false": room(700), "rack/a/true": room(100), "rack/a/false": room(59)})
+}
+
+// arrive submits what comes at the place in a time, at a scale of the full rate.
+func (w *World) arrive(rng *rand.Rand, scale float64, d time.Duration) {
+	kinds := []struct {
+		name   string
+		rate   float64
+		tasks  int
+		cpu    float64
+		mem    float64
+		run    time.Duration
+		gb     float64
+		images int
+		due    float64
+		urgent core.Urgency
+	}{
+		{"wide", 0.073, 45, 8, 22, 40 * time.Second, 3.5, 18, 0, core.Normal},
+		{"rush", 0.757, 11, 4, 14, 25 * time.Second, 0.9, 12, 2.5, core.Urgent},
+		{"reprint", 0.767, 30, 4, 15, 25 * time.Second, 1, 14, 2, core.Normal},
+	}
+	for _, k := range kinds {
+		n := int(k.rate * d.Seconds())
+		for range n {
+			w.names++
+			spec := core.Spec{
+				ID: fmt.Sprintf("job-%06d", w.names), Workload: k.name, Team: "ops", Urgency: k.urgent,
+				Tasks: max(1, int(float64(k.tasks)*scale*(0.3+1.4*rng.Float64()))), Need: core.Resources{CPU: k.cpu, Memory: k.mem},
+				Image: fmt.Sprintf("%s-%d", k.name, min(rng.IntN(k.images), rng.IntN(k.images))), ImageGB: k.gb, Spot: true, Expected: k.run,
+				Due: time.Duration(k.due*float64(k.run)) + core.Seconds(10*min(1, k.due)),
+			}
+			run := time.Duration(float64(k.run) * (0.7 + 0.6*rng.Float64()))
+			w.after(time.Duration(rng.Float64()*float64(d)), func() { w.Submit(spec, run, false) })
+		}
+	}
+}
+
+// BenchmarkSteady is what the owner does in a second of an ordinary day, by the
+// size of the pool. What matters is how it grows.
+func BenchmarkSteady(b *testing.B) {
+	for _, scale := range []float64{0.1, 0.3, 1} {
+		b.Run(fmt.Sprint(scale), func(b *testing.B) {
+			w := largeWorld(1, scale)
+			rng := rand.New(rand.NewPCG(1, 2))
+			w.arrive(rng, scale, 100*time.Second)
+			w.Run(100 * time.Second)
+			w.stepped = 0
+			from, rev := w.now, w.state.puts
+			for b.Loop() {
+				w.arrive(rng, scale, 10*time.Second)
+				w.Run(10 * time.Second)
+			}
+			s := w.now.Sub(from).Seconds()
+			b.ReportMetric(float64(w.stepped.Microseconds())/s, "core-µs/s")
+			b.ReportMetric(float64(w.state.puts-rev)/s, "changes/s")
+			up := 0
+			for _, m := range w.machine {
+				if m.up(w.now) {
+					up++
+				}
+			}
+			b.ReportMetric(float64(up), "machines")
+		})
+	}
+}
--- a/internal/standin/state.go
+++ b/internal/standin/state.go
@@ -22,7 +22,9 @@
 	rows   map[string]*stateRow
 	grants map[uint64]*grant
 	nextID uint64
-	news   []core.Item
+	// puts counts the changes.
+	puts int
+	news []core.Item
 	// lost is the newest revision whose change is no longer kept.
 	lost    uint64
 	waiting []*watch
@@ -159,7 +161,7 @@
 			out.Status = core.StateGone
 			break
 		}
-		if out.Items = s.since(op.Key, op.Rev); len(out.Items) == 0 {
+		if out.Items = s.since(op.Key, op.Rev); len(out.Items) == 0 && op.Hold > 0 {
 			s.waiting = append(s.waiting, &watch{op, now.Add(op.Hold), answer})
 			return
 		}
@@ -231,6 +233,7 @@
 		return
 	}
 	s.rev++
+	s.puts += len(op.Apply)
 	for _, a := range op.Apply {
 		if a.Value == nil {
 			s.remove(a.Key)
--- a/internal/standin/users.go
+++ b/internal/standin/users.go
@@ -150,10 +150,8 @@
 	s := &j.spec
 	name := taskName(s.ID, t.index)
 	zones := map[string]int{}
-	for _, id := range sorted(w.machine) {
-		o := w.machine[id]
-		for _, k := range sorted(o.tasks) {
-			x := o.tasks[k]
+	for _, o := range w.machine {
+		for _, x := range o.tasks {
 			if x == t || x.job != j || !x.onMachine() {
 				continue
 			}
@@ -180,9 +178,8 @@
 // checkAll judges limits and cancellations.
 func (w *World) checkAll() {
 	used := map[string]core.Resources{}
-	for _, id := range sorted(w.machine) {
-		for _, k := range sorted(w.machine[id].tasks) {
-			t := w.machine[id].tasks[k]
+	for id, m := range w.machine {
+		for _, t := range m.tasks {
 			if !t.onMachine() {
 				continue
 			}
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -170,8 +170,7 @@
 	if m.tenure == 0 {
 		m.tenure, m.leaseFrom, m.nextAt = 1, w.now, w.now
 	}
-	for _, k := range sorted(m.tasks) {
-		t := m.tasks[k]
+	for _, t := range m.tasks {
 		switch t.status {
 		case core.Fetching:
 			if !t.ready.After(w.now) {
--- a/internal/standin/world.go
+++ b/internal/standin/world.go
@@ -43,6 +43,8 @@
 	// Started counts starts.
 	Started int
 	names   int
+	// stepped is the real time that the cores took, for benchmarks.
+	stepped time.Duration
 	logs    []string
 	// sabotage breaks an invariant on purpose, to show that it is noticed.
 	sabotage func(core.Effect) core.Effect
@@ -304,7 +306,10 @@
 func (p *proc) step() {
 	q := p.queue
 	p.queue = nil
-	for _, e := range p.node.Step(p.w.now, q) {
+	began := time.Now()
+	effects := p.node.Step(p.w.now, q)
+	p.w.stepped += time.Since(began)
+	for _, e := range effects {
 		if p.w.sabotage != nil {
 			if e = p.w.sabotage(e); e == nil {
 				continue
@@ -355,7 +360,7 @@
 			limit = 3 * time.Second
 		}
 		p.call("state", limit, func(answer func(core.Command)) {
-			if (w.outage || p.stateNo) && e.Kind != core.OpFollow {
+			if (w.outage || p.stateNo) && (e.Kind != core.OpFollow || e.Hold == 0) {
 				answer(core.StateDone{ID: e.ID, Status: core.StateRefused})
 				return
 			}
