Polls share reads, one change per submission, lazier progress, paced contacts

- Each node keeps a picture of open/ and brings it up to date by one read for all polls that came before it; job/ is written when a job ends, so that a submission is one change instead of two.
Records of the earlier form are read.
- Progress that costs only repeated work waits the longer the more of it there is, never in front of a start.
- A successor contacts at most 48 machines at a time, those with work first.
- Several bookings a second, lists the more seldom the longer they are, idle connections to workers by the quota's sockets.

--- a/cmd/micahill/main.go
+++ b/cmd/micahill/main.go
@@ -135,7 +135,7 @@
 	d := &c.Deployment
 	st := state.New(c.Outside.State, d.State.RPS, d.State.WriteRPS, len(c.Seeds)+1)
 	cl := cloud.New(c.Outside.Cloud, d.Cloud.RPS)
-	wk := worker.New()
+	wk := worker.New(d.Quota.Sockets)
 	pn := peer.Start(ctx, peers)
 	met := metrics.New()
 	srv := server.New(node, server.Outside{
--- a/internal/core/fleet.go
+++ b/internal/core/fleet.go
@@ -92,6 +92,8 @@
 	listAt   time.Time
 	blocked  map[kind]time.Time
 	renting  map[ask]int
+	// booking names the requests to rent that are not answered yet.
+	booking map[string]bool
 	// seq numbers what the owners are told; an owner's wishes count only when
 	// it knows of what was rented for it last, which is needSeq.
 	seq     uint64
@@ -132,7 +134,7 @@
 	}
 	n.leader = &leader{
 		stamp: n.sess.leadStamp, gen: int(n.id()), since: n.now,
-		rentals: map[string]*rental{}, blocked: map[kind]time.Time{}, renting: map[ask]int{}, needSeq: map[string]uint64{}, release: map[string]string{}, moved: n.now,
+		rentals: map[string]*rental{}, blocked: map[kind]time.Time{}, renting: map[ask]int{}, booking: map[string]bool{}, needSeq: map[string]uint64{}, release: map[string]string{}, moved: n.now,
 		news: map[string]peerWants{},
 	}
 	n.info("leader", "stamp", n.sess.leadStamp)
@@ -387,7 +389,7 @@
 	}
 	l.looked = n.now
 	l.wake = n.now.Add(leaderPeriod)
-	if !l.listing && n.now.Sub(l.listAt) >= max(n.set.ListLag/2, 2*time.Second) {
+	if !l.listing && n.now.Sub(l.listAt) >= n.listEvery() {
 		n.list("", nil)
 	}
 	for id, r := range l.rentals {
@@ -425,6 +427,19 @@
 	}
 }
 
+// listPage is about how many machines the cloud lists in one answer.
+const listPage = 500
+
+// listEvery is how often the machines are listed: the longer the list the more
+// seldom, since it is late in any case, and costs a request for each page.
+func (n *Node) listEvery() time.Duration {
+	return max(n.set.ListLag/2, 2*time.Second) * time.Duration(1+len(n.leader.rentals)/listPage)
+}
+
+// bookings is how many requests to rent may be sent in one look: half of the
+// cloud's limit, since lists, returns and prices need some as well.
+func (n *Node) bookings() int { return max(1, int(n.set.CloudRPS/2*leaderPeriod.Seconds())) }
+
 // execute does what an owner asks of the cloud, for its own machines.
 func (n *Node) execute(host string, wants map[kind]int, gone []string) {
 	l := n.leader
@@ -437,9 +452,22 @@
 	if len(back) > 0 {
 		n.giveBack(back)
 	}
+	// Of a large wish several requests are sent at once, in turns of the kinds.
+	// One more wish is heard only when all of them are answered.
+	left := n.bookings()
+	busy := map[kind]bool{}
 	for _, k := range sortedKinds(wants) {
-		if l.renting[ask{host, k}] == 0 && !l.blocked[k].After(n.now) {
-			n.rentKind(host, k, min(wants[k], rentMost), "")
+		busy[k] = l.renting[ask{host, k}] > 0 || l.blocked[k].After(n.now)
+	}
+	for more := true; more && left > 0; {
+		more = false
+		for _, k := range sortedKinds(wants) {
+			if c := min(wants[k], rentMost); c > 0 && !busy[k] && left > 0 {
+				wants[k] -= c
+				left--
+				more = true
+				n.rentKind(host, k, c, "")
+			}
 		}
 	}
 }
@@ -656,7 +684,7 @@
 		// older than the one before, so wait some lists before forgetting;
 		// absence is no proof for its tasks, which go on by reports, lease or
 		// the answer to a return.
-		patience := 4*n.set.ListLag + 5*time.Second
+		patience := 4*n.set.ListLag + 5*time.Second + 2*n.listEvery()
 		if n.ownerOf(id) != n.set.Host {
 			// Its owner has to learn of it and may still need it returned.
 			patience += 2 * n.set.Lease
@@ -1073,6 +1101,15 @@
 	return best, found
 }
 
+// booked notes that a booking is answered.
+func (n *Node) booked(a ask, booking string, count int) {
+	l := n.leader
+	delete(l.booking, booking)
+	if l.renting[a] -= count; l.renting[a] <= 0 {
+		delete(l.renting, a)
+	}
+}
+
 // rentKind sends one booking for an owner. A booking without an answer is
 // repeated under the same name, which rents nothing twice.
 func (n *Node) rentKind(host string, k kind, count int, booking string) {
@@ -1083,7 +1120,10 @@
 		n.debug("rent", "flavour", k.flavour, "spot", k.spot, "count", count, "for", host)
 	}
 	a := ask{host, k}
-	l.renting[a] = count
+	if again := booking != "" && l.booking[booking]; !again {
+		l.booking[booking] = true
+		l.renting[a] += count
+	}
 	gen := l.gen
 	n.askCloud(CloudOp{Kind: CloudRent, Booking: booking, Flavour: k.flavour, Zone: k.zone, Spot: k.spot, Count: count}, func(d CloudDone) {
 		l := n.leader
@@ -1092,7 +1132,7 @@
 		}
 		switch d.Status {
 		case CloudOK:
-			delete(l.renting, a)
+			n.booked(a, booking, count)
 			for _, id := range d.Rented {
 				r := &rental{id: id, kind: k, since: n.now, status: "booting", owner: host}
 				l.rentals[id] = r
@@ -1105,10 +1145,10 @@
 			}
 			n.share()
 		case CloudNoCapacity:
-			delete(l.renting, a)
+			n.booked(a, booking, count)
 			l.blocked[k] = n.now.Add(n.jitter(refusedPause))
 		case CloudBad:
-			delete(l.renting, a)
+			n.booked(a, booking, count)
 			l.blocked[k] = n.now.Add(time.Minute)
 			n.info("the cloud calls a booking malformed", "flavour", k.flavour)
 		default:
--- a/internal/core/machines.go
+++ b/internal/core/machines.go
@@ -20,6 +20,9 @@
 	silentReports = 2.6
 	// probeEvery separates the questions to a silent machine.
 	probeEvery = 3 * time.Second
+	// contactMost bounds the questions to machines that are under way: those
+	// to silent hosts hang, and a successor has a thousand to ask.
+	contactMost = 48
 	// errorsBad is how many tasks of different jobs must fail on a machine
 	// before it is taken for faulty.
 	errorsBad = 2
@@ -617,13 +620,19 @@
 	if m.addr == "" || m.inFlight || m.returning || n.now.Sub(m.probed) < probeEvery {
 		return
 	}
+	if n.owner.contacts >= contactMost {
+		return
+	}
 	m.inFlight, m.probed = true, n.now
+	n.owner.contacts++
 	gen := n.owner.gen
 	n.call(WorkerOp{Machine: m.id, Addr: m.addr, Ask: true}, func(d WorkerDone) {
 		if n.owner == nil || n.owner.gen != gen {
 			return
 		}
 		m.inFlight = false
+		n.owner.contacts--
+		n.contactHeirs()
 		if d.Report == nil || d.Report.Machine != m.id {
 			return
 		}
@@ -634,6 +643,19 @@
 	})
 }
 
+// contactHeirs goes on reaching the machines of a former owner, some at a time,
+// those with work first. One that has reported meanwhile has heard of the epoch.
+func (n *Node) contactHeirs() {
+	o := n.owner
+	for len(o.heirs) > 0 && o.contacts < contactMost {
+		m := o.heirs[0]
+		o.heirs = o.heirs[1:]
+		if !m.forgotten && m.seenEpoch < o.epoch {
+			n.contact(m)
+		}
+	}
+}
+
 // claimMachine shows the worker the current epoch with an empty order.
 func (n *Node) claimMachine(m *machine) {
 	gen, epoch := n.owner.gen, n.owner.epoch
@@ -666,6 +688,7 @@
 // sweep looks for leases that ran out and for attempts that were never sent.
 func (n *Node) sweep() {
 	o := n.owner
+	n.contactHeirs()
 	for _, m := range slices.Clone(o.byID) {
 		if (m.heard || len(m.attempts) > 0) && n.quietFor(m) > time.Duration(probeReports*float64(n.longestReport())) {
 			n.contact(m)
--- /dev/null
+++ b/internal/core/mirror.go
@@ -0,0 +1,176 @@
+package core
+
+import "time"
+
+const (
+	// freshEvery separates two reads for what users ask. Those that ask in
+	// between share the next one, so that the number of polls, which grows with
+	// that of living jobs, is none for the state service.
+	freshEvery = 150 * time.Millisecond
+	// freshAtLeast keeps the picture from falling far behind when nobody asks.
+	freshAtLeast = 10 * time.Second
+)
+
+// mirror is this node's picture of open/, the jobs that are not over. An answer
+// rests on it only after it was brought up to date by a read that began after
+// the question came.
+type mirror struct {
+	loaded  bool
+	loading bool
+	// rev: the picture is exact as of this revision.
+	rev  uint64
+	open map[string]living
+	// asking wait for the read under way, next for one that has not begun.
+	asking, next []func(ok bool)
+	busy         bool
+	readAt       time.Time
+	waiting      bool
+}
+
+// living is a job in open/.
+type living struct {
+	stamp     uint64
+	tasks     int
+	cancelled bool
+}
+
+// mirrorStart reads open/ and keeps the picture from ageing.
+func (n *Node) mirrorStart() {
+	m := &n.users.mirror
+	if m.loaded || m.loading {
+		return
+	}
+	n.mirrorLoad()
+	n.mirrorKeep()
+}
+
+func (n *Node) mirrorKeep() {
+	n.after(freshAtLeast, n.mirrorKeep)
+	if m := &n.users.mirror; m.loaded && n.now.Sub(m.readAt) >= freshAtLeast {
+		n.freshen(func(bool) {})
+	}
+}
+
+func (n *Node) mirrorLoad() {
+	m := &n.users.mirror
+	m.loading, m.loaded = true, false
+	open := map[string]living{}
+	var rev uint64
+	var list func(from string)
+	list = func(from string) {
+		n.ask(StateOp{Kind: OpList, Prio: PrioUser, Key: openPrefix, From: from}, func(d StateDone) {
+			if d.Status != StateOK {
+				n.after(n.jitter(retryPause), func() { list(from) })
+				return
+			}
+			if from == "" {
+				rev = d.Rev
+			}
+			for _, it := range d.Items {
+				mirrorItem(open, it)
+			}
+			if d.Truncated && len(d.Items) > 0 {
+				list(d.Items[len(d.Items)-1].Key)
+				return
+			}
+			// Later pages tell of later changes, which the next read, from the
+			// revision of the first, brings again in order.
+			m.open, m.rev, m.loaded, m.loading = open, rev, true, false
+			n.freshNext()
+		})
+	}
+	list("")
+}
+
+func mirrorItem(open map[string]living, it Item) {
+	id := jobID(it.Key, openPrefix)
+	if it.Removed {
+		delete(open, id)
+		return
+	}
+	var r openRecord
+	if decode(it.Value, &r) {
+		open[id] = living{stamp: it.Stamp, tasks: r.Tasks, cancelled: r.Cancelled}
+	}
+}
+
+// freshen calls fn once the picture is as of a moment after this call, or with
+// false when it can't be had.
+func (n *Node) freshen(fn func(ok bool)) {
+	m := &n.users.mirror
+	m.next = append(m.next, fn)
+	n.freshNext()
+}
+
+func (n *Node) freshNext() {
+	m := &n.users.mirror
+	if m.busy || !m.loaded || len(m.next) == 0 || m.waiting {
+		return
+	}
+	if wait := m.readAt.Add(freshEvery).Sub(n.now); wait > 0 {
+		m.waiting = true
+		n.after(wait, func() {
+			m.waiting = false
+			n.freshNext()
+		})
+		return
+	}
+	m.asking, m.next, m.busy, m.readAt = m.next, nil, true, n.now
+	n.ask(StateOp{Kind: OpFollow, Prio: PrioUser, Key: openPrefix, Rev: m.rev}, func(d StateDone) {
+		m.busy = false
+		fns := m.asking
+		m.asking = nil
+		ok := d.Status == StateOK
+		if ok {
+			for _, it := range d.Items {
+				mirrorItem(m.open, it)
+			}
+			m.rev = max(m.rev, d.Rev)
+		}
+		if d.Status == StateGone {
+			// Too far behind: read it all again. Who asked waits for that.
+			m.next = append(fns, m.next...)
+			n.mirrorLoad()
+			return
+		}
+		for _, fn := range fns {
+			fn(ok)
+		}
+		n.freshNext()
+	})
+}
+
+// found is what the state service says of a job.
+type found struct {
+	// ok: it could be asked. known: the job was accepted at some time.
+	ok, known bool
+	rec       jobRecord
+	// stamp is that of open/, while the job is not over.
+	stamp uint64
+}
+
+// look tells what is durable of a job, as of a moment after this call.
+func (n *Node) look(id string, fn func(found)) {
+	n.freshen(func(ok bool) {
+		if !ok {
+			fn(found{})
+			return
+		}
+		if l, open := n.users.mirror.open[id]; open {
+			f := found{ok: true, known: true, stamp: l.stamp, rec: jobRecord{Status: Queued, Tasks: l.tasks}}
+			if l.cancelled {
+				f.rec.Status = Cancelled
+			}
+			fn(f)
+			return
+		}
+		// Over, or never accepted.
+		n.read(id, func(d StateDone) {
+			f := found{ok: d.Status == StateOK || d.Status == StateNotFound, known: d.Status == StateOK}
+			if f.known && (len(d.Items) != 1 || !decode(d.Items[0].Value, &f.rec)) {
+				f.ok = false
+			}
+			fn(f)
+		})
+	})
+}
--- a/internal/core/owner.go
+++ b/internal/core/owner.go
@@ -1,6 +1,7 @@
 package core
 
 import (
+	"cmp"
 	"slices"
 	"strings"
 	"time"
@@ -8,8 +9,15 @@
 
 const (
 	// lazyWrite is how long progress that costs only repeated work when lost
-	// may wait to share a write.
-	lazyWrite = time.Second
+	// may wait to share a write, if few others wait as well; lazyPart is the
+	// part of the limit of changes that such writes take when many do, and
+	// lazyLongest how long they then wait at most.
+	lazyWrite   = time.Second
+	lazyPart    = 0.2
+	lazyLongest = 10 * time.Second
+	// lazyMost bounds the changes of a write for which no start waits, so that
+	// a start that comes next is soon let through.
+	lazyMost = 4
 	// chunkTxns bounds the owner's transactions in flight.
 	chunkTxns = 3
 	// ownerPeriod is how often the owner looks round without being asked.
@@ -40,13 +48,19 @@
 	machines map[string]*machine
 	// byID are the machines in the order of their names, and dirty those for
 	// which orders may be due.
-	byID     []*machine
-	dirty    []*machine
+	byID  []*machine
+	dirty []*machine
+	// heirs are machines of a former owner that are still to be contacted, and
+	// contacts counts the questions under way.
+	heirs    []*machine
+	contacts int
 	used     map[string]Resources
 	rev      uint64
 	inFlight int
-	wake     time.Time
-	swept    time.Time
+	// lazy counts the writes under way for which no start waits.
+	lazy  int
+	wake  time.Time
+	swept time.Time
 	// place: something has changed that may let tasks be placed, and hurry:
 	// for one whose wait is bounded. placed is when that was last done.
 	place, hurry bool
@@ -241,9 +255,11 @@
 			}
 		}
 	}
-	for _, id := range sortedKeys(o.machines) {
-		n.contact(o.machines[id])
-	}
+	o.heirs = slices.Clone(o.byID)
+	slices.SortStableFunc(o.heirs, func(a, b *machine) int {
+		return cmp.Compare(b2f(len(a.attempts) == 0), b2f(len(b.attempts) == 0))
+	})
+	n.contactHeirs()
 }
 
 // hosts is what a successor has to know of the machines: of some of them at a
@@ -536,6 +552,11 @@
 func (n *Node) writeChunks() {
 	o := n.owner
 	unsaved := o.unsaved()
+	// What waits grows with the number of living jobs; the limit of changes
+	// does not.
+	patience := Seconds(float64(len(unsaved)) / max(1, lazyPart*n.set.StateWrites))
+	patience = min(max(patience, lazyWrite), lazyLongest)
+	crowded := patience > lazyWrite
 	for len(unsaved) > 0 && o.inFlight < chunkTxns {
 		op := StateOp{Kind: OpTxn, Prio: PrioLazy, When: []Cond{{sharePrefix + n.set.Host, o.epoch}}}
 		type part struct {
@@ -546,7 +567,7 @@
 		var parts []part
 		size := 0
 		based := map[string]bool{}
-		add := func(lazy bool) {
+		add := func(most int, due func(*chunk) bool) {
 			for _, j := range unsaved {
 				id := j.ID
 				// A cancelled job's records only go; see endJob.
@@ -555,10 +576,7 @@
 				}
 				for _, k := range sortedKeys(j.chunks) {
 					c := j.chunks[k]
-					if c.busy || c.ver == c.saved || len(op.Apply) >= n.set.TxnOps {
-						continue
-					}
-					if !lazy && !c.urgent && n.now.Sub(c.since) < lazyWrite {
+					if c.busy || c.ver == c.saved || len(op.Apply) >= most || !due(c) {
 						continue
 					}
 					val := encode(j.record(c, n.set.Nonce))
@@ -581,12 +599,25 @@
 				}
 			}
 		}
-		add(false)
+		late := func(c *chunk) bool { return n.now.Sub(c.since) >= patience }
+		switch add(n.set.TxnOps, func(c *chunk) bool { return c.urgent }); {
+		case !crowded:
+			add(n.set.TxnOps, late)
+			if len(parts) > 0 {
+				// Progress that is not due yet shares the write.
+				add(n.set.TxnOps, func(*chunk) bool { return true })
+			}
+		case len(parts) == 0 && o.lazy == 0:
+			add(min(lazyMost, n.set.TxnOps), late)
+		}
 		if len(parts) == 0 {
 			return
 		}
-		// Progress that is not due yet shares the write.
-		add(true)
+		lazy := 0
+		if op.Prio == PrioLazy {
+			lazy = 1
+		}
+		o.lazy += lazy
 		o.inFlight++
 		gen := o.gen
 		n.ask(op, func(d StateDone) {
@@ -595,6 +626,7 @@
 				return
 			}
 			o.inFlight--
+			o.lazy -= lazy
 			for _, p := range parts {
 				switch d.Status {
 				case StateOK:
--- a/internal/core/record.go
+++ b/internal/core/record.go
@@ -9,7 +9,9 @@
 
 // Keys in the state service. Everything that all controllers must see at once
 // stands under ctl/, so that one watch covers it. open/ holds what is alive:
-// one record a job; task/ holds its tasks in chunks, apart from open/ so that
+// one record a job; job/ holds how a job ended, for good. A record in open/ is
+// what makes a job accepted; an earlier form wrote job/ together with it, which
+// is read as well. task/ holds its tasks in chunks, apart from open/ so that
 // the owner's watch for new jobs is not woken by its own progress.
 const (
 	ctlPrefix   = "ctl/"
@@ -48,9 +50,9 @@
 	Tasks  int       `msgpack:"n"`
 }
 
-// openRecord is the description of a living job. It is written together with
-// job/<id> always, so its stamp stands for both: a start that names it in its
-// conditions cannot follow a cancellation.
+// openRecord is the description of a living job. Whatever ends the job changes
+// or removes it together with writing job/<id>: a start that names its stamp in
+// its conditions cannot follow a cancellation.
 type openRecord struct {
 	Workload  string   `msgpack:"w"`
 	Team      string   `msgpack:"o"`
--- a/internal/core/session.go
+++ b/internal/core/session.go
@@ -169,6 +169,7 @@
 		}
 		s.rev = d.Rev
 		s.loaded, s.ready = true, true
+		n.mirrorStart()
 		n.ctlChanged()
 		s.gen++
 		n.follow(s.gen)
--- a/internal/core/types.go
+++ b/internal/core/types.go
@@ -119,9 +119,12 @@
 	ReportEvery time.Duration
 	Lease       time.Duration
 
-	TxnOps     int
-	ValueBytes int
-	ListLag    time.Duration
+	// StateWrites is the state service's limit of changes a second, which all
+	// controllers share.
+	StateWrites float64
+	TxnOps      int
+	ValueBytes  int
+	ListLag     time.Duration
 	// CloudRPS is the cloud's limit of requests a second.
 	CloudRPS float64
 
--- a/internal/core/users.go
+++ b/internal/core/users.go
@@ -28,6 +28,7 @@
 	polls    map[string]*pollState
 	waiting  int
 	expiry   []expiring
+	mirror   mirror
 }
 
 type expiring struct {
@@ -225,31 +226,22 @@
 
 // lookFirst answers with the job's state if it is known, else as told.
 func (n *Node) lookFirst(w *waiter, status int, why string) {
-	n.read(w.id, func(d StateDone) {
-		switch d.Status {
-		case StateOK:
-			n.tellRecord(w, d)
-		case StateNotFound:
+	n.look(w.id, func(f found) {
+		switch {
+		case !f.ok:
+			n.refuse(w, "the state service does not answer")
+		case f.known:
+			n.finish(w, n.tell(w.id, f.rec))
+		default:
 			r := UserReply{Status: status, Message: why}
 			if status == 503 {
 				r.RetryAfter = comeBack
 			}
 			n.finish(w, r)
-		default:
-			n.refuse(w, "the state service does not answer")
 		}
 	})
 }
 
-func (n *Node) tellRecord(w *waiter, d StateDone) {
-	var r jobRecord
-	if len(d.Items) != 1 || !decode(d.Items[0].Value, &r) {
-		n.refuse(w, "the record cannot be read")
-		return
-	}
-	n.finish(w, n.tell(w.id, r))
-}
-
 // tell is the answer for a record just read.
 func (n *Node) tell(id string, r jobRecord) UserReply {
 	if r.Status.Final() {
@@ -316,7 +308,7 @@
 		var batch []*submission
 		seen := map[string]bool{}
 		size := 0
-		for len(u.queue) > 0 && len(batch) < max(1, n.set.TxnOps/2) {
+		for len(u.queue) > 0 && len(batch) < n.set.TxnOps {
 			s := u.queue[0]
 			if s.w.done {
 				u.queue = u.queue[1:]
@@ -347,10 +339,10 @@
 	op.Kind, op.Prio = OpTxn, PrioUser
 	for _, s := range batch {
 		id := s.spec.ID
-		op.When = append(op.When, Cond{jobPrefix + id, 0})
-		op.Apply = append(op.Apply,
-			Change{Key: jobPrefix + id, Value: encode(jobRecord{Status: Queued, Tasks: s.spec.Tasks})},
-			Change{Key: openPrefix + id, Value: encode(s.spec.record(s.at))})
+		// Neither over nor open: never accepted before. One change is enough;
+		// job/ is written when the job is over.
+		op.When = append(op.When, Cond{jobPrefix + id, 0}, Cond{openPrefix + id, 0})
+		op.Apply = append(op.Apply, Change{Key: openPrefix + id, Value: encode(s.spec.record(s.at))})
 	}
 	n.ask(op, func(d StateDone) {
 		n.users.inFlight--
@@ -363,7 +355,7 @@
 		case StateConflict:
 			var again []*submission
 			for _, s := range batch {
-				if slices.Contains(d.Failed, jobPrefix+s.spec.ID) {
+				if slices.Contains(d.Failed, jobPrefix+s.spec.ID) || slices.Contains(d.Failed, openPrefix+s.spec.ID) {
 					n.lookFirst(s.w, 503, "conflict")
 				} else {
 					again = append(again, s)
@@ -398,27 +390,26 @@
 }
 
 func (n *Node) cancel(w *waiter) {
-	n.read(w.id, func(d StateDone) {
-		var r jobRecord
+	n.look(w.id, func(f found) {
 		switch {
-		case d.Status == StateNotFound:
-			n.finish(w, UserReply{Status: 404, Message: "no such job"})
-			return
-		case d.Status != StateOK || len(d.Items) != 1 || !decode(d.Items[0].Value, &r):
+		case !f.ok:
 			n.refuse(w, "the state service does not answer")
 			return
-		case r.Status.Final():
-			n.finish(w, n.tell(w.id, r))
+		case !f.known:
+			n.finish(w, UserReply{Status: 404, Message: "no such job"})
+			return
+		case f.rec.Status.Final() || f.stamp == 0:
+			n.finish(w, n.tell(w.id, f.rec))
 			return
 		case w.done:
 			return
 		}
 		id := w.id
-		open := encode(openRecord{Cancelled: true, Tasks: r.Tasks})
+		open := encode(openRecord{Cancelled: true, Tasks: f.rec.Tasks})
 		// Both records change together: the stamp of open/ guards starts.
-		n.ask(StateOp{Kind: OpTxn, Prio: PrioUser, When: []Cond{{jobPrefix + id, d.Items[0].Stamp}},
+		n.ask(StateOp{Kind: OpTxn, Prio: PrioUser, When: []Cond{{openPrefix + id, f.stamp}},
 			Apply: []Change{
-				{Key: jobPrefix + id, Value: encode(jobRecord{Status: Cancelled, Tasks: r.Tasks})},
+				{Key: jobPrefix + id, Value: encode(jobRecord{Status: Cancelled, Tasks: f.rec.Tasks})},
 				{Key: openPrefix + id, Value: open},
 			}}, func(d StateDone) {
 			switch d.Status {
--- a/internal/standin/scenario_test.go
+++ b/internal/standin/scenario_test.go
@@ -14,7 +14,7 @@
 func testSettings() core.Settings {
 	return core.Settings{
 		Zones: []string{"a", "b"}, ReportEvery: 3 * time.Second, Lease: 24 * time.Second,
-		TxnOps: 12, ValueBytes: 4096, ListLag: 4 * time.Second,
+		TxnOps: 12, ValueBytes: 4096, StateWrites: 30, ListLag: 4 * time.Second,
 		Policy:     core.DefaultPolicy(),
 		Objectives: []core.Objective{{Kind: "wait", Workload: "rush", Within: 2 * time.Second, Share: 0.9}},
 		Teams:      []core.Team{{Name: "ops"}, {Name: "lab", Limit: core.Resources{CPU: 40}}},
--- a/internal/worker/worker.go
+++ b/internal/worker/worker.go
@@ -23,8 +23,9 @@
 	deadline = 2 * time.Second
 	// maxAnswer bounds an answer; the protocol's limit is 64 KiB as JSON.
 	maxAnswer = 256 << 10
-	// idleConns bounds the connections kept for later orders.
-	idleConns = 128
+	// idlePart of the sockets may be connections kept for later orders: a new
+	// one for each order costs more than the order.
+	idlePart = 0.2
 )
 
 // Piece is one attempt in a report.
@@ -126,11 +127,11 @@
 // Client sends orders to workers.
 type Client struct{ http *http.Client }
 
-// New makes a client.
-func New() *Client {
+// New makes a client that may use some of so many sockets.
+func New(sockets int) *Client {
 	tr := &http.Transport{
 		DialContext:         (&net.Dialer{Timeout: time.Second}).DialContext,
-		MaxIdleConns:        idleConns,
+		MaxIdleConns:        max(16, int(float64(sockets)*idlePart)),
 		MaxIdleConnsPerHost: 1,
 		IdleConnTimeout:     time.Minute,
 		DisableCompression:  true,
