Idle machines being retired go at once, and none is kept for their sake

What retire found to be dispensable without anything getting late now goes when it is idle.

Ruled out: a wrong forecast (it was right within a tenth).

--- a/internal/core/fleet.go
+++ b/internal/core/fleet.go
@@ -845,7 +845,15 @@
 	if !idle {
 		return out
 	}
-	vs := copyRoom(room, nil)
+	// A machine being retired is one without which nothing is late; it goes as
+	// soon as it is idle, and none is kept for its sake.
+	retiring := map[*machine]bool{}
+	for _, v := range room {
+		if v.m.retiring {
+			retiring[v.m] = true
+		}
+	}
+	vs := copyRoom(room, retiring)
 	p := &plan{n: n, vs: vs}
 	slices.SortStableFunc(vs, func(a, b *virtual) int {
 		return cmp.Or(cmp.Compare(b2f(a.idle), b2f(b.idle)), cmp.Compare(n.unitPrice(a.m), n.unitPrice(b.m)))
