Users' requests take their rate first; a shared outage makes no node unhealthy

Cause: submissions at the owner queued behind up to 36 changes of starts and progress in the same limiter; and after an outage of the state service every node was out of the load balancer for seconds more, all at once. Users' requests now take tokens ahead of the others, up to a second's worth. Nodes tell each other when the state service does not answer; only one that is alone with it, or hears nothing, turns unhealthy. A deposed owner's hundreds of lines about leases became one.

--- a/internal/core/effects.go
+++ b/internal/core/effects.go
@@ -85,6 +85,8 @@
 	Rentals []RentalNews
 	Blocked []Want
 	Release []string
+	// StateAway: the state service does not answer here.
+	StateAway bool
 }
 
 // RentalNews is a machine as the leader knows it.
--- a/internal/core/machines.go
+++ b/internal/core/machines.go
@@ -689,12 +689,19 @@
 func (n *Node) sweep() {
 	o := n.owner
 	n.contactHeirs()
+	over := 0
+	defer func() {
+		if over > 0 {
+			n.info("leases surely over", "machines", over)
+		}
+	}()
 	for _, m := range slices.Clone(o.byID) {
 		if (m.heard || len(m.attempts) > 0) && n.quietFor(m) > time.Duration(probeReports*float64(n.longestReport())) {
 			n.contact(m)
 		}
 		if len(m.attempts) > 0 && !m.leaseEnd.IsZero() && n.now.After(m.leaseEnd) {
-			n.info("lease surely over", "machine", m.id, "attempts", len(m.attempts))
+			over++
+			n.debug("lease surely over", "machine", m.id, "attempts", len(m.attempts))
 			n.loseAll(m, nil)
 		}
 		if len(m.attempts) == 0 && !m.leaseEnd.IsZero() && n.now.After(m.leaseEnd) {
--- a/internal/core/node.go
+++ b/internal/core/node.go
@@ -36,6 +36,10 @@
 	// heirloom is what other owners last told of their machines.
 	heirloom map[string]HostNews
 	pruned   time.Time
+	// away is when each of the others last said that the state service does
+	// not answer there.
+	away     map[string]time.Time
+	toldAway time.Time
 }
 
 type timer struct {
@@ -52,7 +56,7 @@
 		calls:    map[uint64]func(WorkerDone){},
 		display:  map[string]Progress{},
 		errs:     map[string]*estimate{},
-		returned: map[string]bool{}, inherited: map[string]Load{}, heirloom: map[string]HostNews{},
+		returned: map[string]bool{}, inherited: map[string]Load{}, heirloom: map[string]HostNews{}, away: map[string]time.Time{},
 	}
 	n.users.init()
 	return n
@@ -69,6 +73,7 @@
 		n.command(c)
 	}
 	n.runTimers()
+	n.tellAway()
 	n.usersFlush()
 	if n.owner != nil {
 		n.ownerTick()
@@ -117,6 +122,9 @@
 	case StatusQuery:
 		n.status(c)
 	case PeerNews:
+		if c.StateAway {
+			n.away[c.From] = n.now
+		}
 		for _, p := range c.Progress {
 			n.display[p.ID] = p
 		}
@@ -167,7 +175,9 @@
 }
 
 // Healthy says whether this node can take requests now.
-func (n *Node) Healthy(now time.Time) bool { return n.sess.ready && !n.stateDown(now) }
+func (n *Node) Healthy(now time.Time) bool {
+	return n.sess.ready && (!n.stateDown(now) || n.outageShared(now))
+}
 
 func (n *Node) after(d time.Duration, fn func()) {
 	n.timers = append(n.timers, timer{n.now.Add(d), fn})
--- a/internal/core/session.go
+++ b/internal/core/session.go
@@ -17,6 +17,10 @@
 	retryPause = 400 * time.Millisecond
 	// watchHold is how long a watch stays open without news.
 	watchHold = 30 * time.Second
+	// awayEvery is how often the others are told that the state service does
+	// not answer, and awayFresh how long that counts.
+	awayEvery = time.Second
+	awayFresh = 3 * time.Second
 	// stateDownAfter is how long requests must have failed, with no success
 	// in between, before users are refused at once instead of tried for.
 	stateDownAfter = 1500 * time.Millisecond
@@ -52,6 +56,30 @@
 	return !s.stateBad.IsZero() && now.Sub(s.stateBad) > stateDownAfter
 }
 
+// outageShared says that all the other controllers have lost the state service
+// as well, so that a user who is sent elsewhere finds it no better. A node that
+// is alone with its loss turns unhealthy, and so does one that hears nothing;
+// in an outage for all, to be taken out and let in again only costs time.
+func (n *Node) outageShared(now time.Time) bool {
+	for _, p := range n.set.Peers {
+		if at, ok := n.away[p]; !ok || now.Sub(at) > awayFresh {
+			return false
+		}
+	}
+	return len(n.set.Peers) > 0
+}
+
+// tellAway tells the others that the state service does not answer here.
+func (n *Node) tellAway() {
+	if !n.stateDown(n.now) || n.now.Sub(n.toldAway) < awayEvery {
+		return
+	}
+	n.toldAway = n.now
+	for _, p := range n.set.Peers {
+		n.emit(PeerSend{To: p, News: PeerNews{From: n.set.Host, StateAway: true}})
+	}
+}
+
 func (n *Node) sessionStart() {
 	n.sess.started = true
 	n.sess.nodes = map[string]nodeRecord{}
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -209,7 +209,7 @@
 func wire(n core.PeerNews) *News {
 	m := &News{
 		From: n.From, Asks: n.Asks, Seq: n.Seq, Wants: wireWants(n.Wants), Idle: n.Idle, Released: n.Released,
-		Tells: n.Tells, Blocked: wireWants(n.Blocked), Release: n.Release,
+		Tells: n.Tells, Blocked: wireWants(n.Blocked), Release: n.Release, StateAway: n.StateAway,
 	}
 	for _, p := range n.Progress {
 		m.Progress = append(m.Progress, &Progress{Id: p.ID, Done: int64(p.Done), Running: int64(p.Running)})
@@ -237,7 +237,7 @@
 func (m *News) core() core.PeerNews {
 	n := core.PeerNews{
 		From: m.From, Asks: m.Asks, Seq: m.Seq, Wants: coreWants(m.Wants), Idle: m.Idle, Released: m.Released,
-		Tells: m.Tells, Blocked: coreWants(m.Blocked), Release: m.Release,
+		Tells: m.Tells, Blocked: coreWants(m.Blocked), Release: m.Release, StateAway: m.StateAway,
 	}
 	for _, p := range m.Progress {
 		n.Progress = append(n.Progress, core.Progress{ID: p.Id, Done: int(p.Done), Running: int(p.Running)})
--- a/internal/state/state.go
+++ b/internal/state/state.go
@@ -33,6 +33,9 @@
 	maxConns = 24
 	// maxAnswer bounds an answer; a page of a list holds at most 512 KiB.
 	maxAnswer = 4 << 20
+	// userAhead is how many seconds' worth of the rate users' requests may
+	// take before it is there.
+	userAhead = 1.0
 	// mainShare is the part of the rate limits that the working controller
 	// takes; the others divide the rest.
 	mainShare = 0.6
@@ -150,13 +153,17 @@
 	}
 }
 
-// admit takes the request's part of the rate. The session comes first: it
-// takes its part without waiting, and the others wait the longer.
+// admit takes the request's part of the rate. The session comes first, and then
+// what users wait for: they take their part without waiting, and the others
+// wait the longer. Users' own requests wait only when they alone are more than
+// the rate allows.
 func (c *Client) admit(ctx context.Context, op core.StateOp) bool {
-	if op.Prio == core.PrioSession {
-		c.reqs.ReserveN(time.Now(), 1)
-		if k := len(op.Apply); k > 0 {
-			c.writes.ReserveN(time.Now(), k)
+	now := time.Now()
+	ahead := c.writes.TokensAt(now) > -userAhead*float64(c.writes.Limit()) && c.reqs.TokensAt(now) > -userAhead*float64(c.reqs.Limit())
+	if op.Prio == core.PrioSession || op.Prio == core.PrioUser && ahead {
+		c.reqs.ReserveN(now, 1)
+		if k := min(len(op.Apply), c.writes.Burst()); k > 0 {
+			c.writes.ReserveN(now, k)
 		}
 		return true
 	}
