Writes wait their turn; inherited tasks give no run times; task records go later

Starts were written in transactions of 12 changes, whose turn in the rate came after the request's deadline, so the limiter refused them at once; ends of jobs with 3 changes got through and took all of the rate. Writes that nobody waits for at the other end now queue for their turn. The end of a job is 2 changes; the records of its tasks go when nothing else is to be written. What a former owner started gives no run times now. Ruled out: processor time (the same without charge), image fetches (boxes were idle by the hundred).

--- a/internal/core/jobs.go
+++ b/internal/core/jobs.go
@@ -38,7 +38,10 @@
 	seen       bool
 	stop       stopWhy
 	relaunched bool
-	done       bool
+	// inherited: a former owner started it, so this one does not know when it
+	// began to run.
+	inherited bool
+	done      bool
 }
 
 // group is the tasks of a job that were started together.
--- a/internal/core/machines.go
+++ b/internal/core/machines.go
@@ -386,7 +386,10 @@
 		switch p.Cause {
 		case "done":
 			m.image(j, n.now, true)
-			if !t.started.IsZero() {
+			// What a former owner started has run for longer than was seen
+			// here; a median of such times is near nothing, and would have all
+			// its tasks relaunched.
+			if !t.started.IsZero() && !t.inherited {
 				ran := n.now.Sub(t.started)
 				n.compare(m, j, ran)
 				j.ran(ran)
--- a/internal/core/owner.go
+++ b/internal/core/owner.go
@@ -18,6 +18,8 @@
 	// lazyMost bounds the changes of a write for which no start waits, so that
 	// a start that comes next is soon let through.
 	lazyMost = 4
+	// slowWrite is how long a write takes that the log tells of, at debug.
+	slowWrite = 500 * time.Millisecond
 	// chunkTxns bounds the owner's transactions in flight.
 	chunkTxns = 3
 	// ownerPeriod is how often the owner looks round without being asked.
@@ -329,7 +331,7 @@
 			// A former owner may have gone on answering for its grace.
 			m.leaseEnd = later(m.leaseEnd, n.leaseAfter(n.now.Add(n.grace())))
 			n.attach(j, row.Index, m)
-			t.sent = true
+			t.sent, t.inherited = true, true
 			g := j.groups[row.Group]
 			if g == nil {
 				g = &group{start: time.UnixMilli(row.Group), marked: marks[row.Group]}
@@ -619,7 +621,7 @@
 		}
 		o.lazy += lazy
 		o.inFlight++
-		gen := o.gen
+		gen, asked := o.gen, n.now
 		n.ask(op, func(d StateDone) {
 			o := n.owner
 			if o == nil || o.gen != gen {
@@ -627,6 +629,9 @@
 			}
 			o.inFlight--
 			o.lazy -= lazy
+			if took := n.now.Sub(asked); took > slowWrite || d.Status != StateOK {
+				n.debug("slow write", "took", took, "chunks", len(parts), "status", d.Status, "lazy", lazy)
+			}
 			for _, p := range parts {
 				switch d.Status {
 				case StateOK:
@@ -725,7 +730,7 @@
 			n.endJob(j)
 		}
 	}
-	if len(o.orphans) > 0 && o.inFlight < chunkTxns {
+	if len(o.orphans) > 0 && o.inFlight == 0 {
 		n.dropOrphans()
 	}
 }
@@ -738,14 +743,11 @@
 		op.Apply = append(op.Apply, Change{Key: jobPrefix + j.ID, Value: encode(jobRecord{Status: Done, Tasks: len(j.tasks)})})
 	}
 	op.Apply = append(op.Apply, Change{Key: openPrefix + j.ID})
+	// The records of its tasks mean nothing without it and go when there is
+	// time: changes are short just when many jobs end and others start.
 	var rest []string
 	for _, k := range sortedKeys(j.chunks) {
-		c := j.chunks[k]
-		if len(op.Apply) < n.set.TxnOps {
-			if c.stamp != 0 || c.busy {
-				op.Apply = append(op.Apply, Change{Key: c.key(j.ID)})
-			}
-		} else {
+		if c := j.chunks[k]; c.stamp != 0 || c.busy {
 			rest = append(rest, c.key(j.ID))
 		}
 	}
@@ -801,7 +803,7 @@
 
 func (n *Node) dropOrphans() {
 	o := n.owner
-	k := min(len(o.orphans), max(1, n.set.TxnOps/2))
+	k := min(len(o.orphans), lazyMost, n.set.TxnOps)
 	keys := o.orphans[:k]
 	o.orphans = slices.Clone(o.orphans[k:])
 	op := StateOp{Kind: OpTxn, Prio: PrioLazy, When: []Cond{{sharePrefix + n.set.Host, o.epoch}}}
--- a/internal/core/place.go
+++ b/internal/core/place.go
@@ -551,7 +551,7 @@
 		g.tasks = append(g.tasks, i)
 		t.try++
 		t.group = id
-		t.sent, t.seen = false, false
+		t.sent, t.seen, t.inherited = false, false, false
 		n.attach(j, i, m)
 		m.image(j, n.now, false)
 		j.touch(i, n.now, true)
--- a/internal/state/state.go
+++ b/internal/state/state.go
@@ -27,6 +27,8 @@
 	shortDeadline = 1300 * time.Millisecond
 	// longDeadline is for reads of whole prefixes and lazy writes.
 	longDeadline = 3 * time.Second
+	// queueDeadline bounds the wait of a write for its turn.
+	queueDeadline = 8 * time.Second
 	// listPage is how many rows are asked for at once.
 	listPage = 500
 	// maxConns bounds the connections to the service.
@@ -38,7 +40,7 @@
 	userAhead = 1.0
 	// mainShare is the part of the rate limits that the working controller
 	// takes; the others divide the rest.
-	mainShare = 0.6
+	mainShare = 0.7
 )
 
 // Client is one controller's access to the state service.
@@ -120,12 +122,12 @@
 	case op.Kind == core.OpList || op.Prio == core.PrioLazy:
 		limit = longDeadline
 	}
-	ctx, cancel := context.WithTimeout(ctx, limit)
-	defer cancel()
 	out := core.StateDone{ID: op.ID, Status: core.StateRefused}
-	if !c.admit(ctx, op) {
+	if !c.admit(ctx, op, limit) {
 		return out
 	}
+	ctx, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
 	method, path, body := request(op)
 	for {
 		out.Sent = time.Now()
@@ -157,7 +159,7 @@
 // what users wait for: they take their part without waiting, and the others
 // wait the longer. Users' own requests wait only when they alone are more than
 // the rate allows.
-func (c *Client) admit(ctx context.Context, op core.StateOp) bool {
+func (c *Client) admit(ctx context.Context, op core.StateOp, limit time.Duration) bool {
 	now := time.Now()
 	ahead := c.writes.TokensAt(now) > -userAhead*float64(c.writes.Limit()) && c.reqs.TokensAt(now) > -userAhead*float64(c.reqs.Limit())
 	if op.Prio == core.PrioSession || op.Prio == core.PrioUser && ahead {
@@ -167,6 +169,14 @@
 		}
 		return true
 	}
+	if op.Prio >= core.PrioStart {
+		// Nobody waits at the other end of these, and few are under way at a
+		// time. Were a large write refused because its turn comes after the
+		// deadline of a request, small ones would pass it for ever.
+		limit = queueDeadline
+	}
+	ctx, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
 	if c.reqs.Wait(ctx) != nil {
 		return false
 	}
--- /dev/null
+++ b/internal/state/state_test.go
@@ -0,0 +1,54 @@
+package state
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+
+	"github.com/micahill/micahill/internal/core"
+	"github.com/vmihailenco/msgpack/v5"
+)
+
+// TestLargeWriteIsNotPassedForEver guards against large writes that are refused
+// because their turn in the rate comes after a request's deadline, while small
+// ones go on taking all of the rate: after a restart of all controllers no task
+// was started for ten seconds.
+func TestLargeWriteIsNotPassedForEver(t *testing.T) {
+	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		b, err := msgpack.Marshal(map[string]any{"ledger_rev": 1})
+		if err != nil {
+			t.Error(err)
+		}
+		w.Write(b)
+	}))
+	defer srv.Close()
+	c := New(strings.TrimPrefix(srv.URL, "http://"), 1000, 20, 1)
+	c.SetMain(true)
+	write := func(changes int, prio core.Priority) core.StateStatus {
+		t.Helper()
+		op := core.StateOp{Kind: core.OpTxn, Prio: prio}
+		for i := range changes {
+			op.Apply = append(op.Apply, core.Change{Key: fmt.Sprint("k/", i), Value: []byte{0xc0}})
+		}
+		return c.Do(context.Background(), op).Status
+	}
+	// Users' changes take a second's worth of the rate before it is there.
+	for i := range 2 {
+		if s := write(12, core.PrioUser); s != core.StateOK {
+			t.Fatal("a user's write:", i, s)
+		}
+	}
+	var wg sync.WaitGroup
+	for range 2 {
+		wg.Go(func() {
+			if s := write(12, core.PrioStart); s != core.StateOK {
+				t.Error("a large write for starts:", s)
+			}
+		})
+	}
+	wg.Wait()
+}
