Expected tasks are due one after another, with room for chance by their number

Each expected task is now due in its turn, and what is kept for chance goes by one part in the root of the number of jobs.

--- a/internal/core/fleet.go
+++ b/internal/core/fleet.go
@@ -820,13 +820,9 @@
 	})
 }
 
-const (
-	// idleLeast is how long a machine that nothing needs stays at least: ends
-	// and starts follow one another, and plans change from second to second.
-	idleLeast = 10 * time.Second
-	// burst is how much more than the average is kept room for.
-	burst = 1.4
-)
+// idleLeast is how long a machine that nothing needs stays at least: ends and
+// starts follow one another, and plans change from second to second.
+const idleLeast = 10 * time.Second
 
 // spare picks the idle machines that are not needed: for what waits or for
 // what the last while makes likely, played forward on the cheapest machines
@@ -858,7 +854,7 @@
 	slices.SortStableFunc(vs, func(a, b *virtual) int {
 		return cmp.Or(cmp.Compare(b2f(a.idle), b2f(b.idle)), cmp.Compare(n.unitPrice(a.m), n.unitPrice(b.m)))
 	})
-	for _, d := range n.demands(n.horizon(), burst, true) {
+	for _, d := range n.demands(n.horizon(), true, true) {
 		p.play(d, func(_ int, v *virtual, _ time.Time) {
 			if v != nil {
 				delete(out, v.m.id)
@@ -894,7 +890,7 @@
 	slices.SortStableFunc(dearOnes, func(a, b *machine) int {
 		return cmp.Compare(a.used.CPU/max(a.size.CPU, 1), b.used.CPU/max(b.size.CPU, 1))
 	})
-	demands := n.demands(n.horizon(), burst, false)
+	demands := n.demands(n.horizon(), true, false)
 	base := n.lateness(room, demands, nil)
 	out := map[*machine]bool{}
 	misses := 0
@@ -988,7 +984,7 @@
 		}
 	}
 	wants := map[kind]int{}
-	demands := n.demands(n.horizon(), 1, false)
+	demands := n.demands(n.horizon(), false, false)
 	unmet := 0.0
 	for _, d := range demands {
 		unmet += float64(d.count) * d.j.Need.CPU
@@ -1002,7 +998,7 @@
 			}
 			from := d.from(n.now, i)
 			v, at := p.best(d.j, from, zones)
-			if k, ok := n.worthRenting(d, v != nil, at, from, unmet, zones); ok {
+			if k, ok := n.worthRenting(d, i, v != nil, at, unmet, zones); ok {
 				wants[k]++
 				v = p.boot(k, n.now.Add(n.types[k.flavour].Ready))
 			} else if k, ok := n.relief(d.j, v, unmet, zones); ok {
@@ -1044,10 +1040,11 @@
 	return false
 }
 
-// worthRenting says what to rent for a task that would start at the time at
-// (if it has a place at all).
-func (n *Node) worthRenting(d demand, placed bool, at, from time.Time, unmet float64, zones *zonePlan) (kind, bool) {
+// worthRenting says what to rent for the demand's task i, which would start at
+// the time at (if it has a place at all).
+func (n *Node) worthRenting(d demand, i int, placed bool, at time.Time, unmet float64, zones *zonePlan) (kind, bool) {
 	j := d.j
+	from, last := d.from(n.now, i), d.last(n.now, i)
 	count := max(1, int(unmet/max(j.Need.CPU, 0.1)))
 	for _, spot := range [...]bool{true, false} {
 		k, ok := n.bestKind(j, count, zones, spot)
@@ -1065,7 +1062,7 @@
 		if spot {
 			return k, true
 		}
-		if at.Add(n.margin(j)).After(d.latest) {
+		if at.Add(n.margin(j)).After(last) {
 			return k, true
 		}
 	}
--- a/internal/core/play.go
+++ b/internal/core/play.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 )
@@ -263,8 +264,9 @@
 				late += hopelessly
 				return
 			}
-			late += min(max(0, at.Add(margin).Sub(d.latest)), hopelessly)
-			if from := d.from(n.now, i); bound > 0 {
+			from := d.from(n.now, i)
+			late += min(max(0, at.Add(margin).Sub(d.last(n.now, i))), hopelessly)
+			if bound > 0 {
 				late += max(0, at.Sub(from)-bound)
 			}
 		})
@@ -297,6 +299,12 @@
 	return max(n.expects(j), time.Second)
 }
 
+// last is when the demand's task i should start at the latest: of those that
+// are expected, the later come, the later are due.
+func (d demand) last(now time.Time, i int) time.Time {
+	return d.latest.Add(d.from(now, i).Sub(now) - d.spread/2)
+}
+
 // from is when the demand's task i is there.
 func (d demand) from(now time.Time, i int) time.Time {
 	return now.Add(d.spread * time.Duration(i+1) / time.Duration(d.count+1))
@@ -423,9 +431,9 @@
 // tasks, as far as the teams' limits let them run, then the arrivals that the
 // last minutes make likely, with more of those that must start at once.
 //
-// The forecast is the average times the factor; cautious, it follows at once
-// when arrivals end.
-func (n *Node) demands(horizon time.Duration, factor float64, cautious bool) []demand {
+// The forecast is the average, for bursts with more as chance may bring;
+// cautious, it follows at once when arrivals end.
+func (n *Node) demands(horizon time.Duration, bursts, cautious bool) []demand {
 	o := n.owner
 	over := map[string]Resources{}
 	var out []demand
@@ -450,9 +458,12 @@
 			continue
 		}
 		spread := horizon
-		count := n.arrivalRate(name, warmWindow) * spread.Seconds() * factor
+		count := n.arrivalRate(name, warmWindow) * spread.Seconds()
 		if cautious {
-			count = min(count, 2*n.arrivalRate(name, lately)*spread.Seconds()*factor)
+			count = min(count, 2*n.arrivalRate(name, lately)*spread.Seconds())
+		}
+		if bursts {
+			count *= n.burst(name, spread)
 		}
 		if n.waitBound(name) > 0 {
 			count *= n.set.Policy.WarmRoom
@@ -466,6 +477,18 @@
 	return out
 }
 
+// burst is how much more than the average a workload may well bring within a
+// time. Jobs come by chance and differ in size about as much as their mean, so
+// what comes varies by one part in the root of their number: by half where few
+// come, by little where hundreds do.
+func (n *Node) burst(name string, within time.Duration) float64 {
+	jobs := float64(len(n.owner.arrivals[name])) * within.Seconds() / warmWindow.Seconds()
+	return 1 + min(burstMost, 1/math.Sqrt(max(jobs, 1)))
+}
+
+// burstMost bounds what is kept in hand for chance.
+const burstMost = 0.5
+
 // arrivalRate is the workload's tasks a second over the last while. After a
 // takeover, what a former owner told of it fills in for what was not seen.
 func (n *Node) arrivalRate(name string, window time.Duration) float64 {
