Silent machines given up sooner; a cancelled job's tasks count for its team

Silence: where reports come every 8 s a dead machine was given up after 26 s, 2.6 report intervals. It is now asked directly when one report is missed, and given up when two questions got no answer: 17 s, and as before where reports come every 3 s. Starts of urgent work are written before those of other work, and of a write whose condition failed the other jobs' parts go again at once.

The record of a cancelled job kept nothing of what its tasks take, so under a successor they no longer counted for their team's limit while they still ran.

--- a/internal/core/machines.go
+++ b/internal/core/machines.go
@@ -14,10 +14,12 @@
 	// leaseMargin absorbs rounding and scheduling on both sides of a lease.
 	leaseMargin = time.Second
 	// probeReports is after how many of the longest report intervals a silent
-	// machine is asked directly, and silentReports after how many it is taken
-	// for lost, if that got no answer, and returned rather than waited for.
-	probeReports  = 1.7
-	silentReports = 2.6
+	// machine is asked directly. When it has not answered probesSilent times,
+	// it is taken for lost and returned rather than waited for. Where reports
+	// are seldom, waiting for several of them to be missed would cost its tasks
+	// the longer.
+	probeReports = 1.15
+	probesSilent = 2
 	// probeEvery separates the questions to a silent machine.
 	probeEvery = 3 * time.Second
 	// contactMost bounds the questions to machines that are under way: those
@@ -78,8 +80,10 @@
 	// replyTick: a report answered with starts; until a later report they
 	// count as on their way. An answer from /orders can overtake them.
 	replyTick uint64
-	// probed is when a question to the silent machine was last sent.
-	probed time.Time
+	// probed is when a question to the silent machine was last sent, and
+	// unanswered how many since it was last heard got no answer.
+	probed     time.Time
+	unanswered int
 	// noDirect: the last direct order got no answer; wait for a report.
 	noDirect bool
 	// speed is how its finished tasks compared with what was expected.
@@ -237,7 +241,7 @@
 	}
 	m.heard, m.tenure, m.tick = true, r.Tenure, r.Tick
 	m.seenEpoch = max(m.seenEpoch, r.Epoch)
-	m.lastHeard = n.now
+	m.lastHeard, m.unanswered = n.now, 0
 	if m.leaseEnd.IsZero() {
 		// Heard of by its answer to us, not by a report of which we prolonged
 		// the lease. A former owner may go on doing so for its grace.
@@ -637,6 +641,7 @@
 		n.owner.contacts--
 		n.contactHeirs()
 		if d.Report == nil || d.Report.Machine != m.id {
+			m.unanswered++
 			return
 		}
 		n.hear(m, d.Report, false)
@@ -768,9 +773,9 @@
 		// Taken, as it was announced.
 		return n.quietFor(m) > n.longestReport()
 	}
-	limit := time.Duration(silentReports * float64(n.longestReport()))
-	if m.heard && m.probed.Before(m.lastHeard) {
-		// Not asked yet.
+	limit := time.Duration(probeReports*float64(n.longestReport())) + probesSilent*probeEvery
+	if m.heard && m.unanswered < probesSilent {
+		// Not asked often enough, for want of connections.
 		limit *= 2
 	}
 	return n.quietFor(m) > limit
--- a/internal/core/mirror.go
+++ b/internal/core/mirror.go
@@ -29,9 +29,8 @@
 
 // living is a job in open/.
 type living struct {
-	stamp     uint64
-	tasks     int
-	cancelled bool
+	stamp uint64
+	rec   openRecord
 }
 
 // mirrorStart reads open/ and keeps the picture from ageing.
@@ -90,7 +89,7 @@
 	}
 	var r openRecord
 	if decode(it.Value, &r) {
-		open[id] = living{stamp: it.Stamp, tasks: r.Tasks, cancelled: r.Cancelled}
+		open[id] = living{it.Stamp, r}
 	}
 }
 
@@ -145,8 +144,9 @@
 	// ok: it could be asked. known: the job was accepted at some time.
 	ok, known bool
 	rec       jobRecord
-	// stamp is that of open/, while the job is not over.
+	// stamp is that of open/, while the job is not over, and open what it says.
 	stamp uint64
+	open  openRecord
 }
 
 // look tells what is durable of a job, as of a moment after this call.
@@ -157,8 +157,8 @@
 			return
 		}
 		if l, open := n.users.mirror.open[id]; open {
-			f := found{ok: true, known: true, stamp: l.stamp, rec: jobRecord{Status: Queued, Tasks: l.tasks}}
-			if l.cancelled {
+			f := found{ok: true, known: true, stamp: l.stamp, open: l.rec, rec: jobRecord{Status: Queued, Tasks: l.rec.Tasks}}
+			if l.rec.Cancelled {
 				f.rec.Status = Cancelled
 			}
 			fn(f)
--- a/internal/core/owner.go
+++ b/internal/core/owner.go
@@ -411,7 +411,8 @@
 		return
 	}
 	if j == nil {
-		if !r.Cancelled && !slices.Contains(o.share.Teams, r.Team) {
+		// An earlier form kept nothing of a cancelled job but that it is one.
+		if (!r.Cancelled || r.Team != "") && !slices.Contains(o.share.Teams, r.Team) {
 			return
 		}
 		spec := r.spec(id)
@@ -545,7 +546,10 @@
 			out = append(out, j)
 		}
 	}
-	slices.SortFunc(out, func(a, b *job) int { return strings.Compare(a.ID, b.ID) })
+	// Starts of urgent work are not to wait behind those of other work.
+	slices.SortFunc(out, func(a, b *job) int {
+		return cmp.Or(cmp.Compare(b.Urgency, a.Urgency), a.at.Compare(b.at), strings.Compare(a.ID, b.ID))
+	})
 	return out
 }
 
@@ -667,6 +671,11 @@
 		n.reread(j, c)
 		return
 	}
+	if !slices.Contains(failed, openPrefix+j.ID) && !slices.Contains(failed, sharePrefix+n.set.Host) {
+		// Another job of the same write was cancelled or is over.
+		c.urgent, c.busy = true, false
+		return
+	}
 	n.retryChunk(j, c)
 }
 
--- a/internal/core/users.go
+++ b/internal/core/users.go
@@ -405,7 +405,11 @@
 			return
 		}
 		id := w.id
-		open := encode(openRecord{Cancelled: true, Tasks: f.rec.Tasks})
+		// What its tasks take stays known: until they are gone they count for
+		// their team's limit, under whatever owner.
+		rec := f.open
+		rec.Cancelled = true
+		open := encode(rec)
 		// Both records change together: the stamp of open/ guards starts.
 		n.ask(StateOp{Kind: OpTxn, Prio: PrioUser, When: []Cond{{openPrefix + id, f.stamp}},
 			Apply: []Change{
