--- a/internal/standin/large_test.go
+++ b/internal/standin/large_test.go
@@ -91,3 +91,59 @@
 		})
 	}
 }
+
+// TestLargePool plays a day of troubles in a pool of some hundred machines: many
+// die and hang at once, all controllers end, the owner loses the state service.
+// The rules hold, the changes stay within the state service's limit, and the
+// work is done soon after.
+func TestLargePool(t *testing.T) {
+	const scale = 0.25
+	w := largeWorld(3, scale)
+	rng := rand.New(rand.NewPCG(3, 4))
+	w.arrive(rng, scale, 200*time.Second)
+	some := func(n int, fn func(*Worker)) {
+		for _, id := range sorted(w.machine) {
+			if m := w.machine[id]; m.up(w.now) && n > 0 && rng.IntN(4) == 0 {
+				n--
+				fn(m)
+			}
+		}
+	}
+	w.after(80*time.Second, func() { some(20, w.kill) })
+	w.after(100*time.Second, func() {
+		for i := range w.nodes {
+			w.Crash(i, 5*time.Second)
+		}
+	})
+	w.after(130*time.Second, func() { some(20, func(m *Worker) { m.hungTill = w.now.Add(25 * time.Second) }) })
+	w.after(150*time.Second, func() {
+		for _, p := range w.nodes {
+			if p.alive && p.node.IsOwner() {
+				w.Cut(p.name, "state", 30*time.Second, true)
+			}
+		}
+	})
+	most := 0
+	for range 20 {
+		before := w.state.puts
+		w.Run(10 * time.Second)
+		most = max(most, w.state.puts-before)
+	}
+	w.Run(2 * time.Minute)
+	for _, b := range w.Broken {
+		t.Error(b)
+	}
+	for _, id := range sorted(w.jobs) {
+		if j := w.jobs[id]; j.told != "done" {
+			t.Errorf("%s is %q in the end, %d of %d done", id, j.told, len(j.results), j.spec.Tasks)
+		}
+	}
+	// The model of the state service refuses nothing, so its limit is checked
+	// here: what the cores ask for, without the clients that hold them back.
+	if limit := int(10 * w.set.StateWrites); most > limit {
+		t.Errorf("%d changes in ten seconds, more than the limit of %d", most, limit)
+	}
+	if w.Started < 1000 {
+		t.Errorf("only %d starts", w.Started)
+	}
+}
