Where not all can be in time, the largest jobs are put off

Aims count jobs; Moore's rule takes jobs in the order of their aims and, when one would be late, puts off the largest so far. What runs, is free or boots counts as room. Nothing changes while all can be in time.

--- a/internal/core/fleet.go
+++ b/internal/core/fleet.go
@@ -974,7 +974,7 @@
 		if r.returning || r.status == "returned" || r.status == "failed" || m != nil && m.heard {
 			continue
 		}
-		if f, ok := n.types[r.flavour]; ok && n.now.Sub(r.since) < 2*f.Ready+bootSlack {
+		if f := n.types[r.flavour]; n.boots(r) {
 			p.boot(r.kind, later(r.since.Add(f.Ready), n.now.Add(f.Ready/4)))
 		}
 	}
@@ -1014,6 +1014,12 @@
 	o.wants = wants
 }
 
+// boots says that a machine that was not heard of yet may still come up.
+func (n *Node) boots(r *rental) bool {
+	f, ok := n.types[r.flavour]
+	return ok && !r.returning && r.status != "returned" && r.status != "failed" && n.now.Sub(r.since) < 2*f.Ready+bootSlack
+}
+
 // relief is a cheap machine for a task that would else take room on which work
 // that waits, and fits little else, depends.
 func (n *Node) relief(j *job, v *virtual, unmet float64, zones *zonePlan) (kind, bool) {
--- a/internal/core/place.go
+++ b/internal/core/place.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"container/heap"
+	"fmt"
 	"slices"
 	"strings"
 	"time"
@@ -123,14 +124,21 @@
 	return u.CPU <= t.Guarantee.CPU+slack && u.GPU <= t.Guarantee.GPU+slack
 }
 
+// ranked is a waiting job and what decides its turn.
+type ranked struct {
+	j *job
+	// g: within its team's guarantee.
+	g      bool
+	latest time.Time
+	weight float64
+	// work is how long its waiting tasks would take all that its workload has,
+	// and late says that it is put off so that others are in time.
+	work time.Duration
+	late bool
+}
+
 // order sorts the jobs that wait for places.
 func (n *Node) order() []*job {
-	type ranked struct {
-		j      *job
-		g      bool
-		latest time.Time
-		weight float64
-	}
 	var rs []ranked
 	cpus := 0.0
 	for _, m := range n.owner.byID {
@@ -149,25 +157,12 @@
 		// left to do goes first: together they are done the sooner.
 		left := float64(len(j.tasks)-j.done) * j.Need.CPU * n.expects(j).Seconds()
 		key := n.latest(j).Add(Seconds(smallFirst * left / max(cpus, 1)))
-		rs = append(rs, ranked{j, n.guaranteed(j), key, w})
+		rs = append(rs, ranked{j: j, g: n.guaranteed(j), latest: key, weight: w})
+	}
+	slices.SortStableFunc(rs, byTurn)
+	if n.putOff(rs) {
+		slices.SortStableFunc(rs, byTurn)
 	}
-	slices.SortStableFunc(rs, func(a, b ranked) int {
-		switch {
-		case a.g != b.g:
-			if a.g {
-				return -1
-			}
-			return 1
-		case a.j.Urgency != b.j.Urgency:
-			return int(b.j.Urgency) - int(a.j.Urgency)
-		case a.weight != b.weight:
-			if a.weight > b.weight {
-				return -1
-			}
-			return 1
-		}
-		return a.latest.Compare(b.latest)
-	})
 	out := make([]*job, len(rs))
 	for i, r := range rs {
 		out[i] = r.j
@@ -175,6 +170,111 @@
 	return out
 }
 
+func byTurn(a, b ranked) int {
+	switch {
+	case a.g != b.g:
+		if a.g {
+			return -1
+		}
+		return 1
+	case a.j.Urgency != b.j.Urgency:
+		return int(b.j.Urgency) - int(a.j.Urgency)
+	case a.weight != b.weight:
+		if a.weight > b.weight {
+			return -1
+		}
+		return 1
+	}
+	if a.late != b.late {
+		return int(b2f(a.late)) - int(b2f(b.late))
+	}
+	if a.late {
+		return cmp.Or(cmp.Compare(a.work, b.work), a.latest.Compare(b.latest))
+	}
+	return a.latest.Compare(b.latest)
+}
+
+// putOff lets as many jobs as possible be in time when not all can be. Taken in
+// the order of their aims, as soon as one would be late the largest of those
+// before it and itself is put off (Moore's rule for the number of late jobs):
+// aims count jobs, and one large job that is late either way would take several
+// others with it. Nothing is put off while all can be in time.
+func (n *Node) putOff(rs []ranked) bool {
+	rooms := map[string]float64{}
+	spent := map[string]time.Duration{}
+	taken := map[string][]*ranked{}
+	some := false
+	for i := range rs {
+		r := &rs[i]
+		j := r.j
+		if j.Standing || j.Gang {
+			continue
+		}
+		room, ok := rooms[j.Workload]
+		if !ok {
+			room = n.roomFor(j)
+			rooms[j.Workload] = room
+		}
+		run := n.expects(j)
+		r.work = time.Duration(float64(j.pending()) * float64(run) / max(room, 1))
+		key := fmt.Sprint(j.Workload, j.Urgency, r.g)
+		taken[key] = append(taken[key], r)
+		spent[key] += r.work
+		// Its last task starts when the work before it is nearly done, the first
+		// ones at once.
+		aim := n.latest(j)
+		if !n.now.Add(spent[key] - run).After(aim) {
+			continue
+		}
+		big := 0
+		for k, x := range taken[key] {
+			if x.work > taken[key][big].work {
+				big = k
+			}
+		}
+		x := taken[key][big]
+		x.late, some = true, true
+		spent[key] -= x.work
+		taken[key] = slices.Delete(taken[key], big, big+1)
+	}
+	return some
+}
+
+// roomFor is how many tasks like the job's its workload may count on running at
+// a time: those that run and what is free, and at least a part of all.
+func (n *Node) roomFor(j *job) float64 {
+	live := 0
+	for _, o := range n.owner.jobs {
+		if o.Workload == j.Workload {
+			live += o.live
+		}
+	}
+	all, free := 0, 0
+	for _, m := range n.owner.byID {
+		if j.allows(m.flavour, m.zone, m.spot) && n.usable(m) {
+			all += m.size.Times(j.Need)
+			free += m.size.Plus(m.used, -1).Times(j.Need)
+		}
+	}
+	if v := n.owner.view; v != nil {
+		// What boots is there before the aims of what waits are over.
+		for id, r := range v.rentals {
+			if m := n.owner.machines[id]; (m == nil || !m.heard) && n.boots(r) && j.allows(r.flavour, r.zone, r.spot) {
+				free += n.types[r.flavour].Size.Times(j.Need)
+			}
+		}
+		for k, c := range v.renting {
+			if j.allows(k.flavour, k.zone, k.spot) {
+				free += c * n.types[k.flavour].Size.Times(j.Need)
+			}
+		}
+	}
+	return max(float64(live+free), roomLeast*float64(all))
+}
+
+// roomLeast is the part of all room that a workload may count on in any case.
+const roomLeast = 0.25
+
 // usable says whether tasks may be placed on m now.
 func (n *Node) usable(m *machine) bool {
 	return m.heard && !m.recall && !m.returning && !m.bad && !m.strays && m.size.CPU > 0 && !n.silent(m)
