--- a/internal/core/machines.go
+++ b/internal/core/machines.go
@@ -699,7 +699,7 @@
 	n.contactHeirs()
 	over := 0
 	defer func() {
-		if over > 0 {
+		if over > 0 && !n.now.After(n.sess.sureUntil) {
 			n.info("leases surely over", "machines", over)
 		}
 	}()
