An expected task's machine has to fetch its image too; a trifle for dear machines

The machine to be rented was taken to have the image when the task comes, an idle one to fetch it first for 15 s, so each expected task wanted a machine of its own. Second (the new line of retire): one of a thousand expected tasks starting a tenth of a second later kept 19 ordinary racks; an average of 10 ms a task is allowed now. Ruled out: the relief of flavours that others wait for (it asked for none).

--- a/internal/core/fleet.go
+++ b/internal/core/fleet.go
@@ -892,6 +892,10 @@
 	})
 	demands := n.demands(n.horizon(), true, false)
 	base := n.lateness(room, demands, nil)
+	before, dears := base, len(dearOnes)
+	for _, d := range demands {
+		base += time.Duration(d.count) * trifle
+	}
 	out := map[*machine]bool{}
 	misses := 0
 	// Of many, several are tried at once, and fewer when that is too much: each
@@ -920,8 +924,13 @@
 	for m := range out {
 		m.retiring = true
 	}
+	n.debug("retire", "dear", dears, "retiring", len(out), "late", before, "tries in vain", misses)
 }
 
+// trifle is how much later a task may start on the average for the sake of a
+// dear machine that goes. Of a thousand tasks some few are always a little later.
+const trifle = 10 * time.Millisecond
+
 // retireTries bounds the tries in vain in one look.
 const (
 	retireTries = 4
@@ -992,6 +1001,7 @@
 	played := 0
 	for _, d := range demands {
 		zones := newZonePlan(d.j)
+		rented, first, reliefs := 0, time.Duration(0), 0
 		for i := range d.count {
 			if played++; played > playMost {
 				break
@@ -999,9 +1009,13 @@
 			from := d.from(n.now, i)
 			v, at := p.best(d.j, from, zones)
 			if k, ok := n.worthRenting(d, i, v != nil, at, unmet, zones); ok {
+				if rented++; rented == 1 {
+					first = at.Sub(from)
+				}
 				wants[k]++
 				v = p.boot(k, n.now.Add(n.types[k.flavour].Ready))
 			} else if k, ok := n.relief(d.j, v, unmet, zones); ok {
+				reliefs++
 				wants[k]++
 				v = p.boot(k, n.now.Add(n.types[k.flavour].Ready))
 			}
@@ -1010,6 +1024,9 @@
 				p.take(v, d.j, from, zones)
 			}
 		}
+		if rented+reliefs > 0 {
+			n.debug("wants", "workload", d.j.Workload, "tasks", d.count, "expected", d.spread > 0, "machines", rented, "instead of waiting", first, "to leave room", reliefs)
+		}
 	}
 	o.wants = wants
 }
@@ -1061,8 +1078,11 @@
 			return k, true
 		}
 		f := n.types[k.flavour]
-		ready := n.now.Add(f.Ready + pull(&f, j))
-		if !at.After(later(ready, from).Add(lateMargin)) {
+		// It has to fetch the image as well, and not before the task is there:
+		// without that, each task expected later than a boot takes would want a
+		// machine of its own, beside idle ones that have to fetch too.
+		ready := later(n.now.Add(f.Ready), from).Add(pull(&f, j))
+		if !at.After(ready.Add(lateMargin)) {
 			continue
 		}
 		if spot {
