--- a/internal/core/fleet.go
+++ b/internal/core/fleet.go
@@ -1014,7 +1014,9 @@
 				}
 				wants[k]++
 				v = p.boot(k, n.now.Add(n.types[k.flavour].Ready))
-			} else if k, ok := n.relief(d.j, v, unmet, zones); ok {
+			} else if x, k, ok := p.relief(d.j, v, from, unmet, zones); x != nil {
+				v = x
+			} else if ok {
 				reliefs++
 				wants[k]++
 				v = p.boot(k, n.now.Add(n.types[k.flavour].Ready))
@@ -1037,14 +1039,24 @@
 	return ok && !r.returning && r.status != "returned" && r.status != "failed" && n.now.Sub(r.since) < 2*f.Ready+bootSlack
 }
 
-// relief is a cheap machine for a task that would else take room on which work
-// that waits, and fits little else, depends.
-func (n *Node) relief(j *job, v *virtual, unmet float64, zones *zonePlan) (kind, bool) {
-	if v == nil || !n.neededElsewhere(&j.Spec, v.k.flavour) {
-		return kind{}, false
+// relief is what keeps a task off room on which work that waits, and fits little
+// else, depends: another machine that is there soon enough, or a cheap kind to
+// rent. Looking for one that is there first matters: without it each task that
+// is expected would want a new machine, beside hundreds that are idle.
+func (p *plan) relief(j *job, v *virtual, from time.Time, unmet float64, zones *zonePlan) (*virtual, kind, bool) {
+	n := p.n
+	if v == nil || !p.needed(j, v.k.flavour) {
+		return nil, kind{}, false
 	}
 	k, ok := n.bestKind(j, max(1, int(unmet/max(j.Need.CPU, 0.1))), zones, true)
-	return k, ok && !n.neededElsewhere(&j.Spec, k.flavour)
+	ok = ok && !p.needed(j, k.flavour)
+	if x, at := p.bestYielding(j, from, zones); x != nil {
+		f := n.types[k.flavour]
+		if !ok || !at.After(later(n.now.Add(f.Ready), from).Add(pull(&f, j)+lateMargin)) {
+			return x, kind{}, false
+		}
+	}
+	return nil, k, ok
 }
 
 // neededElsewhere says that another workload waits which fits the flavour and
--- a/internal/core/play.go
+++ b/internal/core/play.go
@@ -27,6 +27,7 @@
 	// queues hold, for each kind of task that was asked for, the machines by
 	// when one could run there.
 	queues map[work]*queue
+	wanted map[[2]string]bool
 }
 
 // work is what of a task decides when it could run on which machine.
@@ -34,6 +35,8 @@
 	shape
 	image string
 	gb    float64
+	// yields: only on machines that no other waiting work depends on.
+	yields bool
 }
 
 // queue orders machines for alike tasks, as a heap. Entries may be out of date:
@@ -119,8 +122,8 @@
 }
 
 // queue is that of tasks like j's, with all machines in it.
-func (p *plan) queue(j *job) *queue {
-	like := work{j.shape(), j.Image, j.ImageGB}
+func (p *plan) queue(j *job, yields bool) *queue {
+	like := work{j.shape(), j.Image, j.ImageGB, yields}
 	q := p.queues[like]
 	if q == nil {
 		if p.queues == nil {
@@ -131,7 +134,7 @@
 	}
 	for ; q.known < len(p.vs); q.known++ {
 		k := p.vs[q.known].k
-		if !j.allows(k.flavour, k.zone, k.spot) {
+		if !j.allows(k.flavour, k.zone, k.spot) || yields && p.needed(j, k.flavour) {
 			continue
 		}
 		if e, ok := p.entry(q.known, j); ok {
@@ -144,13 +147,37 @@
 // best is the machine on which a task could run first, its image there, and
 // when.
 func (p *plan) best(j *job, from time.Time, zones *zonePlan) (*virtual, time.Time) {
+	return p.bestOf(j, from, zones, false)
+}
+
+// bestYielding is the same among the machines that no other waiting work
+// depends on.
+func (p *plan) bestYielding(j *job, from time.Time, zones *zonePlan) (*virtual, time.Time) {
+	return p.bestOf(j, from, zones, true)
+}
+
+// needed says, once for a plan, that others wait for the flavour that fit fewer.
+func (p *plan) needed(j *job, flavour string) bool {
+	key := [2]string{j.Workload, flavour}
+	is, ok := p.wanted[key]
+	if !ok {
+		if p.wanted == nil {
+			p.wanted = map[[2]string]bool{}
+		}
+		is = p.n.neededElsewhere(&j.Spec, flavour)
+		p.wanted[key] = is
+	}
+	return is
+}
+
+func (p *plan) bestOf(j *job, from time.Time, zones *zonePlan, yields bool) (*virtual, time.Time) {
 	now := p.n.now
 	wait := max(0, from.Sub(now))
 	if j.Gang || j.SamePlace || j.Apart || len(j.again) > 0 {
-		v, at := p.bestOfAll(j, wait, zones)
+		v, at := p.bestOfAll(j, wait, zones, yields)
 		return v, now.Add(at)
 	}
-	q := p.queue(j)
+	q := p.queue(j, yields)
 	// Entries tell of the earliest moment; for a task that comes later the
 	// first ones may all be as good, or one behind them better by its image.
 	best, at := -1, time.Duration(0)
@@ -193,11 +220,11 @@
 const lookAhead = 8
 
 // bestOfAll looks at every machine, for tasks that are not all alike.
-func (p *plan) bestOfAll(j *job, wait time.Duration, zones *zonePlan) (*virtual, time.Duration) {
+func (p *plan) bestOfAll(j *job, wait time.Duration, zones *zonePlan, yields bool) (*virtual, time.Duration) {
 	var best *virtual
 	var at time.Duration
 	for i, v := range p.vs {
-		if !j.allows(v.k.flavour, v.k.zone, v.k.spot) || zones.room(v.k.zone) == 0 || v.m != nil && j.avoids(v.m.id) {
+		if !j.allows(v.k.flavour, v.k.zone, v.k.spot) || zones.room(v.k.zone) == 0 || v.m != nil && j.avoids(v.m.id) || yields && p.needed(j, v.k.flavour) {
 			continue
 		}
 		if e, ok := p.entry(i, j); ok {
