Successors know which machines hold which images after the end of all as well

The owner now writes them into the state service, a record every four seconds in the last place, some eight records for a thousand machines.

--- a/internal/core/owner.go
+++ b/internal/core/owner.go
@@ -91,6 +91,13 @@
 	waiting   map[string]time.Time
 	told      time.Time
 	toldLoads time.Time
+	// warm is what machines held under a former owner; warmed is when a record
+	// of that was last written, warming that one is under way, and warmFrom
+	// and warmKey where the next begins.
+	warm              map[string]map[string]float64
+	warmed            time.Time
+	warming           bool
+	warmFrom, warmKey int
 	// turn says which machines the others are told of next.
 	turn int
 }
@@ -147,7 +154,7 @@
 		epoch: stamp, share: share, since: n.now, gen: int(n.id()),
 		frozen: map[string]bool{}, frozenBy: s.leadStamp,
 		jobs: map[string]*job{}, machines: map[string]*machine{}, used: map[string]Resources{},
-		arrivals: map[string][]arrival{}, workloads: map[string]*workload{},
+		arrivals: map[string][]arrival{}, workloads: map[string]*workload{}, warm: map[string]map[string]float64{},
 	}
 	n.info("owner", "epoch", stamp, "teams", share.Teams)
 	n.load()
@@ -169,7 +176,7 @@
 	gen := o.gen
 	var tasks []Item
 	var open []Item
-	var listTasks, listOpen func(from string)
+	var listTasks, listOpen, listWarm func(from string)
 	again := func(fn func(string), from string) {
 		n.after(n.jitter(retryPause), func() {
 			if n.owner != nil && n.owner.gen == gen {
@@ -211,6 +218,22 @@
 				listTasks(d.Items[len(d.Items)-1].Key)
 				return
 			}
+			listWarm("")
+		})
+	}
+	// Images are no more than a help: without them it goes on as well.
+	listWarm = func(from string) {
+		n.ask(StateOp{Kind: OpList, Prio: PrioSession, Key: warmPrefix, From: from}, func(d StateDone) {
+			if n.owner == nil || n.owner.gen != gen {
+				return
+			}
+			for _, it := range d.Items {
+				n.warmItem(it)
+			}
+			if d.Status == StateOK && d.Truncated && len(d.Items) > 0 {
+				listWarm(d.Items[len(d.Items)-1].Key)
+				return
+			}
 			n.loaded(open, tasks)
 		})
 	}
@@ -516,6 +539,7 @@
 		n.maybeRaise()
 		n.planFleet()
 		n.tellPeers()
+		n.writeWarm()
 		o.place = true
 	}
 	if o.place && (o.hurry || n.now.Sub(o.placed) >= placeEvery) {
--- a/internal/core/record.go
+++ b/internal/core/record.go
@@ -21,6 +21,7 @@
 	jobPrefix   = "job/"
 	openPrefix  = "open/"
 	taskPrefix  = "task/"
+	warmPrefix  = "warm/"
 )
 
 type nodeRecord struct {
