--- a/internal/core/fleet_test.go
+++ b/internal/core/fleet_test.go
@@ -30,3 +30,98 @@
 		t.Errorf("wants %v beside 40 idle machines", n.owner.wants)
 	}
 }
+
+// TestReliefTakesWhatIsThere guards against renting a small machine for each task
+// that should leave room on racks, beside small ones that are idle.
+func TestReliefTakesWhatIsThere(t *testing.T) {
+	n := largePool(0)
+	for i := range 80 {
+		// Every eighth is a rack; the boxes are idle as well.
+		n.hear(n.machine(n.poolReport(i).Machine), n.poolReport(i), true)
+	}
+	small := Spec{ID: "job-s", Workload: "small", Team: "ops", Urgency: Normal, Tasks: 1, Spot: true,
+		Need: Resources{CPU: 4, Memory: 4}, Image: "s", ImageGB: 0.5, Expected: 25 * time.Second, Due: time.Minute}
+	wide := small
+	wide.ID, wide.Workload, wide.Need = "job-w", "wide", Resources{CPU: 8, Memory: 22}
+	n.owner.workloads["small"], n.owner.workloads["wide"] = &workload{&small, n.now}, &workload{&wide, n.now}
+	n.owner.waiting = map[string]time.Time{"wide": n.now}
+	for _, m := range n.owner.byID {
+		if m.flavour == "rack" {
+			// The racks hold the image, and so come first in the plan.
+			m.images["s"] = &image{gb: 0.5, cached: true}
+		}
+	}
+	for range 10 {
+		n.owner.arrivals["small"] = append(n.owner.arrivals["small"], arrival{n.now, 12, small.Need, &small})
+	}
+	if !n.neededElsewhere(&small, "rack") {
+		t.Fatal("nobody waits for racks")
+	}
+	n.rent(n.futureRoom())
+	if len(n.owner.wants) != 0 {
+		t.Errorf("wants %v beside 70 idle boxes", n.owner.wants)
+	}
+}
+
+// TestPutOff: of jobs that cannot all be in time the largest is put off, and none
+// while all can be.
+func TestPutOff(t *testing.T) {
+	n := largePool(10)
+	clear(n.owner.jobs)
+	clear(n.owner.workloads)
+	add := func(id string, tasks int) {
+		j := newJob(Spec{ID: id, Workload: "batch", Team: "ops", Urgency: Normal, Tasks: tasks, Spot: true,
+			Need: Resources{CPU: 4, Memory: 4}, Expected: 30 * time.Second, Due: 90 * time.Second}, n.now, 1, 4096)
+		n.owner.jobs[id] = j
+	}
+	late := func() string {
+		rs := []ranked{}
+		for _, j := range n.order() {
+			rs = append(rs, ranked{j: j})
+		}
+		n.putOff(rs)
+		out := ""
+		for _, r := range rs {
+			if r.late {
+				out += r.j.ID + " "
+			}
+		}
+		return out
+	}
+	// There is room for 24 tasks at a time, and time for three rounds of them.
+	add("job-1", 30)
+	add("job-2", 8)
+	if got := late(); got != "" {
+		t.Errorf("all can be in time, but %sput off", got)
+	}
+	n.owner.jobs["job-1"].tasks = make([]task, 90)
+	add("job-3", 8)
+	if got := late(); got != "job-1 " {
+		t.Errorf("%sput off, want the largest", got)
+	}
+	if o := n.order(); o[len(o)-1].ID != "job-1" {
+		t.Errorf("%s is the last, want the one put off", o[len(o)-1].ID)
+	}
+}
+
+// TestSharedOutage: in an outage of the state service a controller stays healthy
+// only as long as all others say that they have lost it as well.
+func TestSharedOutage(t *testing.T) {
+	n := largePool(0)
+	n.set.Peers = []string{"b", "c"}
+	n.sess.stateBad = n.now.Add(-time.Minute)
+	if n.Healthy(n.now) {
+		t.Error("healthy though it hears of nobody")
+	}
+	n.command(PeerNews{From: "b", StateAway: true})
+	if n.Healthy(n.now) {
+		t.Error("healthy though one other may have the state service")
+	}
+	n.command(PeerNews{From: "c", StateAway: true})
+	if !n.Healthy(n.now) {
+		t.Error("unhealthy in an outage for all")
+	}
+	if n.Healthy(n.now.Add(2 * awayFresh)) {
+		t.Error("healthy on old news")
+	}
+}
