--- /dev/null
+++ b/cmd/micahill-lab/main.go
@@ -0,0 +1,26 @@
+// Command micahill-lab is the project's own experiment tool over the stand-ins.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+
+	"github.com/spf13/cobra"
+)
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt)
+	defer stop()
+	root := &cobra.Command{
+		Use: "micahill-lab", Short: "Experiments with micahill on stand-ins",
+		Long:         "Experiments with micahill over the project's own stand-ins: nothing of a real\ncloud is touched, and all traffic stays on this machine.",
+		SilenceUsage: true, SilenceErrors: true,
+	}
+	root.AddCommand(conditionsCommand())
+	if err := root.ExecuteContext(ctx); err != nil {
+		fmt.Fprintln(os.Stderr, "micahill-lab:", err)
+		os.Exit(1)
+	}
+}
--- a/internal/core/fleet.go
+++ b/internal/core/fleet.go
@@ -169,19 +169,19 @@
 		rec []byte
 	}
 	var writes []write
-	// A fresh leader rewrites all shares: whoever held a team before is
-	// deposed by the new stamp.
+	// A fresh leader leaves alone what stays as it is: a share names the life
+	// of its controller, and whatever an earlier leader may still have sent
+	// names that leader's record.
 	for _, h := range sortedKeys(hosts) {
 		w, ok := want[h]
 		have, had := s.shares[h]
-		fresh := s.stamps[sharePrefix+h] < l.stamp
 		// A machine that a share no longer names falls to the one that has the
 		// rest, whose epoch must then be above all that the machine has seen.
 		falls := ok && w.Rest && slices.ContainsFunc(sortedKeys(s.shares), func(x string) bool {
 			return slices.ContainsFunc(s.shares[x].Machines, func(id string) bool { return !slices.Contains(want[x].Machines, id) })
 		})
 		same := !falls && ok == had && w.Nonce == have.Nonce && slices.Equal(w.Teams, have.Teams) && w.Rest == have.Rest && slices.Equal(w.Machines, have.Machines)
-		if same && (!fresh || !ok) {
+		if same {
 			continue
 		}
 		key := sharePrefix + h
--- a/internal/core/jobs.go
+++ b/internal/core/jobs.go
@@ -204,8 +204,8 @@
 const failsAnywhere = 4
 
 // record is the chunk in durable form.
-func (j *job) record(c *chunk, writer string) chunkRecord {
-	r := chunkRecord{Writer: writer}
+func (j *job) record(c *chunk) chunkRecord {
+	var r chunkRecord
 	lo, hi := c.n*j.per, min((c.n+1)*j.per, len(j.tasks))
 	groups := map[int64]bool{}
 	for i := lo; i < hi; i++ {
@@ -259,9 +259,10 @@
 
 // zoneOK judges same_place and apart against the job's live tasks.
 func (j *job) zoneOK(zone string) bool {
-	if (j.SamePlace || j.Apart) && j.zoneLive[""] > 0 {
+	if j.Apart && j.zoneLive[""] > 0 {
 		// After a takeover, before a machine has been heard of or listed, it
-		// is not known where its tasks are.
+		// is not known where its tasks are. For the same place that is as good
+		// as another zone, below.
 		return false
 	}
 	if j.SamePlace && j.live > 0 {
--- a/internal/core/machines.go
+++ b/internal/core/machines.go
@@ -244,9 +244,10 @@
 	m.seenEpoch = max(m.seenEpoch, r.Epoch)
 	m.lastHeard, m.unanswered = n.now, 0
 	if m.leaseEnd.IsZero() {
-		// Heard of by its answer to us, not by a report of which we prolonged
-		// the lease. A former owner may go on doing so for its grace.
-		m.leaseEnd = n.leaseAfter(n.now.Add(n.grace()))
+		// Heard of for the first time. A former owner may go on prolonging its
+		// lease for the grace, which began when this one took over at the latest:
+		// also after a report, as our answer to it may be lost.
+		m.leaseEnd = n.leaseAfter(later(n.now, n.owner.since.Add(n.grace())))
 	}
 	m.noDirect = false
 	if r.Recall >= 0 {
@@ -541,7 +542,7 @@
 	for _, k := range sortedAttempts(m) {
 		t := m.attempts[k]
 		j := o.jobs[k.job]
-		if t.stop != stopNone || !j.durable(k.index) || j.cancelled {
+		if t.stop != stopNone || !j.durable(k.index) {
 			continue
 		}
 		if p, ok := m.pieces[k]; ok && p.Try == t.try {
--- a/internal/core/node.go
+++ b/internal/core/node.go
@@ -28,6 +28,10 @@
 	// accuracy of the workloads' estimates outlives a loss of the owner role.
 	errs map[string]*estimate
 	role Role
+	// held is the epoch under which this life was last an owner.
+	held uint64
+	// raising: the share is being rewritten for a higher epoch.
+	raising bool
 	// returned remembers machines whose return was asked for: neither an old
 	// list nor a late report may bring them back.
 	returned map[string]bool
--- a/internal/core/owner.go
+++ b/internal/core/owner.go
@@ -79,7 +79,6 @@
 	frozen   map[string]bool
 	frozenBy uint64
 	raised   time.Time
-	raising  bool
 	// orphans are task/ records whose job is over.
 	orphans []string
 	// arrivals remember when work of each workload came, for warm room.
@@ -141,7 +140,7 @@
 			return
 		}
 		if slices.Equal(o.share.Teams, share.Teams) {
-			o.epoch, o.share = stamp, share
+			o.epoch, o.share, n.held = stamp, share, stamp
 			o.place = true
 			for _, m := range o.byID {
 				n.mark(m)
@@ -150,6 +149,14 @@
 		}
 		n.dropOwner("teams changed")
 	}
+	if stamp == n.held {
+		// This life has run the share before and dropped the role: which of its
+		// starts are still on their way is not known any more. Under a higher
+		// epoch they can no longer be executed.
+		n.raiseShare()
+		return
+	}
+	n.held = stamp
 	n.owner = &owner{
 		epoch: stamp, share: share, since: n.now, gen: int(n.id()),
 		frozen: map[string]bool{}, frozenBy: s.leadStamp,
@@ -609,7 +616,7 @@
 					if c.busy || c.ver == c.saved || len(op.Apply) >= most || !due(c) {
 						continue
 					}
-					val := encode(j.record(c, n.set.Nonce))
+					val := encode(j.record(c))
 					// The limit counts JSON; that is at most about three times
 					// the length of these short rows.
 					if size += 3 * len(val); size > 48<<10 && len(op.Apply) > 0 {
@@ -691,16 +698,15 @@
 // changed, the watches tell the rest; if the chunk did, it was an earlier
 // write of our own, applied late, and all it holds is still meant.
 func (n *Node) settle(j *job, c *chunk, failed []string) {
-	if slices.Contains(failed, c.key(j.ID)) {
+	switch {
+	case slices.Contains(failed, sharePrefix+n.set.Host), slices.Contains(failed, openPrefix+j.ID):
+		n.retryChunk(j, c)
+	case slices.Contains(failed, c.key(j.ID)):
 		n.reread(j, c)
-		return
-	}
-	if !slices.Contains(failed, openPrefix+j.ID) && !slices.Contains(failed, sharePrefix+n.set.Host) {
+	default:
 		// Another job of the same write was cancelled or is over.
 		c.urgent, c.busy = true, false
-		return
 	}
-	n.retryChunk(j, c)
 }
 
 func (n *Node) reread(j *job, c *chunk) {
@@ -711,19 +717,9 @@
 		}
 		switch d.Status {
 		case StateOK:
-			var r chunkRecord
-			if !decode(d.Items[0].Value, &r) || r.Writer != n.set.Nonce {
-				if d.Items[0].Stamp == c.stamp {
-					n.retryChunk(j, c)
-					return
-				}
-				// Another owner wrote here: what we know is out of date.
-				n.dropOwner("chunk written by another")
-				n.ownerCheck()
-				return
-			}
-			// Ours. Whether it is the newest of our writes is not told, so
-			// write again on top of it.
+			// Written by this owner: another's write would have needed its own
+			// share, whose stamp every write names. Whether it is the newest of
+			// our writes is not told, so write again on top of it.
 			c.stamp, c.busy, c.urgent = d.Items[0].Stamp, false, true
 		case StateNotFound:
 			c.stamp = 0
@@ -864,7 +860,7 @@
 // way: under a higher epoch it can no longer be executed.
 func (n *Node) maybeRaise() {
 	o := n.owner
-	if o.raising || n.now.Sub(o.raised) < raiseEvery {
+	if n.raising || n.now.Sub(o.raised) < raiseEvery {
 		return
 	}
 	need := false
@@ -876,19 +872,27 @@
 	if !need {
 		return
 	}
-	o.raising, o.raised = true, n.now
-	gen := o.gen
-	rec := encode(o.share)
+	o.raised = n.now
+	n.raiseShare()
+}
+
+// raiseShare rewrites this node's share unchanged, under its own stamp, for a
+// higher epoch. One at a time; when it is answered, the role is looked at again.
+func (n *Node) raiseShare() {
+	if n.raising {
+		return
+	}
+	n.raising = true
 	key := sharePrefix + n.set.Host
-	n.ask(StateOp{Kind: OpTxn, Prio: PrioStart, When: []Cond{{key, o.epoch}}, Apply: []Change{{Key: key, Value: rec}}}, func(d StateDone) {
-		if n.owner == nil || n.owner.gen != gen {
-			return
-		}
-		n.owner.raising = false
+	rec, stamp := encode(n.sess.shares[n.set.Host]), n.sess.stamps[key]
+	n.ask(StateOp{Kind: OpTxn, Prio: PrioStart, When: []Cond{{key, stamp}}, Apply: []Change{{Key: key, Value: rec}}}, func(d StateDone) {
+		n.raising = false
 		if d.Status == StateOK {
 			n.ctlItem(Item{Key: key, Value: rec, Stamp: d.Rev})
 			n.ownerCheck()
+			return
 		}
+		n.after(n.jitter(retryPause), n.ownerCheck)
 	})
 }
 
--- a/internal/core/record.go
+++ b/internal/core/record.go
@@ -97,11 +97,10 @@
 // whose relaunch has been decided. Times are run times in milliseconds, the
 // last few, from which a successor rebuilds the median.
 type chunkRecord struct {
-	Writer string    `msgpack:"w"`
-	Runs   []int     `msgpack:"d,omitempty"`
-	Rows   []taskRow `msgpack:"t,omitempty"`
-	Marks  []int64   `msgpack:"m,omitempty"`
-	Times  []int64   `msgpack:"rt,omitempty"`
+	Runs  []int     `msgpack:"d,omitempty"`
+	Rows  []taskRow `msgpack:"t,omitempty"`
+	Marks []int64   `msgpack:"m,omitempty"`
+	Times []int64   `msgpack:"rt,omitempty"`
 }
 
 // rowBytes is an upper bound for a row in JSON form: an index of six digits, an
--- /dev/null
+++ b/internal/lab/conditions/conditions.go
@@ -0,0 +1,162 @@
+// Package conditions guards the safety argument itself: it takes one condition
+// after another out of a copy of the sources and runs the tests, which have to
+// notice. The list names, for each invariant, the line that keeps it.
+package conditions
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"regexp"
+	"slices"
+	"strings"
+
+	"github.com/pelletier/go-toml/v2"
+)
+
+// Condition is one condition of the safety argument: in File, relative to the
+// list's root, Text stands exactly once; with Without in its place the program
+// still builds, and some test of Packages must fail.
+type Condition struct {
+	Name      string `toml:"name"`
+	Invariant string `toml:"invariant"`
+	File      string `toml:"file"`
+	Text      string `toml:"text"`
+	Without   string `toml:"without"`
+	// Guards is the test that is meant to fail, as go test prints it. Another
+	// one may fail first.
+	Guards string `toml:"guards"`
+}
+
+// List is a file of conditions.
+type List struct {
+	// Packages are tested without each condition, as go test takes them.
+	Packages   []string    `toml:"packages"`
+	Conditions []Condition `toml:"condition"`
+	root       string
+}
+
+// Result tells what became of the tests without a condition.
+type Result struct {
+	Condition Condition
+	// Failed are the tests that noticed, in the order in which they ended. None
+	// and no Err: nothing noticed.
+	Failed []string
+	// Err says why the tests could not be run: mostly, the sources without the
+	// condition do not build.
+	Err error
+}
+
+// Load reads a list. root is the folder of the module that its files are
+// relative to. An error names the condition and what is wrong with it.
+func Load(path, root string) (*List, error) {
+	b, err := os.ReadFile(path)
+	if err != nil {
+		return nil, fmt.Errorf("conditions: %w", err)
+	}
+	l := &List{root: root}
+	d := toml.NewDecoder(bytes.NewReader(b)).DisallowUnknownFields()
+	if err := d.Decode(l); err != nil {
+		return nil, fmt.Errorf("conditions: %s: %w", path, err)
+	}
+	seen := map[string]bool{}
+	for i := range l.Conditions {
+		c := &l.Conditions[i]
+		if c.Name == "" || c.Invariant == "" || c.Text == "" {
+			return nil, fmt.Errorf("conditions: %s: entry %d: name, invariant and text are needed", path, i+1)
+		}
+		if seen[c.Name] {
+			return nil, fmt.Errorf("conditions: %s: %q stands twice", path, c.Name)
+		}
+		seen[c.Name] = true
+		if _, err := l.without(c); err != nil {
+			return nil, err
+		}
+	}
+	return l, nil
+}
+
+// without is the condition's file with the condition taken out.
+func (l *List) without(c *Condition) ([]byte, error) {
+	b, err := os.ReadFile(filepath.Join(l.root, c.File))
+	if err != nil {
+		return nil, fmt.Errorf("conditions: %q: %w", c.Name, err)
+	}
+	if k := strings.Count(string(b), c.Text); k != 1 {
+		return nil, fmt.Errorf("conditions: %q: its text stands %d times in %s, not once: %q", c.Name, k, c.File, c.Text)
+	}
+	return []byte(strings.Replace(string(b), c.Text, c.Without, 1)), nil
+}
+
+var failedTest = regexp.MustCompile(`(?m)^\s*--- FAIL: (\S+)`)
+
+// errBuild marks sources that do not build without a condition: that says
+// nothing about the tests.
+var errBuild = errors.New("the sources do not build without it")
+
+// Try runs the tests without the condition. The tree is left as it is: the
+// compiler is given the changed file in the place of the real one.
+func (l *List) Try(ctx context.Context, c Condition) Result {
+	res := Result{Condition: c}
+	dir, err := os.MkdirTemp("", "conditions")
+	if err != nil {
+		res.Err = fmt.Errorf("conditions: %w", err)
+		return res
+	}
+	defer os.RemoveAll(dir)
+	src, err := l.without(&c)
+	if err != nil {
+		res.Err = err
+		return res
+	}
+	real, err := filepath.Abs(filepath.Join(l.root, c.File))
+	if err != nil {
+		res.Err = fmt.Errorf("conditions: %w", err)
+		return res
+	}
+	changed, overlay := filepath.Join(dir, "changed.go"), filepath.Join(dir, "overlay.json")
+	over, err := json.Marshal(map[string]any{"Replace": map[string]string{real: changed}})
+	if err == nil {
+		err = errors.Join(os.WriteFile(changed, src, 0o600), os.WriteFile(overlay, over, 0o600))
+	}
+	if err != nil {
+		res.Err = fmt.Errorf("conditions: %w", err)
+		return res
+	}
+	// vet is left out: what a condition leaves behind need not be tidy.
+	args := append([]string{"test", "-vet=off", "-overlay", overlay, "-timeout", "5m"}, l.Packages...)
+	cmd := exec.CommandContext(ctx, "go", args...)
+	cmd.Dir = l.root
+	out, err := cmd.CombinedOutput()
+	if ctx.Err() != nil {
+		res.Err = ctx.Err()
+		return res
+	}
+	if err == nil {
+		return res
+	}
+	if bytes.Contains(out, []byte("[build failed]")) || bytes.Contains(out, []byte("[setup failed]")) {
+		res.Err = fmt.Errorf("conditions: %q: %w: %s", c.Name, errBuild, firstLines(out, 4))
+		return res
+	}
+	for _, m := range failedTest.FindAllStringSubmatch(string(out), -1) {
+		if !slices.Contains(res.Failed, m[1]) {
+			res.Failed = append(res.Failed, m[1])
+		}
+	}
+	if len(res.Failed) == 0 {
+		// A panic or the time limit: noticed, but without a test's name.
+		res.Failed = []string{firstLines(out, 1)}
+	}
+	return res
+}
+
+func firstLines(b []byte, n int) string {
+	lines := strings.SplitN(strings.TrimSpace(string(b)), "\n", n+1)
+	return strings.Join(lines[:min(n, len(lines))], " | ")
+}
--- a/internal/standin/scenario_test.go
+++ b/internal/standin/scenario_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"os"
 	"strings"
 	"testing"
 	"time"
@@ -249,16 +250,27 @@
 // TestSimulation plays random days with random faults. After every start and
 // every tick the rules are checked; in the end all work must be done.
 func TestSimulation(t *testing.T) {
-	days := 24
+	days := uint64(32)
 	if testing.Short() {
 		days = 6
 	}
-	for seed := range uint64(days) {
+	// A long search: MICAHILL_DAYS=2000 go test ./internal/standin -run TestSimulation$
+	if v := os.Getenv("MICAHILL_DAYS"); v != "" {
+		if _, err := fmt.Sscan(v, &days); err != nil {
+			t.Fatal("MICAHILL_DAYS: ", err)
+		}
+	}
+	for seed := range days {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			t.Parallel()
 			w := newTestWorld(seed)
-			if seed%3 == 2 {
+			switch seed % 4 {
+			case 1:
+				w.twice = 0.03
+			case 2:
 				w.loss = 0.01
+			case 3:
+				w.loss, w.twice = 0.02, 0.02
 			}
 			randomDay(w, seed)
 			for _, b := range w.Broken {
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -224,6 +224,13 @@
 		}
 	})
 	p := w.nodes[to]
+	if w.rng.Float64() < w.twice {
+		w.after(w.late(), func() {
+			w.sendMsg(m.ID, p.name, func() {
+				p.ask(func(reply uint64) core.Command { return core.WorkerReport{Reply: reply, Report: r} }, func(core.Effect) {})
+			})
+		})
+	}
 	w.sendMsg(m.ID, p.name, func() {
 		p.ask(func(reply uint64) core.Command { return core.WorkerReport{Reply: reply, Report: r} }, func(e core.Effect) {
 			a := e.(core.ReportReply)
--- a/internal/standin/world.go
+++ b/internal/standin/world.go
@@ -38,6 +38,10 @@
 	cloudOut bool
 	// loss: how often an answer or request is lost, or held for long.
 	loss float64
+	// twice: how often a transaction, a report or an order is carried out once
+	// more, up to minutes later. Of a doubled order neither answer arrives: a
+	// client that got one does not send again.
+	twice float64
 	// Broken collects broken rules.
 	Broken []string
 	// Started counts starts.
@@ -235,12 +239,14 @@
 		if w.rng.IntN(2) == 0 {
 			return
 		}
-		// Minutes late.
-		d += time.Duration(5+w.rng.IntN(100)) * time.Second
+		d += w.late()
 	}
 	w.after(d, deliver)
 }
 
+// late is how much later than usual a message comes that was held somewhere.
+func (w *World) late() time.Duration { return time.Duration(5+w.rng.IntN(100)) * time.Second }
+
 // boot starts a controller's process anew.
 func (p *proc) boot() {
 	p.life++
@@ -333,8 +339,8 @@
 }
 
 // call is a request with a deadline: fail is what the client tells its core
-// when no answer came.
-func (p *proc) call(to string, deadline time.Duration, exec func(answer func(core.Command)), fail core.Command) {
+// when no answer came. again says that it may also be carried out twice.
+func (p *proc) call(to string, again bool, deadline time.Duration, exec func(answer func(core.Command)), fail core.Command) {
 	w, life := p.w, p.life
 	over := false
 	finish := func(c core.Command) {
@@ -343,9 +349,15 @@
 			p.push(c)
 		}
 	}
-	w.sendMsg(p.name, to, func() {
-		exec(func(c core.Command) { w.sendMsg(to, p.name, func() { finish(c) }) })
-	})
+	answer := func(c core.Command) { w.sendMsg(to, p.name, func() { finish(c) }) }
+	if again && w.rng.Float64() < w.twice {
+		none := func(core.Command) {}
+		w.after(w.late(), func() { w.sendMsg(p.name, to, func() { exec(none) }) })
+		if to != "state" {
+			answer = none
+		}
+	}
+	w.sendMsg(p.name, to, func() { exec(answer) })
 	w.after(deadline, func() { finish(fail) })
 }
 
@@ -359,7 +371,7 @@
 		} else if e.Kind == core.OpList || e.Prio == core.PrioLazy {
 			limit = 3 * time.Second
 		}
-		p.call("state", limit, func(answer func(core.Command)) {
+		p.call("state", e.Kind == core.OpTxn, limit, func(answer func(core.Command)) {
 			if (w.outage || p.stateNo) && (e.Kind != core.OpFollow || e.Hold == 0) {
 				answer(core.StateDone{ID: e.ID, Status: core.StateRefused})
 				return
@@ -370,14 +382,14 @@
 			})
 		}, core.StateDone{ID: e.ID, Status: core.StateUnknown})
 	case core.CloudOp:
-		p.call("cloud", 5*time.Second, func(answer func(core.Command)) { answer(w.cloud(e)) }, core.CloudDone{ID: e.ID, Status: core.CloudUnknown})
+		p.call("cloud", false, 5*time.Second, func(answer func(core.Command)) { answer(w.cloud(e)) }, core.CloudDone{ID: e.ID, Status: core.CloudUnknown})
 	case core.WorkerOp:
 		m := w.machine[e.Machine]
 		if m == nil {
 			p.push(core.WorkerDone{ID: e.ID})
 			return
 		}
-		p.call(m.ID, 2*time.Second, func(answer func(core.Command)) {
+		p.call(m.ID, !e.Ask, 2*time.Second, func(answer func(core.Command)) {
 			if !w.now.Before(m.upAt) {
 				answer(w.direct(m, e))
 			}
