--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -224,7 +224,7 @@
 		}
 	})
 	p := w.nodes[to]
-	if w.rng.Float64() < w.twice {
+	if w.twice > 0 && w.rng.Float64() < w.twice {
 		w.after(w.late(), func() {
 			w.sendMsg(m.ID, p.name, func() {
 				p.ask(func(reply uint64) core.Command { return core.WorkerReport{Reply: reply, Report: r} }, func(core.Effect) {})
--- a/internal/standin/world.go
+++ b/internal/standin/world.go
@@ -350,7 +350,7 @@
 		}
 	}
 	answer := func(c core.Command) { w.sendMsg(to, p.name, func() { finish(c) }) }
-	if again && w.rng.Float64() < w.twice {
+	if again && w.twice > 0 && w.rng.Float64() < w.twice {
 		none := func(core.Command) {}
 		w.after(w.late(), func() { w.sendMsg(p.name, to, func() { exec(none) }) })
 		if to != "state" {
