Two ways to run a task twice: a removed record, a lease counted from another tenure

Records of a job that came in between, run by another controller, looked like those of a job that is over, and were removed: the next successor took the tasks for never started. - A machine's lease ran out and an answer of the machine told so before any of its reports. What was started in the new tenure was given up when the old tenure's lease would have ended, while it went on running.

Change: a removal of task records names open/<id> as absent in its conditions; a tenure that is heard of for the first time has a lease of its own.

--- a/internal/core/machines.go
+++ b/internal/core/machines.go
@@ -239,16 +239,15 @@
 	}
 	if !m.heard || r.Tenure > m.tenure {
 		m.replyTick, m.unacked = 0, 0
+		// A lease that has begun by now; what was known of an earlier one says
+		// nothing of it. Heard by an answer, it may get work before we answer any
+		// of its reports, and a former owner may go on prolonging it for the
+		// grace, which began when this one took over at the latest.
+		m.leaseEnd = later(m.leaseEnd, n.leaseAfter(later(n.now, n.owner.since.Add(n.grace()))))
 	}
 	m.heard, m.tenure, m.tick = true, r.Tenure, r.Tick
 	m.seenEpoch = max(m.seenEpoch, r.Epoch)
 	m.lastHeard, m.unanswered = n.now, 0
-	if m.leaseEnd.IsZero() {
-		// Heard of for the first time. A former owner may go on prolonging its
-		// lease for the grace, which began when this one took over at the latest:
-		// also after a report, as our answer to it may be lost.
-		m.leaseEnd = n.leaseAfter(later(n.now, n.owner.since.Add(n.grace())))
-	}
 	m.noDirect = false
 	if r.Recall >= 0 {
 		if !m.recall {
--- a/internal/core/owner.go
+++ b/internal/core/owner.go
@@ -830,6 +830,9 @@
 	o.orphans = append(o.orphans, rest...)
 }
 
+// dropOrphans removes records of tasks whose job is over. Each removal needs
+// that the job's open record is gone: a record that a list showed may belong to
+// a job that came after open/ was listed, and that another controller runs.
 func (n *Node) dropOrphans() {
 	o := n.owner
 	k := min(len(o.orphans), lazyMost, n.set.TxnOps)
@@ -837,6 +840,9 @@
 	o.orphans = slices.Clone(o.orphans[k:])
 	op := StateOp{Kind: OpTxn, Prio: PrioLazy, When: []Cond{{sharePrefix + n.set.Host, o.epoch}}}
 	for _, key := range keys {
+		if open := (Cond{openPrefix + jobID(key, taskPrefix), 0}); !slices.Contains(op.When, open) {
+			op.When = append(op.When, open)
+		}
 		op.Apply = append(op.Apply, Change{Key: key})
 	}
 	o.inFlight++
@@ -846,13 +852,17 @@
 			return
 		}
 		n.owner.inFlight--
-		if d.Status != StateOK && d.Status != StateBad {
-			n.after(n.jitter(retryPause), func() {
-				if n.owner != nil && n.owner.gen == gen {
-					n.owner.orphans = append(n.owner.orphans, keys...)
-				}
-			})
+		if d.Status == StateOK || d.Status == StateBad {
+			return
 		}
+		keys = slices.DeleteFunc(keys, func(key string) bool {
+			return slices.Contains(d.Failed, openPrefix+jobID(key, taskPrefix))
+		})
+		n.after(n.jitter(retryPause), func() {
+			if n.owner != nil && n.owner.gen == gen {
+				n.owner.orphans = append(n.owner.orphans, keys...)
+			}
+		})
 	})
 }
 
--- a/internal/core/safety_test.go
+++ b/internal/core/safety_test.go
@@ -42,10 +42,8 @@
 	life  int
 	node  *core.Node
 	queue []core.Command
-	// mode is what becomes of requests to the state service whose text contains
-	// only: "ok", "refuse", "lose" (executed, no answer), "late" (no answer,
-	// executed at deliver), "hold" (executed and answered at deliver), "gone".
-	mode, only string
+	// rules say what becomes of requests to the state service.
+	rules      []benchRule
 	held       []func()
 	txns       []string
 	direct     []benchOrder
@@ -54,6 +52,11 @@
 	asked      map[uint64]string
 }
 
+// benchRule is for requests whose text contains only. Mode: "refuse", "lose"
+// (executed, no answer), "late" (no answer, executed at deliver), "hold" (executed
+// and answered at deliver), "gone" (once: the watch is too far behind).
+type benchRule struct{ mode, only string }
+
 // benchOrder is a direct order, and when it was sent.
 type benchOrder struct {
 	core.WorkerOp
@@ -94,7 +97,7 @@
 		b.nodes[name] = n
 	}
 	n.life++
-	n.mode, n.news, n.asked = "ok", true, map[uint64]string{}
+	n.rules, n.news, n.asked = nil, true, map[uint64]string{}
 	n.queue, n.held, n.direct, n.txns = nil, nil, nil, nil
 	set := core.Settings{
 		Host: name, Nonce: fmt.Sprintf("%s.%d", name, n.life), Zones: []string{"z1", "z2"},
@@ -253,9 +256,11 @@
 			}
 		})
 	}
-	mode := n.mode
-	if n.only != "" && !strings.Contains(text, n.only) {
-		mode = "ok"
+	mode := "ok"
+	if i := slices.IndexFunc(n.rules, func(r benchRule) bool { return strings.Contains(text, r.only) }); i >= 0 {
+		if mode = n.rules[i].mode; mode == "gone" {
+			n.rules = slices.Delete(n.rules, i, i+1)
+		}
 	}
 	switch mode {
 	case "ok":
@@ -271,8 +276,6 @@
 	case "hold":
 		n.held = append(n.held, func() { exec(true) })
 	case "gone":
-		// Once: the watch is too far behind.
-		n.mode = "ok"
 		n.push(core.StateDone{ID: op.ID, Status: core.StateGone, Sent: sent})
 	default:
 		b.t.Fatalf("unknown mode %s", mode)
@@ -459,10 +462,13 @@
 	case "wait":
 		b.run(core.Seconds(number("for", 1)))
 	case "state":
-		// What becomes of the node's requests to the state service.
-		n.mode, n.only = first(), ""
+		// What becomes of the node's requests to the state service; ok: all as usual.
+		r := benchRule{mode: first()}
 		if d.HasArg("only") {
-			d.ScanArgs(t, "only", &n.only)
+			d.ScanArgs(t, "only", &r.only)
+		}
+		if n.rules = append(n.rules, r); r.mode == "ok" {
+			n.rules = nil
 		}
 	case "deliver":
 		held := n.held
--- a/internal/standin/world.go
+++ b/internal/standin/world.go
@@ -407,7 +407,7 @@
 			})
 		}
 	case core.Log:
-		if !e.Debug || w.trace != "" && strings.Contains(fmt.Sprint(e.Args...), w.trace) {
+		if !e.Debug || w.trace != "" && containsAny(fmt.Sprint(e.Args...), w.trace) {
 			w.logs = append(w.logs, fmt.Sprintf("%.1f %s %s %v", w.now.Sub(w.began).Seconds(), p.name, e.Text, e.Args))
 		}
 	}
@@ -569,3 +569,12 @@
 		}
 	}
 }
+
+func containsAny(s, words string) bool {
+	for _, w := range strings.Split(words, "|") {
+		if strings.Contains(s, w) {
+			return true
+		}
+	}
+	return false
+}
