A machine whose return was lost with an earlier leader is returned after all

Cause: a controller remembers machines whose return was asked for and leaves them alone. When the leader that was to ask the cloud lost its role first, and the one that remembers became leader, it left the machine out of its books: nobody asked again, and where another owner's share had it, that owner never heard of it either.

Change: a listed machine whose return this leader has not had answered is returned again, or, where another owner has it, taken into the books.

--- a/internal/core/fleet.go
+++ b/internal/core/fleet.go
@@ -92,6 +92,9 @@
 	listAt   time.Time
 	blocked  map[kind]time.Time
 	renting  map[ask]int
+	// answered are machines whose return this leader has had answered; late lists
+	// go on naming them.
+	answered map[string]bool
 	// booking names the requests to rent that are not answered yet.
 	booking map[string]bool
 	// seq numbers what the owners are told; an owner's wishes count only when
@@ -135,7 +138,7 @@
 	n.leader = &leader{
 		stamp: n.sess.leadStamp, gen: int(n.id()), since: n.now,
 		rentals: map[string]*rental{}, blocked: map[kind]time.Time{}, renting: map[ask]int{}, booking: map[string]bool{}, needSeq: map[string]uint64{}, release: map[string]string{}, moved: n.now,
-		news: map[string]peerWants{},
+		news: map[string]peerWants{}, answered: map[string]bool{},
 	}
 	n.info("leader", "stamp", n.sess.leadStamp)
 	n.share()
@@ -660,8 +663,15 @@
 // listed takes in a list, which may be older than the one before.
 func (n *Node) listed(ms []Listed) {
 	l := n.leader
+	var again []string
 	for _, x := range ms {
-		if n.returned[x.ID] {
+		if n.returned[x.ID] && (l.answered[x.ID] || n.ownerOf(x.ID) == n.set.Host) {
+			if l.rentals[x.ID] == nil && !l.answered[x.ID] {
+				// Its return was asked for under an earlier leader, with whom the
+				// wish was lost. Nobody else would ever ask again.
+				l.rentals[x.ID] = &rental{id: x.ID, kind: kind{x.Flavour, x.Zone, x.Spot}, addr: x.Addr, since: n.now.Add(-x.Held), status: x.Status, listed: n.now}
+				again = append(again, x.ID)
+			}
 			continue
 		}
 		r := l.rentals[x.ID]
@@ -678,6 +688,9 @@
 		r.status = x.Status
 		n.adopt(r)
 	}
+	for ; len(again) > 0; again = again[min(len(again), returnMost):] {
+		n.giveBack(again[:min(len(again), returnMost)])
+	}
 	for _, id := range sortedKeys(l.rentals) {
 		r := l.rentals[id]
 		// Once listed, a machine stays listed until it is gone. A list can be
@@ -808,6 +821,7 @@
 			return
 		}
 		for _, id := range ids {
+			n.leader.answered[id] = true
 			if n.owner != nil {
 				if m := n.owner.machines[id]; m != nil {
 					n.dropMachine(m, "returned")
--- a/internal/core/safety_test.go
+++ b/internal/core/safety_test.go
@@ -43,13 +43,13 @@
 	node  *core.Node
 	queue []core.Command
 	// rules say what becomes of requests to the state service.
-	rules      []benchRule
-	held       []func()
-	txns       []string
-	direct     []benchOrder
-	news       bool
-	next       uint64
-	asked      map[uint64]string
+	rules  []benchRule
+	held   []func()
+	txns   []string
+	direct []benchOrder
+	news   bool
+	next   uint64
+	asked  map[uint64]string
 }
 
 // benchRule is for requests whose text contains only. Mode: "refuse", "lose"
@@ -506,6 +506,7 @@
 		vm.failed, vm.unlisted = d.HasArg("failed"), d.HasArg("unlisted")
 	case "returns":
 		b.returns = first()
+		clear(b.shown)
 	case "report":
 		vm := vm()
 		r := b.report(d, vm)
