--- a/internal/overflow/guest.go
+++ b/internal/overflow/guest.go
@@ -5,13 +5,8 @@
 	"time"
 )
 
-const (
-	// answerPatience is after how long an answer to a report is dropped: what is
-	// ordered in it must not be done minutes late.
-	answerPatience = 4 * time.Second
-	// startMargin before a lease's end nothing more is started for it.
-	startMargin = 500 * time.Millisecond
-)
+// startMargin before a lease's end nothing more is started for it.
+const startMargin = 500 * time.Millisecond
 
 // GuestView is what the guest's leader knows to be durable.
 type GuestView struct {
@@ -100,9 +95,9 @@
 // Answered takes in the answer to the report of the given tick. accept says
 // whether a job may be taken in, and why not. An answer that comes too late, to
 // another report, or from a leader that has been replaced is dropped whole.
-func (g *Guest) Answered(now time.Time, home string, tick uint64, a Answer, v GuestView, accept func(Order) Cause) []GuestOp {
+func (g *Guest) Answered(home string, tick uint64, a Answer, v GuestView, accept func(Order) Cause) []GuestOp {
 	h := g.home(home)
-	if tick != h.tick || h.sent.IsZero() || now.Sub(h.sent) > answerPatience || a.Epoch < h.epoch {
+	if tick != h.tick || h.sent.IsZero() || a.Epoch < h.epoch {
 		return nil
 	}
 	if a.Epoch > h.epoch {
