--- /dev/null
+++ b/cmd/micahill/keys.go
@@ -0,0 +1,137 @@
+package main
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"text/tabwriter"
+	"time"
+
+	"github.com/micahill/micahill/internal/keys"
+	"github.com/spf13/cobra"
+)
+
+// keysCommand makes and keeps the operators' own certificates.
+func keysCommand() *cobra.Command {
+	root := &cobra.Command{
+		Use: "keys", Short: "Make, issue, show and rotate the operators' own certificates",
+		Long: "Clusters know each other by certificates of a CA that their operators keep:\n\n" +
+			"  micahill keys init --dir ca\n" +
+			"  micahill keys issue --dir ca --cluster east --out east-keys\n" +
+			"  micahill keys show --dir east-keys\n\n" +
+			"Copy east-keys to every controller of east; a running controller takes changed\n" +
+			"files up by itself. To rotate the CA, without an outage:\n\n" +
+			"  micahill keys rotate --dir ca            # trusted beside the old one\n" +
+			"  (copy ca/ca.pem into every cluster's folder, on all controllers)\n" +
+			"  micahill keys issue ...                  # for every cluster, and copy\n" +
+			"  micahill keys rotate --dir ca --finish   # the old one goes; copy ca.pem",
+	}
+	var dir, cluster, out string
+	var days int
+	var finish, asJSON bool
+	need := func(flag, v string) error {
+		if v == "" {
+			return fmt.Errorf("keys: --%s is missing; see micahill keys --help", flag)
+		}
+		return nil
+	}
+	initCA := &cobra.Command{
+		Use: "init", Short: "Make a CA in a new folder", Args: cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			if err := need("dir", dir); err != nil {
+				return err
+			}
+			if err := keys.Init(dir, time.Now()); err != nil {
+				return err
+			}
+			fmt.Fprintf(cmd.OutOrStdout(), "%s: a new CA. Keep ca.key where only you can read it.\n", dir)
+			return nil
+		},
+	}
+	issue := &cobra.Command{
+		Use: "issue", Short: "Issue a cluster's certificate", Args: cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			if err := errors.Join(need("dir", dir), need("cluster", cluster), need("out", out)); err != nil {
+				return err
+			}
+			if err := keys.Issue(dir, cluster, out, time.Duration(days)*24*time.Hour, time.Now()); err != nil {
+				return err
+			}
+			fmt.Fprintf(cmd.OutOrStdout(), "%s: a certificate for %s, good for %d days. Copy the folder to all its controllers.\n", out, cluster, days)
+			return nil
+		},
+	}
+	issue.Flags().StringVar(&cluster, "cluster", "", "the cluster's name, as in overflow.cluster")
+	issue.Flags().StringVar(&out, "out", "", "the folder to write to")
+	issue.Flags().IntVar(&days, "days", int(keys.CertLife.Hours()/24), "for how many days it is good")
+	show := &cobra.Command{
+		Use: "show", Short: "Show a folder's certificates; status 1 if one is not good", Args: cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			if err := need("dir", dir); err != nil {
+				return err
+			}
+			is, err := keys.Show(dir, time.Now())
+			if err != nil {
+				return err
+			}
+			return printKeys(cmd.OutOrStdout(), is, asJSON, time.Now())
+		},
+	}
+	show.Flags().BoolVar(&asJSON, "json", false, "as JSON")
+	rotate := &cobra.Command{
+		Use: "rotate", Short: "Make a new CA beside the old one, or end that with --finish", Args: cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			if err := need("dir", dir); err != nil {
+				return err
+			}
+			if finish {
+				if err := keys.Finish(dir); err != nil {
+					return err
+				}
+				fmt.Fprintf(cmd.OutOrStdout(), "%s: the old CA is trusted no more, once ca.pem is copied to every cluster.\n", dir)
+				return nil
+			}
+			if err := keys.Rotate(dir, time.Now()); err != nil {
+				return err
+			}
+			fmt.Fprintf(cmd.OutOrStdout(), "%s: a new CA beside the old one. Next: copy ca.pem to every cluster, then issue anew.\n", dir)
+			return nil
+		},
+	}
+	rotate.Flags().BoolVar(&finish, "finish", false, "the old CA is no longer to be trusted")
+	for _, c := range []*cobra.Command{initCA, issue, show, rotate} {
+		c.Flags().StringVar(&dir, "dir", "", "the folder of the CA, or for show of a cluster")
+		root.AddCommand(c)
+	}
+	return root
+}
+
+func printKeys(out io.Writer, is []keys.Info, asJSON bool, now time.Time) error {
+	bad := ""
+	for _, i := range is {
+		if i.Problem != "" {
+			bad = i.File + ": " + i.Problem
+		}
+	}
+	if asJSON {
+		e := json.NewEncoder(out)
+		e.SetIndent("", "  ")
+		if err := e.Encode(is); err != nil {
+			return fmt.Errorf("keys: %w", err)
+		}
+	} else {
+		w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
+		fmt.Fprintln(w, "FILE\tNAME\tCLUSTER\tGOOD FOR\tFINGERPRINT\tPROBLEM")
+		for _, i := range is {
+			fmt.Fprintf(w, "%s\t%s\t%s\t%d days\t%s\t%s\n", i.File, i.Name, i.Cluster, int(i.NotAfter.Sub(now).Hours()/24), i.Fingerprint, i.Problem)
+		}
+		if err := w.Flush(); err != nil {
+			return fmt.Errorf("keys: %w", err)
+		}
+	}
+	if bad != "" {
+		return fmt.Errorf("keys: show: %s", bad)
+	}
+	return nil
+}
--- a/cmd/micahill/main.go
+++ b/cmd/micahill/main.go
@@ -83,7 +83,7 @@
 	}
 	check.Flags().StringVar(&path, "config", "", "settings file (TOML)")
 	check.Flags().StringVar(&script, "policy", "", "operators' policy (Starlark) to check as well")
-	root.AddCommand(check, statusCommand(), &cobra.Command{
+	root.AddCommand(check, statusCommand(), keysCommand(), &cobra.Command{
 		Use: "version", Short: "Print the version", Args: cobra.NoArgs,
 		Run: func(cmd *cobra.Command, _ []string) { fmt.Fprintln(cmd.OutOrStdout(), "micahill", version) },
 	})
--- /dev/null
+++ b/internal/config/extras_test.go
@@ -0,0 +1,61 @@
+package config
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+)
+
+const overflowFile = `[overflow]
+cluster = "east"
+keys = "/etc/micahill/keys"
+allow = ["10.3.0.0/16"]
+guest_team = "guests"
+
+[[overflow.peers]]
+cluster = "west"
+addresses = ["10.4.0.1:7443"]
+`
+
+func write(t *testing.T, text string) string {
+	t.Helper()
+	p := filepath.Join(t.TempDir(), "x.toml")
+	if err := os.WriteFile(p, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	return p
+}
+
+// TestExtras: files merge, what they leave out has a default, and an error says
+// where and what would be right.
+func TestExtras(t *testing.T) {
+	x, err := LoadExtras(nil)
+	if err != nil || x.Overflow != nil {
+		t.Fatalf("without files something is switched on: %+v, %v", x, err)
+	}
+	x, err = LoadExtras([]string{write(t, overflowFile), write(t, "[overflow]\nlease_s = 30\n")})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if o := x.Overflow; o.Cluster != "east" || o.LeaseS != 30 || o.ReportS != 2 || !o.Lend || len(o.Peers) != 1 {
+		t.Errorf("%+v", o)
+	}
+	for _, c := range []struct{ what, text, want string }{
+		{"unknown field", overflowFile + "price = 3\n", "x.toml:10:1: unknown field overflow.peers.price"},
+		{"unknown section", overflowFile + "[overflw]\n", "unknown field overflw"},
+		{"wrong type", strings.Replace(overflowFile, `"east"`, "7", 1), "x.toml:2:"},
+		{"no cluster's name", strings.Replace(overflowFile, `"east"`, `"East 1"`, 1), `x.toml:2: field overflow.cluster: "East 1" is no cluster's name`},
+		{"no network", strings.Replace(overflowFile, "10.3.0.0/16", "10.3.0.0", 1), `x.toml:4: field overflow.allow[0]: "10.3.0.0" is no network: want a prefix`},
+		{"missing", strings.Replace(overflowFile, "keys =", "#", 1), "x.toml:1: field overflow.keys: is missing"},
+		{"no address", strings.Replace(overflowFile, "10.4.0.1:7443", "10.4.0.1", 1), `field overflow.peers[0].addresses[0]: "10.4.0.1" is no address`},
+		{"itself", strings.Replace(overflowFile, `"west"`, `"east"`, 1), "overflow.peers[0].cluster: east is this cluster itself"},
+		{"lease too short", strings.Replace(overflowFile, "guest_team", "lease_s = 5\nreport_s = 9\nguest_team", 1), "x.toml:5: field overflow.lease_s: 5 is too small: want more than report_s"},
+		{"not TOML", "[overflow\n", "x.toml:1:"},
+	} {
+		_, err := LoadExtras([]string{write(t, c.text)})
+		if err == nil || !strings.Contains(err.Error(), c.want) {
+			t.Errorf("%s: %v, want %q", c.what, err, c.want)
+		}
+	}
+}
