Loans in the core's books: lent, taken back, settled; taken in, given up, forgotten

Need: every step of a hand-over is durable in the cluster that takes it before the other is told.

Change: internal/core/loans.go carries a loan's steps out as transactions that name the leader's record and the job's record; a lent job's record says who has it, so whatever would start its tasks at home fails on its stamp. A cancelled lent job is called cancelled only when the peer has stopped it or surely runs it no more. A borrowed job is one like any other, in the guests' team, but starts only while its home has lately said so. Nothing of it runs unless asked for: no key, no timer.

--- a/internal/core/jobs.go
+++ b/internal/core/jobs.go
@@ -96,6 +96,7 @@
 	coming    int
 	zoneLive  map[string]int
 	lastTold  Progress
+	loan
 }
 
 func newJob(spec Spec, at time.Time, stamp uint64, valueBytes int) *job {
@@ -158,7 +159,7 @@
 
 // pending counts the tasks that wait for a place.
 func (j *job) pending() int {
-	if j.cancelled || j.ending {
+	if j.cancelled || j.ending || j.elsewhere() {
 		return 0
 	}
 	return len(j.tasks) - j.fresh + len(j.again)
--- /dev/null
+++ b/internal/core/loans.go
@@ -0,0 +1,567 @@
+package core
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"strings"
+	"time"
+)
+
+// Jobs lent to peers and borrowed from them. What is decided about them is in
+// internal/overflow; here are the transactions that make it so. A lent job keeps
+// its record in open/, which says who has it: whatever would start its tasks at
+// home names that record's stamp. A borrowed one is a job like any other in the
+// guests' team, which may start only while its home has lately said so.
+
+// loan is what of a job concerns lending.
+type loan struct {
+	// lent is the peer that has it, or "". lending: that is being written.
+	lent    string
+	lentN   uint64
+	stop    time.Duration
+	wanted  bool
+	lending bool
+	// guest is the loan by which it is here, and startable until when its tasks
+	// may be started.
+	guest     string
+	startable time.Time
+}
+
+func (l *loan) elsewhere() bool { return l.lent != "" || l.lending || l.wanted }
+
+// mayStart says whether tasks may be started now: of a borrowed job only while
+// the home has lately called it ours, as it may have taken it back.
+func (l *loan) mayStart(now time.Time) bool { return l.guest == "" || now.Before(l.startable) }
+
+func (l *loan) loaned(r *openRecord) {
+	l.lent, l.lentN, l.wanted, l.guest = r.Lent, r.LentN, r.Wanted, r.Guest
+	l.stop = time.Duration(r.LentStop) * time.Millisecond
+}
+
+// LoanKind is what is to be made durable.
+type LoanKind int
+
+// The kinds: of our own jobs, that a peer has one, that it is ours again, that
+// the peer has done it, and that it ended as its user wanted; of a peer's, that it
+// is taken in, given up, and forgotten.
+const (
+	LoanLend LoanKind = iota
+	LoanBack
+	LoanSettle
+	LoanCancelled
+	LoanAccept
+	LoanGiveUp
+	LoanDrop
+)
+
+// LoanOp asks for one transaction. Job is our own job, or the guest id of a
+// borrowed one, and Loan the loan's name.
+type LoanOp struct {
+	Reply uint64
+	Kind  LoanKind
+	Job   string
+	Loan  string
+	N     uint64
+	// Peer and Stop go with LoanLend; Spec, Age and Team with LoanAccept.
+	Peer  string
+	Stop  time.Duration
+	Spec  Spec
+	Age   time.Duration
+	Cause string
+}
+
+// LoanStatus is how a LoanOp ended.
+type LoanStatus int
+
+// Done: durable. Not: its conditions do not hold, and it never will be applied.
+// Unsure: perhaps applied, perhaps later; ask again.
+const (
+	LoanDurable LoanStatus = iota
+	LoanNot
+	LoanUnsure
+)
+
+// LoanDone answers a LoanOp.
+type LoanDone struct {
+	Reply  uint64
+	Status LoanStatus
+}
+
+// LoanQuery asks for what lending needs to know. Startable says, for borrowed jobs
+// by guest id, until when they may be started; what it does not name may not.
+type LoanQuery struct {
+	Reply     uint64
+	Startable map[string]time.Time
+	// Progress is what peers say of our jobs, for display.
+	Progress []Progress
+	// Plan asks for Waiting and Room as well, which cost a look ahead.
+	Plan bool
+}
+
+// LoanView answers a LoanQuery, as of a moment after it was asked. OK is false on
+// a controller that does not lead, or cannot read now; Leader then says who does.
+type LoanView struct {
+	Reply     uint64
+	OK        bool
+	Leader    string
+	Epoch     uint64
+	SureUntil time.Time
+	Drain     bool
+	DrainBy   time.Time
+	Lent      []LentJob
+	Borrowed  []BorrowedJob
+	// Renewed is, for each home, when a report was sent that is known to have been
+	// answered, in the time of day.
+	Renewed  map[string]time.Time
+	Waiting  []WaitingJob
+	Room     []FreeRoom
+	Images   []string
+	Late     bool
+	Urgency  Urgency
+	Cheapest float64
+	// Guests: the guests' team is run here, so that borrowed work can be.
+	Guests bool
+}
+
+// LentJob is a job of ours that a peer has.
+type LentJob struct {
+	Spec   Spec
+	At     time.Time
+	Peer   string
+	N      uint64
+	Stop   time.Duration
+	Wanted bool
+}
+
+// BorrowedJob is a job of a peer's. Status is queued, done or cancelled; Known is
+// false while that has to be read first.
+type BorrowedJob struct {
+	Loan    string
+	Job     string
+	Spec    Spec
+	Status  JobStatus
+	Known   bool
+	Ending  bool
+	Cause   string
+	Began   bool
+	Done    int
+	Running int
+}
+
+// WaitingJob is a job of ours of which nothing was ever started.
+type WaitingJob struct {
+	Spec    Spec
+	Age     time.Duration
+	Aim     time.Duration
+	HomeEnd time.Duration
+	Run     time.Duration
+	LentN   uint64
+}
+
+// FreeRoom is room that own work will not want for a while.
+type FreeRoom struct {
+	Flavour  string
+	Zone     string
+	Spot     bool
+	Each     Resources
+	Machines int
+	Price    float64
+	Rate     float64
+}
+
+// DrainOp begins or ends the emptying of the cluster of borrowed work.
+type DrainOp struct {
+	Reply uint64
+	On    bool
+	// By is when all borrowed work is to be gone.
+	By time.Time
+}
+
+func (LoanOp) command()    {}
+func (LoanQuery) command() {}
+func (DrainOp) command()   {}
+func (LoanDone) effect()   {}
+func (LoanView) effect()   {}
+
+type drainRecord struct {
+	On bool  `msgpack:"on"`
+	By int64 `msgpack:"by"`
+}
+
+// guestRecord is a loan that was taken, or the time when a home last answered.
+type guestRecord struct {
+	Job     string `msgpack:"j,omitempty"`
+	Cause   string `msgpack:"c,omitempty"`
+	Renewed int64  `msgpack:"r,omitempty"`
+}
+
+// renewedPrefix holds the times of answered reports, one record for each home. No
+// loan's name begins like that, as no cluster's does.
+const renewedPrefix = guestPrefix + "0/"
+
+// guests is the leader's picture of guest/.
+type guests struct {
+	stamp   uint64
+	loaded  bool
+	loading bool
+	by      map[string]guestRecord
+	renewed map[string]time.Time
+}
+
+// loanOp carries out one transaction. Each names the leader's record, so that none
+// of a deposed leader's is applied, and the record that the decision rests on.
+func loanOp(n *Node, c LoanOp) {
+	done := func(s LoanStatus) { n.emit(LoanDone{c.Reply, s}) }
+	if n.leader == nil {
+		done(LoanNot)
+		return
+	}
+	op := StateOp{Kind: OpTxn, Prio: PrioStart, When: []Cond{{leadKey, n.leader.stamp}}}
+	open := openPrefix + c.Job
+	var j *job
+	if n.owner != nil && n.owner.ready {
+		j = n.owner.jobs[c.Job]
+	}
+	after := func(Item) {}
+	var item Item
+	switch l, there := n.users.mirror.open[c.Job]; c.Kind {
+	case LoanLend:
+		if j == nil || !j.untouched() {
+			done(LoanNot)
+			return
+		}
+		rec := j.record0()
+		rec.Lent, rec.LentN, rec.LentStop = c.Peer, c.N, c.Stop.Milliseconds()
+		j.lending = true
+		op.When = append(op.When, Cond{sharePrefix + n.set.Host, n.owner.epoch}, Cond{open, j.stamp})
+		item = Item{Key: open, Value: encode(rec)}
+	case LoanBack:
+		if !there || l.rec.Lent == "" || l.rec.LentN != c.N {
+			done(LoanNot)
+			return
+		}
+		rec := l.rec
+		rec.Lent, rec.LentStop, rec.Wanted = "", 0, false
+		op.When = append(op.When, Cond{open, l.stamp})
+		item = Item{Key: open, Value: encode(rec)}
+	case LoanSettle, LoanCancelled:
+		if !there || l.rec.Lent == "" || l.rec.LentN != c.N {
+			done(LoanNot)
+			return
+		}
+		status := Done
+		if c.Kind == LoanCancelled {
+			status = Cancelled
+		}
+		op.When = append(op.When, Cond{open, l.stamp})
+		op.Apply = append(op.Apply, Change{Key: jobPrefix + c.Job, Value: encode(jobRecord{Status: status, Tasks: l.rec.Tasks})})
+		item = Item{Key: open, Removed: true}
+		after = func(Item) { n.setFinal(c.Job, status) }
+	case LoanAccept:
+		rec := c.Spec.record(n.now.Add(-c.Age))
+		rec.Guest = c.Loan
+		op.When = append(op.When, Cond{guestPrefix + c.Loan, 0}, Cond{open, 0}, Cond{jobPrefix + c.Job, 0})
+		op.Apply = append(op.Apply, Change{Key: guestPrefix + c.Loan, Value: encode(guestRecord{Job: c.Job})})
+		item = Item{Key: open, Value: encode(rec)}
+		after = func(Item) { n.guests.by[c.Loan] = guestRecord{Job: c.Job} }
+	case LoanGiveUp:
+		if !there || l.rec.Cancelled {
+			done(LoanNot)
+			return
+		}
+		rec := l.rec
+		rec.Cancelled = true
+		g := guestRecord{Job: c.Job, Cause: c.Cause}
+		op.When = append(op.When, Cond{open, l.stamp})
+		op.Apply = append(op.Apply, Change{Key: jobPrefix + c.Job, Value: encode(jobRecord{Status: Cancelled, Tasks: rec.Tasks})},
+			Change{Key: guestPrefix + c.Loan, Value: encode(g)})
+		item = Item{Key: open, Value: encode(rec)}
+		after = func(Item) { n.guests.by[c.Loan] = g }
+	case LoanDrop:
+		op.When = append(op.When, Cond{open, 0})
+		op.Apply = append(op.Apply, Change{Key: guestPrefix + c.Loan}, Change{Key: jobPrefix + c.Job})
+		after = func(Item) {
+			delete(n.guests.by, c.Loan)
+			delete(n.users.final, c.Job)
+		}
+	}
+	if item.Key != "" {
+		op.Apply = append(op.Apply, Change{Key: item.Key, Value: item.Value})
+	}
+	n.ask(op, func(d StateDone) {
+		if j != nil {
+			j.lending = false
+		}
+		switch d.Status {
+		case StateOK:
+			item.Stamp = d.Rev
+			after(item)
+			if item.Key != "" {
+				n.ownerSees(item)
+			}
+			done(LoanDurable)
+		case StateConflict, StateRefused, StateBad, StateNoGrant:
+			done(LoanNot)
+		default:
+			done(LoanUnsure)
+		}
+	})
+}
+
+// untouched says that no task of the job was ever started, is being started or
+// waits for a write: nothing of it can be anywhere.
+func (j *job) untouched() bool {
+	return j.fresh == 0 && len(j.chunks) == 0 && j.live == 0 && !j.cancelled && !j.ending && !j.elsewhere() && j.guest == ""
+}
+
+// record0 is the job's record in open/ as it stands.
+func (j *job) record0() openRecord {
+	r := j.Spec.record(j.at)
+	r.LentN, r.Guest = j.lentN, j.guest
+	return r
+}
+
+// cancelLent notes that a lent job's user wants it cancelled. That is told only
+// when the peer has stopped it or surely runs it no more; until then the user is
+// asked to come back, and gets no answer that could turn out to be wrong.
+func cancelLent(n *Node, w *waiter, f found) {
+	again := func() {
+		n.after(cancelLook, func() {
+			if !w.done {
+				n.cancel(w)
+			}
+		})
+	}
+	if f.open.Wanted {
+		again()
+		return
+	}
+	rec := f.open
+	rec.Wanted = true
+	it := Item{Key: openPrefix + w.id, Value: encode(rec)}
+	n.ask(StateOp{Kind: OpTxn, Prio: PrioUser, When: []Cond{{it.Key, f.stamp}}, Apply: []Change{{Key: it.Key, Value: it.Value}}}, func(d StateDone) {
+		if d.Status == StateOK {
+			it.Stamp = d.Rev
+			n.ownerSees(it)
+		}
+		again()
+	})
+}
+
+// cancelLook is how often a waiting cancellation looks whether the peer has
+// answered.
+const cancelLook = 250 * time.Millisecond
+
+// loadGuests reads guest/ for a new leader.
+func loadGuests(n *Node) {
+	g := &n.guests
+	if g.loading {
+		return
+	}
+	g.loading = true
+	stamp := n.leader.stamp
+	by, renewed := map[string]guestRecord{}, map[string]time.Time{}
+	var list func(from string)
+	list = func(from string) {
+		n.ask(StateOp{Kind: OpList, Prio: PrioSession, Key: guestPrefix, From: from}, func(d StateDone) {
+			if d.Status != StateOK || n.leader == nil || n.leader.stamp != stamp {
+				g.loading = false
+				return
+			}
+			for _, it := range d.Items {
+				var r guestRecord
+				switch {
+				case !decode(it.Value, &r):
+					n.info("unreadable record", "key", it.Key)
+				case strings.HasPrefix(it.Key, renewedPrefix):
+					renewed[strings.TrimPrefix(it.Key, renewedPrefix)] = time.UnixMilli(r.Renewed)
+				default:
+					by[strings.TrimPrefix(it.Key, guestPrefix)] = r
+				}
+			}
+			if d.Truncated && len(d.Items) > 0 {
+				list(d.Items[len(d.Items)-1].Key)
+				return
+			}
+			*g = guests{stamp: stamp, loaded: true, by: by, renewed: renewed}
+		})
+	}
+	list("")
+}
+
+// RenewOp writes down when the homes' answered reports were sent, for a successor:
+// earlier than true is safe, and so is a loss.
+type RenewOp struct{ Renewed map[string]time.Time }
+
+func (RenewOp) command() {}
+
+func renewOp(n *Node, c RenewOp) {
+	if n.leader == nil || !n.guests.loaded {
+		return
+	}
+	op := StateOp{Kind: OpTxn, Prio: PrioLazy, When: []Cond{{leadKey, n.leader.stamp}}}
+	for _, home := range sortedKeys(c.Renewed) {
+		if len(op.Apply) < n.set.TxnOps {
+			op.Apply = append(op.Apply, Change{Key: renewedPrefix + home, Value: encode(guestRecord{Renewed: c.Renewed[home].UnixMilli()})})
+		}
+	}
+	if len(op.Apply) > 0 {
+		n.ask(op, func(StateDone) {})
+	}
+}
+
+// loanQuery answers when the picture of open/ is as of a moment after the
+// question.
+func loanQuery(n *Node, c LoanQuery) {
+	for _, p := range c.Progress {
+		n.display[p.ID] = p
+	}
+	if o := n.owner; o != nil {
+		for _, id := range sortedKeys(o.jobs) {
+			if j := o.jobs[id]; j.guest != "" {
+				if was := j.startable; c.Startable[id].After(was) || c.Startable[id].IsZero() {
+					j.startable = c.Startable[id]
+					o.place = o.place || was.Before(n.now)
+				}
+			}
+		}
+	}
+	no := func() { n.emit(LoanView{Reply: c.Reply, Leader: n.sess.lead.Host}) }
+	if n.leader == nil {
+		no()
+		return
+	}
+	if !n.guests.loaded || n.guests.stamp != n.leader.stamp {
+		n.guests.loaded = false
+		loadGuests(n)
+		no()
+		return
+	}
+	n.freshen(func(ok bool) {
+		if !ok || n.leader == nil || !n.guests.loaded || n.guests.stamp != n.leader.stamp {
+			no()
+			return
+		}
+		n.emit(loanView(n, c))
+	})
+}
+
+func loanView(n *Node, c LoanQuery) LoanView {
+	m := &n.users.mirror
+	v := LoanView{
+		Reply: c.Reply, OK: true, Leader: n.set.Host, Epoch: n.leader.stamp, SureUntil: n.sess.sureUntil,
+		Drain: n.sess.drain.On, Renewed: maps.Clone(n.guests.renewed),
+	}
+	if n.sess.drain.By > 0 {
+		v.DrainBy = time.UnixMilli(n.sess.drain.By)
+	}
+	for _, id := range sortedKeys(m.open) {
+		if r := m.open[id].rec; r.Lent != "" {
+			v.Lent = append(v.Lent, LentJob{Spec: r.spec(id), At: time.UnixMilli(r.At), Peer: r.Lent, N: r.LentN, Stop: time.Duration(r.LentStop) * time.Millisecond, Wanted: r.Wanted})
+		}
+	}
+	for _, name := range sortedKeys(n.guests.by) {
+		g := n.guests.by[name]
+		b := BorrowedJob{Loan: name, Job: g.Job, Cause: g.Cause, Status: Queued}
+		if l, there := m.open[g.Job]; there {
+			b.Known, b.Spec, b.Ending = true, l.rec.spec(g.Job), l.rec.Cancelled
+		} else if s, ok := n.users.final[g.Job]; ok {
+			b.Known, b.Status = true, s
+		} else {
+			job := g.Job
+			n.read(job, func(d StateDone) {
+				var r jobRecord
+				if d.Status == StateOK && decode(d.Items[0].Value, &r) && r.Status.Final() {
+					n.setFinal(job, r.Status)
+				}
+			})
+		}
+		p := n.progress(g.Job)
+		b.Done, b.Running, b.Began = p.Done, p.Running, true
+		if n.owner != nil {
+			if j := n.owner.jobs[g.Job]; j != nil {
+				b.Began = j.fresh > 0
+			}
+		}
+		v.Borrowed = append(v.Borrowed, b)
+	}
+	if o := n.owner; o != nil && o.ready {
+		v.Guests = true
+		if c.Plan {
+			loanPlan(n, &v)
+		}
+	}
+	return v
+}
+
+// loanPlan plays the queue forward on the machines there are: which jobs of which
+// nothing was started end too late, and which machines nothing of ours will want.
+func loanPlan(n *Node, v *LoanView) {
+	v.Cheapest = n.cheapest()
+	images := map[string]bool{}
+	p := &plan{n: n, vs: copyRoom(n.futureRoom(), nil)}
+	for _, d := range n.demands(n.horizon(), true, false) {
+		last, none := time.Time{}, d.count == 0
+		p.play(d, func(_ int, x *virtual, at time.Time) {
+			if none = none || x == nil; x != nil {
+				last = later(last, at)
+			}
+		})
+		if d.spread > 0 || d.j.guest != "" {
+			continue
+		}
+		end := last.Add(n.runs(d.j)).Sub(n.now)
+		if none {
+			end = hopelessly
+		}
+		aim := n.latest(d.j).Add(n.expects(d.j)).Sub(n.now)
+		if end > aim {
+			v.Late, v.Urgency = true, max(v.Urgency, d.j.Urgency)
+		}
+		if d.j.untouched() {
+			v.Waiting = append(v.Waiting, WaitingJob{
+				Spec: d.j.Spec, Age: n.now.Sub(d.j.at), Aim: aim, HomeEnd: end, Run: n.expects(d.j), LentN: d.j.lentN,
+			})
+		}
+	}
+	type like struct {
+		k    kind
+		each Resources
+	}
+	count := map[like]int{}
+	for _, x := range p.vs {
+		if x.m == nil || x.taken > 0 || !n.usable(x.m) || x.m.retiring {
+			continue
+		}
+		count[like{x.k, x.m.size.Plus(x.m.used, -1)}]++
+		for name, im := range x.m.images {
+			images[name] = images[name] || im.cached
+		}
+	}
+	for l, k := range count {
+		f := n.types[l.k.flavour]
+		v.Room = append(v.Room, FreeRoom{Flavour: l.k.flavour, Zone: l.k.zone, Spot: l.k.spot, Each: l.each, Machines: k, Price: n.price(l.k), Rate: f.PullRate})
+	}
+	slices.SortFunc(v.Room, func(a, b FreeRoom) int {
+		return cmp.Or(strings.Compare(a.Flavour, b.Flavour), strings.Compare(a.Zone, b.Zone), cmp.Compare(b2f(a.Spot), b2f(b.Spot)), cmp.Compare(a.Each.CPU, b.Each.CPU), cmp.Compare(a.Each.Memory, b.Each.Memory))
+	})
+	for _, name := range sortedKeys(images) {
+		if images[name] {
+			v.Images = append(v.Images, name)
+		}
+	}
+}
+
+// drainOp writes whether the cluster is being emptied of borrowed work.
+func drainOp(n *Node, c DrainOp) {
+	rec := encode(drainRecord{On: c.On, By: c.By.UnixMilli()})
+	n.ask(StateOp{Kind: OpTxn, Prio: PrioUser, Apply: []Change{{Key: drainKey, Value: rec}}}, func(d StateDone) {
+		s := LoanUnsure
+		if d.Status == StateOK {
+			s = LoanDurable
+			n.ctlItem(Item{Key: drainKey, Value: rec, Stamp: d.Rev})
+		}
+		n.emit(LoanDone{c.Reply, s})
+	})
+}
--- a/internal/core/machines.go
+++ b/internal/core/machines.go
@@ -541,7 +541,7 @@
 	for _, k := range sortedAttempts(m) {
 		t := m.attempts[k]
 		j := o.jobs[k.job]
-		if t.stop != stopNone || !j.durable(k.index) {
+		if t.stop != stopNone || !j.durable(k.index) || !j.mayStart(n.now) {
 			continue
 		}
 		if p, ok := m.pieces[k]; ok && p.Try == t.try {
--- a/internal/core/node.go
+++ b/internal/core/node.go
@@ -44,6 +44,8 @@
 	// not answer there.
 	away     map[string]time.Time
 	toldAway time.Time
+	// guests are the loans this cluster has taken, as far as this node has read.
+	guests guests
 }
 
 type timer struct {
@@ -125,6 +127,14 @@
 		}
 	case StatusQuery:
 		n.status(c)
+	case LoanOp:
+		loanOp(n, c)
+	case LoanQuery:
+		loanQuery(n, c)
+	case RenewOp:
+		renewOp(n, c)
+	case DrainOp:
+		drainOp(n, c)
 	case PeerNews:
 		if c.StateAway {
 			n.away[c.From] = n.now
--- a/internal/core/owner.go
+++ b/internal/core/owner.go
@@ -427,6 +427,10 @@
 	id := jobID(it.Key, openPrefix)
 	j := o.jobs[id]
 	if it.Removed {
+		if j != nil && j.elsewhere() {
+			// Settled by the leader, who has heard from the peer.
+			delete(o.jobs, id)
+		}
 		return
 	}
 	if j != nil && it.Stamp <= j.stamp {
@@ -468,6 +472,7 @@
 		}
 	}
 	j.stamp = it.Stamp
+	j.loaned(&r)
 	if r.Cancelled && !j.cancelled {
 		j.cancelled = true
 		n.setFinal(id, Cancelled)
--- a/internal/core/place.go
+++ b/internal/core/place.go
@@ -146,7 +146,7 @@
 	}
 	var waiting []*job
 	for _, j := range n.owner.jobs {
-		if j.pending() > 0 && !n.owner.frozen[j.Team] && !j.notBefore.After(n.now) {
+		if j.pending() > 0 && j.mayStart(n.now) && !n.owner.frozen[j.Team] && !j.notBefore.After(n.now) {
 			waiting = append(waiting, j)
 		}
 	}
--- a/internal/core/record.go
+++ b/internal/core/record.go
@@ -22,6 +22,10 @@
 	openPrefix  = "open/"
 	taskPrefix  = "task/"
 	warmPrefix  = "warm/"
+	// guest/ holds the loans that this cluster has taken, and drain whether it is
+	// being emptied.
+	guestPrefix = "guest/"
+	drainKey    = "ctl/drain"
 )
 
 type nodeRecord struct {
@@ -77,6 +81,15 @@
 	Due       float64  `msgpack:"d,omitempty"`
 	At        int64    `msgpack:"at"`
 	Cancelled bool     `msgpack:"x,omitempty"`
+	// Lent names the peer that has the job, LentN how often it was lent, LentStop
+	// the peer's bound in milliseconds, and LentAt when, on this cluster's clock.
+	// Wanted: its user wants it cancelled, which the peer has to hear first.
+	Lent     string `msgpack:"ln,omitempty"`
+	LentN    uint64 `msgpack:"lc,omitempty"`
+	LentStop int64  `msgpack:"ls,omitempty"`
+	Wanted   bool   `msgpack:"cw,omitempty"`
+	// Guest is the loan by which a job of another cluster is here.
+	Guest string `msgpack:"gu,omitempty"`
 }
 
 // taskRow is one task that was ever started: index, attempt, machine ("" when
--- a/internal/core/session.go
+++ b/internal/core/session.go
@@ -49,6 +49,7 @@
 	shares    map[string]shareRecord
 	stamps    map[string]uint64
 	claiming  bool
+	drain     drainRecord
 }
 
 func (n *Node) stateDown(now time.Time) bool {
@@ -192,6 +193,7 @@
 		clear(s.nodes)
 		clear(s.shares)
 		clear(s.stamps)
+		s.drain = drainRecord{}
 		for _, it := range d.Items {
 			n.ctlItem(it)
 		}
@@ -239,6 +241,11 @@
 	}
 	s.stamps[it.Key] = it.Stamp
 	switch {
+	case it.Key == drainKey:
+		s.drain = drainRecord{}
+		if !it.Removed {
+			decode(it.Value, &s.drain)
+		}
 	case it.Key == leadKey:
 		s.lead, s.leadStamp = leadRecord{}, 0
 		if !it.Removed && decode(it.Value, &s.lead) {
--- a/internal/core/users.go
+++ b/internal/core/users.go
@@ -403,6 +403,9 @@
 			return
 		case w.done:
 			return
+		case f.open.Lent != "":
+			cancelLent(n, w, f)
+			return
 		}
 		id := w.id
 		// What its tasks take stays known: until they are gone they count for
