--- a/cmd/micahill/main.go
+++ b/cmd/micahill/main.go
@@ -15,6 +15,7 @@
 	"runtime/debug"
 	"time"
 
+	"github.com/labstack/echo/v4"
 	"github.com/micahill/micahill/internal/api"
 	"github.com/micahill/micahill/internal/cloud"
 	"github.com/micahill/micahill/internal/config"
@@ -48,6 +49,7 @@
 
 func command() *cobra.Command {
 	var path, script string
+	var enable []string
 	root := &cobra.Command{
 		Use:           "micahill --config FILE",
 		Short:         "A cluster scheduler for rented machines",
@@ -59,11 +61,12 @@
 			if path == "" {
 				return errors.New("--config FILE is missing; see --help")
 			}
-			return serve(cmd.Context(), path, script)
+			return serve(cmd.Context(), path, script, enable)
 		},
 	}
 	root.Flags().StringVar(&path, "config", "", "settings file (TOML)")
 	root.Flags().StringVar(&script, "policy", "", "operators' policy (Starlark); absent: built-in defaults")
+	root.Flags().StringArrayVar(&enable, "enable", nil, "file under deploy/ that switches something on; repeatable")
 	check := &cobra.Command{
 		Use: "check", Short: "Check a settings file and say what is wrong with it", Args: cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
@@ -77,12 +80,21 @@
 			if _, err := policy.Load(script); err != nil {
 				return err
 			}
+			x, err := config.LoadExtras(enable)
+			if err != nil {
+				return err
+			}
+			if err := checkOverflow(x.Overflow, c); err != nil {
+				return err
+			}
 			fmt.Fprintf(cmd.OutOrStdout(), "%s: controller %s of %d, %d team(s): ok\n", path, c.HostName, len(c.Seeds)+1, len(c.Deployment.Teams))
 			return nil
 		},
 	}
 	check.Flags().StringVar(&path, "config", "", "settings file (TOML)")
 	check.Flags().StringVar(&script, "policy", "", "operators' policy (Starlark) to check as well")
+	check.Flags().StringArrayVar(&enable, "enable", nil, "file under deploy/ to check as well; repeatable")
+	root.AddCommand(peersCommand(), drainCommand(), undrainCommand())
 	root.AddCommand(check, statusCommand(), keysCommand(), &cobra.Command{
 		Use: "version", Short: "Print the version", Args: cobra.NoArgs,
 		Run: func(cmd *cobra.Command, _ []string) { fmt.Fprintln(cmd.OutOrStdout(), "micahill", version) },
@@ -100,7 +112,7 @@
 	return slog.LevelInfo
 }
 
-func serve(ctx context.Context, path, script string) error {
+func serve(ctx context.Context, path, script string, enable []string) error {
 	if ctx == nil {
 		ctx = context.Background()
 	}
@@ -113,6 +125,13 @@
 	if err != nil {
 		return err
 	}
+	extras, err := config.LoadExtras(enable)
+	if err != nil {
+		return err
+	}
+	if err := checkOverflow(extras.Overflow, c); err != nil {
+		return err
+	}
 	// One thread at a time runs here anyway; more would only switch.
 	runtime.GOMAXPROCS(1)
 	debug.SetMemoryLimit(int64(c.Deployment.Quota.RAMMB * memoryPart * (1 << 20)))
@@ -169,9 +188,17 @@
 		return err
 	}
 	slog.Info("micahill starts", "version", version, "host", c.HostName, "nonce", nonce)
-	errs := make(chan error, 3)
+	errs := make(chan error, 5)
+	var more []func(*echo.Echo)
+	if o := extras.Overflow; o != nil {
+		routes, err := startOverflow(ctx, o, c, srv, met.Registry(), rand.New(rand.NewChaCha8(seed)), errs)
+		if err != nil {
+			return err
+		}
+		more = append(more, routes)
+	}
 	go func() { errs <- api.Serve(ctx, c.APIAddr, d.Quota.Sockets, srv, met.Request) }()
-	go func() { errs <- api.Operators(ctx, back, srv, met.Handler()) }()
+	go func() { errs <- api.Operators(ctx, back, srv, met.Handler(), more...) }()
 	go func() { errs <- srv.Run(ctx) }()
 	return <-errs
 }
--- a/cmd/micahill/main_test.go
+++ b/cmd/micahill/main_test.go
@@ -140,7 +140,7 @@
 		var nodeCtx context.Context
 		nodeCtx, stop[i] = context.WithCancel(ctx)
 		go func() {
-			serve(nodeCtx, path, "")
+			serve(nodeCtx, path, "", nil)
 			ended <- struct{}{}
 		}()
 	}
--- /dev/null
+++ b/cmd/micahill/overflow.go
@@ -0,0 +1,245 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/url"
+	"slices"
+	"text/tabwriter"
+	"time"
+
+	"github.com/labstack/echo/v4"
+	"github.com/micahill/micahill/internal/config"
+	"github.com/micahill/micahill/internal/core"
+	"github.com/micahill/micahill/internal/keys"
+	"github.com/micahill/micahill/internal/overflow"
+	"github.com/micahill/micahill/internal/overflow/broker"
+	"github.com/micahill/micahill/internal/overflow/link"
+	"github.com/micahill/micahill/internal/server"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/spf13/cobra"
+)
+
+// checkOverflow says what of the overflow settings does not fit this controller.
+func checkOverflow(o *config.Overflow, c *config.Config) error {
+	if o == nil {
+		return nil
+	}
+	if o.Borrow && !slices.ContainsFunc(c.Deployment.Teams, func(t config.Team) bool { return t.Name == o.GuestTeam }) {
+		return fmt.Errorf("overflow: field guest_team: %s is no team of the settings", o.GuestTeam)
+	}
+	st, err := keys.Open(o.Keys)
+	if err != nil {
+		return fmt.Errorf("overflow: field keys: %w", err)
+	}
+	if st.Cluster() != o.Cluster {
+		return fmt.Errorf("overflow: field keys: the certificate in %s is for cluster %s, not %s", o.Keys, st.Cluster(), o.Cluster)
+	}
+	_, err = o.Prefixes()
+	return err
+}
+
+// startOverflow runs lending beside the controller. errs is told when it ends.
+func startOverflow(ctx context.Context, o *config.Overflow, c *config.Config, srv *server.Server, reg prometheus.Registerer, rng *rand.Rand, errs chan<- error) (func(*echo.Echo), error) {
+	st, err := keys.Open(o.Keys)
+	if err != nil {
+		return nil, fmt.Errorf("overflow: %w", err)
+	}
+	allow, err := o.Prefixes()
+	if err != nil {
+		return nil, err
+	}
+	addr := o.Listen
+	if addr == "" {
+		host, _, err := net.SplitHostPort(c.Back)
+		if err != nil {
+			return nil, fmt.Errorf("overflow: back: %w", err)
+		}
+		addr = net.JoinHostPort(host, config.DefaultOverflowPort)
+	}
+	ln, err := (&net.ListenConfig{}).Listen(ctx, "tcp", addr)
+	if err != nil {
+		return nil, fmt.Errorf("overflow: field listen: %w", err)
+	}
+	lim := overflow.DefaultLimits()
+	lim.LoansOut, lim.LoansIn, lim.Tasks = o.LoansOut, o.LoansIn, o.TasksMost
+	lim.Gain, lim.Dearest = core.Seconds(o.GainS), o.Dearest
+	set := broker.Settings{
+		Cluster: o.Cluster, GuestTeam: o.GuestTeam, Lend: o.Lend, Borrow: o.Borrow, Every: core.Seconds(o.ReportS), Lease: core.Seconds(o.LeaseS),
+		WorkerLease: core.Seconds(c.Deployment.Workers.LeaseS), ClockBound: core.Seconds(c.Deployment.TimeBoundMS / 1000), Limits: lim, Peers: map[string][]string{},
+	}
+	known := map[string]bool{}
+	for _, p := range o.Peers {
+		set.Peers[p.Cluster], known[p.Cluster] = p.Addresses, true
+	}
+	b := broker.New(ctx, set, srv, &link.Client{Store: st, Cluster: o.Cluster}, broker.NewMetrics(reg), rng)
+	s := &link.Server{Store: st, Cluster: o.Cluster, Peers: known, Allow: allow, Handle: b.Answer}
+	go func() { errs <- b.Run() }()
+	go func() { errs <- s.Serve(ctx, ln) }()
+	return func(e *echo.Echo) {
+		e.GET("/peers", func(c echo.Context) error {
+			ctx, cancel := context.WithTimeout(c.Request().Context(), statusTimeout)
+			defer cancel()
+			x, err := b.Status(ctx)
+			if err != nil {
+				return echo.NewHTTPError(http.StatusServiceUnavailable, err.Error())
+			}
+			return c.JSON(http.StatusOK, x)
+		})
+		e.POST("/drain", func(c echo.Context) error {
+			on := c.QueryParam("on") == "true"
+			by, err := time.ParseDuration(c.QueryParam("within"))
+			if on && (err != nil || by < 0) {
+				return echo.NewHTTPError(http.StatusBadRequest, "within: want a duration such as 10m")
+			}
+			ctx, cancel := context.WithTimeout(c.Request().Context(), statusTimeout)
+			defer cancel()
+			x, err := srv.Ask(ctx, func(r uint64) core.Command { return core.DrainOp{Reply: r, On: on, By: time.Now().Add(by)} })
+			if d, ok := x.(core.LoanDone); err != nil || !ok || d.Status != core.LoanDurable {
+				return echo.NewHTTPError(http.StatusServiceUnavailable, "not written: the state service does not answer")
+			}
+			return c.JSON(http.StatusOK, map[string]bool{"draining": on})
+		})
+	}, nil
+}
+
+// fromBack asks a controller on its own address and decodes the JSON answer.
+func fromBack(ctx context.Context, area, method, addr, path string, into any) error {
+	if addr == "" {
+		return fmt.Errorf("%s: --addr HOST:PORT is missing; it is the controller's own address, back in its settings", area)
+	}
+	ctx, cancel := context.WithTimeout(ctx, statusTimeout)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+addr+path, nil)
+	if err != nil {
+		return fmt.Errorf("%s: %w", area, err)
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return fmt.Errorf("%s: %w", area, err)
+	}
+	defer resp.Body.Close()
+	b, err := io.ReadAll(io.LimitReader(resp.Body, 16<<20))
+	switch {
+	case err != nil:
+		return fmt.Errorf("%s: %w", area, err)
+	case resp.StatusCode == http.StatusNotFound:
+		return fmt.Errorf("%s: %s: overflow is not switched on there (--enable deploy/overflow.toml)", area, addr)
+	case resp.StatusCode != http.StatusOK:
+		var e struct {
+			Message string `json:"message"`
+		}
+		if json.Unmarshal(b, &e) != nil || e.Message == "" {
+			e.Message = resp.Status
+		}
+		return fmt.Errorf("%s: %s: %s", area, addr, e.Message)
+	}
+	if err := json.Unmarshal(b, into); err != nil {
+		return fmt.Errorf("%s: %w", area, err)
+	}
+	return nil
+}
+
+func peersCommand() *cobra.Command {
+	var addr string
+	var asJSON bool
+	c := &cobra.Command{
+		Use: "peers", Short: "Show the peer clusters and the loans between us", Args: cobra.NoArgs,
+		Long: "Shows how this cluster sees its peers, and which jobs are lent and borrowed. ADDR is\na controller's own address, back in its settings; the leader knows, others name it.",
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			var s broker.Status
+			if err := fromBack(cmd.Context(), "peers", http.MethodGet, addr, "/peers", &s); err != nil {
+				return err
+			}
+			if asJSON {
+				e := json.NewEncoder(cmd.OutOrStdout())
+				e.SetIndent("", "  ")
+				return e.Encode(s)
+			}
+			return printPeers(cmd.OutOrStdout(), &s)
+		},
+	}
+	c.Flags().StringVar(&addr, "addr", "", "the controller's own address (back)")
+	c.Flags().BoolVar(&asJSON, "json", false, "as JSON")
+	return c
+}
+
+func printPeers(out io.Writer, s *broker.Status) error {
+	if !s.Leads {
+		fmt.Fprintf(out, "%s: this controller does not lead; ask %s\n", s.Cluster, s.Leader)
+		return nil
+	}
+	state := "serving"
+	if s.Draining {
+		state = "draining, borrowed work gone by " + s.DrainBy.Format(time.RFC3339)
+	}
+	fmt.Fprintf(out, "%s: %s; lent %d, borrowed %d\n", s.Cluster, state, len(s.Lent), len(s.Borrowed))
+	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(w, "\nPEER\tSTATE\tTRUST\tDELAY\tHEARD\tCIRCUIT\tOFFERS\tLENT\tBORROWED")
+	for _, p := range s.Peers {
+		circuit, heard := "closed", "never"
+		if p.Open {
+			circuit = "open"
+		}
+		if p.HeardS > 0 {
+			heard = fmt.Sprintf("%.0f s ago", p.HeardS)
+		}
+		fmt.Fprintf(w, "%s\t%s\t%.2f\t%.0f ms\t%s\t%s\t%d machines\t%d\t%d\n", p.Cluster, p.State, p.Trust, p.DelayMS, heard, circuit, p.Machines, p.Lent, p.Borrowed)
+	}
+	if len(s.Lent)+len(s.Borrowed) > 0 {
+		fmt.Fprintln(w, "\nLOAN\tSIDE\tPEER\tSTATE\tTASKS")
+		for _, l := range s.Lent {
+			fmt.Fprintf(w, "%s\tlent\t%s\t%s\t%d\n", l.Loan, l.Peer, l.State, l.Tasks)
+		}
+		for _, l := range s.Borrowed {
+			fmt.Fprintf(w, "%s\tborrowed\t%s\t%s\t%d\n", l.Loan, l.Peer, l.State, l.Tasks)
+		}
+	}
+	return w.Flush()
+}
+
+func drainCommand() *cobra.Command {
+	var addr string
+	var within time.Duration
+	c := &cobra.Command{
+		Use: "drain", Short: "Take no more work of other clusters, and give back what is here", Args: cobra.NoArgs,
+		Long: "Has the cluster refuse its peers' work from now on, give back what has not begun,\nand finish or give back the rest within the given time. It stays so, whatever is\nrestarted, until undrain. Users' own jobs are taken and run as ever.",
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			if within < 0 {
+				return errors.New("drain: --within is negative: want a duration such as 10m")
+			}
+			var x struct{}
+			if err := fromBack(cmd.Context(), "drain", http.MethodPost, addr, "/drain?on=true&within="+url.QueryEscape(within.String()), &x); err != nil {
+				return err
+			}
+			fmt.Fprintf(cmd.OutOrStdout(), "draining: borrowed work is gone by %s\n", time.Now().Add(within).Format(time.RFC3339))
+			return nil
+		},
+	}
+	c.Flags().StringVar(&addr, "addr", "", "a controller's own address (back)")
+	c.Flags().DurationVar(&within, "within", 10*time.Minute, "by when borrowed work is to be gone")
+	return c
+}
+
+func undrainCommand() *cobra.Command {
+	var addr string
+	c := &cobra.Command{
+		Use: "undrain", Short: "Take work of other clusters again", Args: cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			var x struct{}
+			if err := fromBack(cmd.Context(), "undrain", http.MethodPost, addr, "/drain?on=false", &x); err != nil {
+				return err
+			}
+			fmt.Fprintln(cmd.OutOrStdout(), "serving")
+			return nil
+		},
+	}
+	c.Flags().StringVar(&addr, "addr", "", "a controller's own address (back)")
+	return c
+}
--- /dev/null
+++ b/cmd/micahill/overflow_test.go
@@ -0,0 +1,221 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/micahill/micahill/internal/core"
+	"github.com/micahill/micahill/internal/keys"
+	"github.com/micahill/micahill/internal/overflow"
+	"github.com/micahill/micahill/internal/overflow/broker"
+	"github.com/micahill/micahill/internal/standin"
+)
+
+// cluster is a whole cluster on loopback: controllers, and stand-ins for all that
+// is outside.
+type cluster struct {
+	name, api, back, link string
+	live                  *standin.Live
+	path, enable          string
+	stop                  context.CancelFunc
+	ended                 chan struct{}
+}
+
+func (c *cluster) start(ctx context.Context) {
+	ctx, c.stop = context.WithCancel(ctx)
+	c.ended = make(chan struct{})
+	go func() {
+		serve(ctx, c.path, "", []string{c.enable})
+		close(c.ended)
+	}()
+}
+
+// clusters makes peers of the given names, each with so many machines.
+func clusters(t *testing.T, ctx context.Context, room map[string]int, names ...string) map[string]*cluster {
+	t.Helper()
+	dir := t.TempDir()
+	ca := filepath.Join(dir, "ca")
+	if err := keys.Init(ca, time.Now()); err != nil {
+		t.Fatal(err)
+	}
+	out := map[string]*cluster{}
+	for _, name := range names {
+		c := &cluster{name: name, api: freeAddr(t), back: freeAddr(t), link: freeAddr(t)}
+		types := []core.Flavour{{Name: "small", Size: core.Resources{CPU: 4, Memory: 8}, DiskGB: 10, PullRate: 1, Price: 1, SpotPrice: 0.3, Ready: 300 * time.Millisecond, Zones: []string{"a"}}}
+		set := core.Settings{ReportEvery: 400 * time.Millisecond, Lease: 4 * time.Second, ListLag: 500 * time.Millisecond}
+		c.live = standin.NewLive(set, 200, 100, types, map[string]int{"small/a/true": room[name]}, []string{c.api})
+		t.Cleanup(c.live.Stop)
+		go c.live.Run(ctx)
+		if err := keys.Issue(ca, name, filepath.Join(dir, name), time.Hour, time.Now()); err != nil {
+			t.Fatal(err)
+		}
+		c.path, c.enable = filepath.Join(dir, name+".toml"), filepath.Join(dir, name+"-overflow.toml")
+		text := settings(0, []string{c.api}, []string{c.back}, c.live)
+		text = strings.Replace(text, "[[deployment.teams]]", "[[deployment.teams]]\nname = \"guests\"\n[[deployment.teams]]", 1)
+		if err := os.WriteFile(c.path, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		out[name] = c
+	}
+	for _, name := range names {
+		var b strings.Builder
+		fmt.Fprintf(&b, "[overflow]\ncluster = %q\nlisten = %q\nkeys = %q\nallow = [\"127.0.0.0/8\"]\nguest_team = \"guests\"\nreport_s = 0.5\nlease_s = 5\ngain_s = 1\n", name, out[name].link, filepath.Join(dir, name))
+		for _, other := range names {
+			if other != name {
+				fmt.Fprintf(&b, "[[overflow.peers]]\ncluster = %q\naddresses = [%q]\n", other, out[other].link)
+			}
+		}
+		if err := os.WriteFile(out[name].enable, []byte(b.String()), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		out[name].start(ctx)
+	}
+	return out
+}
+
+// know tells every cluster's workers of a job, under its own name and under those
+// by which it may be lent.
+func know(cs map[string]*cluster, home string, o obj, run time.Duration) {
+	s := spec(o)
+	cs[home].live.Know(s, run)
+	for _, c := range cs {
+		for n := range uint64(3) {
+			lent := s
+			lent.ID, lent.Team = overflow.Loan{Home: home, Job: s.ID, N: n + 1}.GuestID(), "guests"
+			if c.name != home {
+				c.live.Know(lent, run)
+			}
+		}
+	}
+}
+
+func (c *cluster) peers(ctx context.Context) broker.Status {
+	var s broker.Status
+	_ = fromBack(ctx, "peers", "GET", c.back, "/peers", &s)
+	return s
+}
+
+// watchTasks looks at the workers of all clusters again and again, and says in the
+// end which tasks were seen in two places at once. A lent job's name at the guest
+// holds the job's own.
+func watchTasks(ctx context.Context, cs map[string]*cluster) func() []string {
+	ctx, cancel := context.WithCancel(ctx)
+	out := make(chan []string, 1)
+	go func() {
+		var bad []string
+		for ctx.Err() == nil {
+			at := map[string]string{}
+			for name, c := range cs {
+				tasks, _ := c.live.Running()
+				for _, x := range tasks {
+					if strings.HasPrefix(x, "job-lent-") {
+						x = "job-" + x[strings.LastIndexByte(x, '-')+1:]
+					}
+					if o := at[x]; o != "" {
+						bad = append(bad, fmt.Sprintf("%s in %s and %s", x, o, name))
+					}
+					at[x] = name
+				}
+			}
+			time.Sleep(20 * time.Millisecond)
+		}
+		out <- bad
+	}()
+	return func() []string { cancel(); return <-out }
+}
+
+// TestOverflow runs three whole clusters on loopback. A busy one lends to two idle
+// ones; one of these ends in the middle and another drains. Each job ends once, at
+// home, and no task runs in two places, by the word of the workers.
+func TestOverflow(t *testing.T) {
+	t.Setenv("LOG_LEVEL", "error")
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	cs := clusters(t, ctx, map[string]int{"east": 1, "west": 4, "north": 4}, "east", "west", "north")
+	east := cs["east"]
+	for _, c := range cs {
+		eventually(t, c.name+" is healthy", func() bool { s, _, _ := call(t, "GET", "http://"+c.api+"/healthz", nil); return s == 200 })
+	}
+	eventually(t, "east has heard both peers", func() bool {
+		s := east.peers(ctx)
+		return len(s.Peers) == 2 && s.Peers[0].State == "serving" && s.Peers[1].State == "serving"
+	})
+	const jobs = 16
+	for i := range jobs {
+		o := job(fmt.Sprintf("job-%06d", i+1), "ops", 2)
+		o["vcpus"], o["expected_s"], o["due_s"] = 2.0, 3.0, 20.0
+		know(cs, "east", o, 3*time.Second)
+		eventually(t, "a submission is accepted", func() bool {
+			s, _, _ := call(t, "POST", "http://"+east.api+"/v2/runs", o)
+			return s == 201 || s == 200
+		})
+	}
+	twice := watchTasks(ctx, cs)
+	lent := func() int { return len(east.peers(ctx).Lent) }
+	eventually(t, "work is lent", func() bool { return lent() > 0 })
+	if err := printPeers(io.Discard, &broker.Status{Leads: true}); err != nil {
+		t.Error(err)
+	}
+	// A cancellation of a lent job is told only when the peer has stopped it.
+	id := strings.Split(east.peers(ctx).Lent[0].Loan, "/")[1]
+	eventually(t, "a lent job is cancelled", func() bool {
+		s, o, _ := call(t, "POST", "http://"+east.api+"/v2/runs/"+id+"/abort", nil)
+		return s == 200 && (o["status"] == "cancelled" || o["status"] == "done")
+	})
+	// One peer ends in the middle, and comes back; the other drains.
+	cs["west"].stop()
+	<-cs["west"].ended
+	var x struct{}
+	if err := fromBack(ctx, "drain", "POST", cs["north"].back, "/drain?on=true&within=30s", &x); err != nil {
+		t.Error(err)
+	}
+	time.Sleep(time.Second)
+	cs["west"].start(ctx)
+	for i := range jobs {
+		id := fmt.Sprintf("job-%06d", i+1)
+		eventually(t, id+" ends", func() bool {
+			_, o, _ := call(t, "GET", "http://"+east.api+"/v2/runs/"+id, nil)
+			return o["status"] == "done" || o["status"] == "cancelled"
+		})
+	}
+	eventually(t, "no loan is left", func() bool { return lent() == 0 })
+	eventually(t, "the peers have forgotten them", func() bool {
+		return len(cs["west"].peers(ctx).Borrowed) == 0 && len(cs["north"].peers(ctx).Borrowed) == 0
+	})
+	for _, x := range twice() {
+		t.Error("runs in two clusters: " + x)
+	}
+	if _, n := cs["west"].live.Running(); n == 0 {
+		if _, n = cs["north"].live.Running(); n == 0 {
+			t.Error("no peer started anything")
+		}
+	}
+	for _, c := range cs {
+		for _, b := range c.live.Broken() {
+			t.Errorf("%s: %s", c.name, b)
+		}
+	}
+	if s := cs["north"].peers(ctx); !s.Draining {
+		t.Error("north does not say that it drains")
+	}
+	// Strangers are not let in.
+	if c, err := net.Dial("tcp", east.link); err == nil {
+		c.Write([]byte("GET / HTTP/1.1\r\n\r\n"))
+		c.SetReadDeadline(time.Now().Add(5 * time.Second))
+		if b, err := io.ReadAll(c); err == nil && strings.Contains(string(b), "HTTP") {
+			t.Errorf("a stranger got %q", b)
+		}
+		c.Close()
+	}
+	cancel()
+	for _, c := range cs {
+		<-c.ended
+	}
+}
--- a/internal/api/api.go
+++ b/internal/api/api.go
@@ -55,12 +55,16 @@
 
 // Operators serves the operators' view on the controllers' own address: the
 // status as JSON and the metrics. Users do not reach it.
-func Operators(ctx context.Context, ln net.Listener, c Core, metrics http.Handler) error {
+// more adds the routes of what is switched on.
+func Operators(ctx context.Context, ln net.Listener, c Core, metrics http.Handler, more ...func(*echo.Echo)) error {
 	h := &handlers{c}
 	e := echo.New()
 	e.HideBanner, e.HidePort = true, true
 	e.GET("/metrics", echo.WrapHandler(metrics))
 	e.GET("/status", h.status)
+	for _, add := range more {
+		add(e)
+	}
 	return serve(ctx, ln, e)
 }
 
--- a/internal/core/loans.go
+++ b/internal/core/loans.go
@@ -166,8 +166,11 @@
 	Spot     bool
 	Each     Resources
 	Machines int
-	Price    float64
-	Rate     float64
+	// In is how long until it is there: of machines that are to be rented first.
+	In time.Duration
+	// Price is for one CPU, an hour.
+	Price float64
+	Rate  float64
 }
 
 // DrainOp begins or ends the emptying of the cluster of borrowed work.
@@ -515,6 +518,13 @@
 		if none {
 			end = hopelessly
 		}
+		// What waits may also run on machines that are rented for it, unless the
+		// cloud has lately had none of the kind.
+		for k, f := range bookable(n) {
+			if d.j.allows(k.flavour, k.zone, k.spot) && d.j.Need.Fits(f.Size) {
+				end = min(end, f.Ready+pull(&f, d.j)+n.runs(d.j))
+			}
+		}
 		aim := n.latest(d.j).Add(n.expects(d.j)).Sub(n.now)
 		if end > aim {
 			v.Late, v.Urgency = true, max(v.Urgency, d.j.Urgency)
@@ -539,12 +549,15 @@
 			images[name] = images[name] || im.cached
 		}
 	}
+	for k, f := range bookable(n) {
+		v.Room = append(v.Room, FreeRoom{Flavour: k.flavour, Zone: k.zone, Spot: k.spot, Each: f.Size, Machines: bookMost, In: f.Ready, Price: n.price(k) / max(f.Size.CPU, 1), Rate: f.PullRate})
+	}
 	for l, k := range count {
 		f := n.types[l.k.flavour]
-		v.Room = append(v.Room, FreeRoom{Flavour: l.k.flavour, Zone: l.k.zone, Spot: l.k.spot, Each: l.each, Machines: k, Price: n.price(l.k), Rate: f.PullRate})
+		v.Room = append(v.Room, FreeRoom{Flavour: l.k.flavour, Zone: l.k.zone, Spot: l.k.spot, Each: l.each, Machines: k, Price: n.price(l.k) / max(f.Size.CPU, 1), Rate: f.PullRate})
 	}
 	slices.SortFunc(v.Room, func(a, b FreeRoom) int {
-		return cmp.Or(strings.Compare(a.Flavour, b.Flavour), strings.Compare(a.Zone, b.Zone), cmp.Compare(b2f(a.Spot), b2f(b.Spot)), cmp.Compare(a.Each.CPU, b.Each.CPU), cmp.Compare(a.Each.Memory, b.Each.Memory))
+		return cmp.Or(strings.Compare(a.Flavour, b.Flavour), strings.Compare(a.Zone, b.Zone), cmp.Compare(b2f(a.Spot), b2f(b.Spot)), cmp.Compare(a.In, b.In), cmp.Compare(a.Each.CPU, b.Each.CPU), cmp.Compare(a.Each.Memory, b.Each.Memory))
 	})
 	for _, name := range sortedKeys(images) {
 		if images[name] {
@@ -553,6 +566,34 @@
 	}
 }
 
+// bookMost is how many machines of a kind are offered to peers that would have to
+// be rented for them: the cloud does not tell how many it has.
+const bookMost = 8
+
+// bookAgain is for how long after a refusal has passed a kind is not counted on. It
+// is asked for again much sooner; but a plan that counts on it each time anew would
+// keep at home what then waits.
+const bookAgain = time.Minute
+
+// bookable are the kinds of machines that the cloud has not lately refused.
+func bookable(n *Node) map[kind]Flavour {
+	out := map[kind]Flavour{}
+	if n.owner.view == nil {
+		return out
+	}
+	for _, f := range n.types {
+		for _, z := range f.Zones {
+			for _, spot := range [...]bool{true, false} {
+				k := kind{f.Name, z, spot}
+				if n.now.Sub(n.owner.view.blocked[k]) > bookAgain {
+					out[k] = f
+				}
+			}
+		}
+	}
+	return out
+}
+
 // drainOp writes whether the cluster is being emptied of borrowed work.
 func drainOp(n *Node, c DrainOp) {
 	rec := encode(drainRecord{On: c.On, By: c.By.UnixMilli()})
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -46,6 +46,9 @@
 	return s
 }
 
+// Registry is where parts that are switched on register metrics of their own.
+func (s *Set) Registry() *prometheus.Registry { return s.reg }
+
 // Handler serves the metrics.
 func (s *Set) Handler() http.Handler { return promhttp.HandlerFor(s.reg, promhttp.HandlerOpts{}) }
 
--- /dev/null
+++ b/internal/overflow/broker/broker.go
@@ -0,0 +1,558 @@
+// Package broker runs lending on one controller: it asks the core what is durable,
+// lets internal/overflow decide, has the core make it durable, and speaks with the
+// peers. One goroutine owns all of its state; only the controller that leads does
+// more than send peers on.
+package broker
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/micahill/micahill/internal/core"
+	"github.com/micahill/micahill/internal/overflow"
+	"github.com/micahill/micahill/internal/overflow/link"
+)
+
+const (
+	// lookEvery is how often the core is asked what is durable; a peer's report is
+	// answered at once, with a look of its own.
+	lookEvery = time.Second
+	// planEvery is how often the queue is played forward to choose offers.
+	planEvery = 2 * time.Second
+	// renewEvery is how often the times of answered reports are written down.
+	renewEvery = 5 * time.Second
+	// reportPatience bounds a report to a peer, and corePatience a question to the
+	// core.
+	reportPatience = 4 * time.Second
+	corePatience   = 3 * time.Second
+	// unsurePause separates tries of a transaction whose outcome is not known.
+	unsurePause = 500 * time.Millisecond
+	// queueLen bounds what waits for the loop.
+	queueLen = 256
+	// restAfterBack is for how long a job that came back stays at home.
+	restAfterBack = 30 * time.Second
+	// workerLeases and stopSlack make the bound on how long tasks may go on after a
+	// loan's end: an owner that has lost the state service answers its workers for
+	// one lease, theirs runs one more, and a successor counts a third.
+	workerLeases = 3
+	stopSlack    = 10 * time.Second
+)
+
+// Core is what the broker needs of the server.
+type Core interface {
+	Ask(ctx context.Context, mk func(reply uint64) core.Command) (core.Effect, error)
+	Post(core.Command)
+}
+
+// Reporter sends a report to a peer; link.Client is one.
+type Reporter interface {
+	Report(ctx context.Context, peer, addr string, r overflow.Report) (overflow.Answer, error)
+}
+
+// Settings are the broker's, converted from the file under deploy/.
+type Settings struct {
+	Cluster   string
+	GuestTeam string
+	Lend      bool
+	Borrow    bool
+	Every     time.Duration
+	Lease     time.Duration
+	// WorkerLease is this cluster's own workers' lease, and ClockBound how far the
+	// times of day of two controllers may be apart from the truth.
+	WorkerLease time.Duration
+	ClockBound  time.Duration
+	Limits      overflow.Limits
+	Peers       map[string][]string
+}
+
+// Broker is the lending side of one controller.
+type Broker struct {
+	ctx    context.Context
+	set    Settings
+	core   Core
+	link   Reporter
+	met    *Metrics
+	rng    *rand.Rand
+	events chan func()
+	snap   chan chan Status
+
+	epoch   uint64
+	leads   bool
+	home    *overflow.Home
+	guest   *overflow.Guest
+	members map[string]*overflow.Member
+	view    core.LoanView
+	viewed  time.Time
+	planned time.Time
+	renewed time.Time
+	waiting []question
+	// busy are loans with a transaction under way.
+	busy map[overflow.Loan]bool
+	// rest are jobs that came back lately, and progress what peers say of ours.
+	rest     map[string]time.Time
+	progress map[string]core.Progress
+	// late is since when own work has been late.
+	late  time.Time
+	admit overflow.Accepting
+}
+
+// question is a peer's report that waits for its answer.
+type question struct {
+	r   overflow.Report
+	out chan answered
+}
+
+type answered struct {
+	a   overflow.Answer
+	err error
+}
+
+// New makes a broker, which lives as long as the context. Run starts it.
+func New(ctx context.Context, set Settings, c Core, l Reporter, met *Metrics, rng *rand.Rand) *Broker {
+	b := &Broker{
+		ctx: ctx, set: set, core: c, link: l, met: met, rng: rng,
+		events: make(chan func(), queueLen), snap: make(chan chan Status),
+	}
+	b.fresh(time.Now())
+	return b
+}
+
+// fresh forgets everything that holds for one term as leader only.
+func (b *Broker) fresh(now time.Time) {
+	b.home, b.guest = overflow.NewHome(b.set.Cluster, now, b.set.Lease), overflow.NewGuest()
+	b.members = map[string]*overflow.Member{}
+	for name, addrs := range b.set.Peers {
+		b.members[name] = overflow.NewMember(name, addrs, b.set.Every, now)
+	}
+	b.busy, b.rest, b.progress = map[overflow.Loan]bool{}, map[string]time.Time{}, map[string]core.Progress{}
+	b.late, b.renewed = time.Time{}, now
+}
+
+// Answer takes a peer's report; it is the link server's handler.
+func (b *Broker) Answer(ctx context.Context, r overflow.Report) (overflow.Answer, error) {
+	q := question{r, make(chan answered, 1)}
+	select {
+	case b.events <- func() { b.waiting = append(b.waiting, q) }:
+	default:
+		return overflow.Answer{}, link.ErrStale
+	}
+	ctx, cancel := context.WithTimeout(ctx, corePatience)
+	defer cancel()
+	select {
+	case x := <-q.out:
+		return x.a, x.err
+	case <-ctx.Done():
+		return overflow.Answer{}, link.ErrStale
+	}
+}
+
+// Run goes on until the broker's context ends.
+func (b *Broker) Run() error {
+	ctx := b.ctx
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case fn := <-b.events:
+			fn()
+		case out := <-b.snap:
+			out <- b.status(time.Now())
+			continue
+		case <-timer.C:
+		}
+		for more := true; more; {
+			select {
+			case fn := <-b.events:
+				fn()
+			default:
+				more = false
+			}
+		}
+		now := time.Now()
+		if len(b.waiting) > 0 || now.Sub(b.viewed) >= lookEvery {
+			b.look(ctx)
+		}
+		timer.Reset(max(10*time.Millisecond, time.Until(b.viewed.Add(lookEvery))))
+	}
+}
+
+// look asks the core what is durable and does what follows from it.
+func (b *Broker) look(ctx context.Context) {
+	now := time.Now()
+	plan := now.Sub(b.planned) >= planEvery && len(b.set.Peers) > 0
+	q := core.LoanQuery{Startable: map[string]time.Time{}, Plan: plan}
+	for _, x := range b.view.Borrowed {
+		if l, ok := parseLoan(x.Loan); ok {
+			if u := b.guest.Startable(l); !u.IsZero() {
+				q.Startable[x.Job] = u
+			}
+		}
+	}
+	for _, id := range slices.Sorted(maps.Keys(b.progress)) {
+		q.Progress = append(q.Progress, b.progress[id])
+	}
+	clear(b.progress)
+	ctx, cancel := context.WithTimeout(ctx, corePatience)
+	defer cancel()
+	e, err := b.core.Ask(ctx, func(r uint64) core.Command { q.Reply = r; return q })
+	b.viewed = time.Now()
+	v, ok := e.(core.LoanView)
+	waiting := b.waiting
+	b.waiting = nil
+	if err != nil || !ok || !v.OK {
+		if ok && b.leads {
+			slog.Info("overflow: leads no more")
+		}
+		b.leads = b.leads && !ok
+		why := link.ErrStale
+		if ok && v.Leader != "" {
+			why = link.ErrNotLeader
+		}
+		for _, q := range waiting {
+			q.out <- answered{err: why}
+		}
+		return
+	}
+	if !b.leads || v.Epoch != b.epoch {
+		slog.Info("overflow: leads", "epoch", v.Epoch, "lent", len(v.Lent), "borrowed", len(v.Borrowed))
+		b.fresh(b.viewed)
+		b.leads, b.epoch = true, v.Epoch
+	}
+	if !plan {
+		// What was planned last holds a little longer.
+		v.Waiting, v.Room, v.Images, v.Late, v.Urgency, v.Cheapest = b.view.Waiting, b.view.Room, b.view.Images, b.view.Late, b.view.Urgency, b.view.Cheapest
+	}
+	b.view = v
+	b.step(ctx, plan, waiting)
+}
+
+// step does what the fresh view asks for.
+func (b *Broker) step(ctx context.Context, planned bool, waiting []question) {
+	now := b.viewed
+	hv, gv := b.homeView(), b.guestView()
+	for _, x := range gv.Borrowed {
+		b.guest.Accepted(x.Loan, true)
+	}
+	for _, q := range waiting {
+		q.out <- b.answer(now, hv, q.r)
+	}
+	for _, op := range b.home.Overdue(now, hv) {
+		if m := b.members[b.peerOf(op.Loan)]; m != nil {
+			m.Broke(now)
+		}
+		b.homeOp(op)
+	}
+	for _, op := range b.guest.Expired(now, b.set.Lease, gv) {
+		b.guestOp(op)
+	}
+	if planned {
+		b.planned = now
+		b.plan(now, gv)
+	}
+	if now.Sub(b.renewed) >= renewEvery {
+		b.renewed = now
+		if r := b.guest.Renewals(b.set.Lease, gv); len(r) > 0 {
+			b.core.Post(core.RenewOp{Renewed: r})
+		}
+	}
+	for _, name := range slices.Sorted(maps.Keys(b.members)) {
+		m := b.members[name]
+		if s, changed := m.Changed(now); changed {
+			slog.Info("overflow: peer", "cluster", name, "state", s, "trust", m.Trust(now))
+		}
+		if addr, due := m.Ask(now); due {
+			b.report(now, name, addr, gv)
+		}
+	}
+	b.met.loans(b.view)
+}
+
+func (b *Broker) peerOf(l overflow.Loan) string {
+	for _, x := range b.view.Lent {
+		if x.Spec.ID == l.Job && x.N == l.N {
+			return x.Peer
+		}
+	}
+	return ""
+}
+
+// answer takes one report of a guest in.
+func (b *Broker) answer(now time.Time, hv overflow.HomeView, r overflow.Report) answered {
+	m := b.members[r.From]
+	if m == nil {
+		return answered{err: link.ErrStale}
+	}
+	a, ops, ok := b.home.Answer(now, hv, r)
+	if !ok {
+		return answered{err: link.ErrStale}
+	}
+	m.Heard(now, r)
+	for _, l := range r.Loans {
+		if l.Loan.Home == b.set.Cluster && l.State == overflow.Held {
+			b.progress[l.Loan.Job] = core.Progress{ID: l.Loan.Job, Done: l.Done, Running: l.Running}
+		}
+		if l.State == overflow.Gone && l.Cause == overflow.NoRoom && slices.ContainsFunc(ops, func(op overflow.HomeOp) bool { return op.Loan == l.Loan }) {
+			m.Broke(now)
+		}
+	}
+	for _, op := range ops {
+		b.homeOp(op)
+	}
+	return answered{a: a}
+}
+
+// report sends a report to a peer, beside the loop.
+func (b *Broker) report(now time.Time, peer, addr string, gv overflow.GuestView) {
+	r := b.guest.Report(now, b.set.Cluster, peer, gv)
+	if !b.set.Borrow || !b.view.Guests {
+		r.Room = nil
+	}
+	guest, m := b.guest, b.members[peer]
+	go func() {
+		ctx, cancel := context.WithTimeout(b.ctx, reportPatience)
+		defer cancel()
+		a, err := b.link.Report(ctx, peer, addr, r)
+		took := time.Since(now)
+		b.post(func() {
+			if b.guest != guest {
+				return // another term as leader
+			}
+			b.met.answered(peer, err, took)
+			switch now := time.Now(); {
+			case errors.Is(err, link.ErrNotLeader):
+				m.Moved(now, "")
+			case err != nil:
+				slog.Debug("overflow: no answer", "peer", peer, "addr", addr, "err", err)
+				m.Failed(now, b.rng)
+			default:
+				m.Told(now, took, b.rng)
+				b.told(peer, r.Tick, a)
+			}
+		})
+	}()
+}
+
+// post hands something to the loop, unless all ends.
+func (b *Broker) post(fn func()) {
+	select {
+	case b.events <- fn:
+	case <-b.ctx.Done():
+	}
+}
+
+// told takes a home's answer in.
+func (b *Broker) told(peer string, tick uint64, a overflow.Answer) {
+	if !b.leads {
+		return
+	}
+	gv := b.guestView()
+	for _, op := range b.guest.Answered(peer, tick, a, gv, b.accept) {
+		b.guestOp(op)
+	}
+}
+
+// accept says whether a peer's job is taken in.
+func (b *Broker) accept(o overflow.Order) overflow.Cause {
+	switch {
+	case !b.set.Borrow || !b.view.Guests:
+		return overflow.Refused
+	case b.view.Drain:
+		return overflow.Draining
+	}
+	why := overflow.Admit(o, &b.admit, b.set.Limits)
+	if why != "" {
+		b.met.refused(why)
+	}
+	return why
+}
+
+// plan chooses what to lend and what to give back.
+func (b *Broker) plan(now time.Time, gv overflow.GuestView) {
+	v := &b.view
+	if !v.Late {
+		b.late = time.Time{}
+	} else if b.late.IsZero() {
+		b.late = now
+	}
+	b.admit = overflow.Accepting{In: len(v.Borrowed), Room: gv.Room, Late: v.Late, Waiting: v.Urgency}
+	p := overflow.Pressure{Late: v.Late, Urgency: v.Urgency, Drain: -1}
+	if v.Late {
+		p.For = now.Sub(b.late)
+	}
+	if v.Drain {
+		p.Drain = max(0, time.Until(v.DrainBy))
+	}
+	rest := func(x overflow.Borrowed) time.Duration { return x.Spec.Expected }
+	for _, l := range overflow.Release(gv.Borrowed, p, rest) {
+		why := overflow.GivenBack
+		if v.Drain {
+			why = overflow.Draining
+		}
+		b.guestOp(overflow.GuestOp{Kind: overflow.GiveUp, Loan: l, Cause: why})
+	}
+	if !b.set.Lend || v.Drain {
+		return
+	}
+	for job, at := range b.rest {
+		if now.Sub(at) > restAfterBack {
+			delete(b.rest, job)
+		}
+	}
+	var cs []overflow.Candidate
+	for _, w := range v.Waiting {
+		_, rest := b.rest[w.Spec.ID]
+		cs = append(cs, overflow.Candidate{
+			Job: w.Spec.ID, Spec: w.Spec, Age: w.Age, Aim: w.Aim, HomeEnd: w.HomeEnd, Run: w.Run, Lent: w.LentN, Rest: rest,
+		})
+	}
+	out := map[string]int{}
+	for _, l := range v.Lent {
+		out[l.Peer]++
+	}
+	var ps []overflow.Peer
+	for _, name := range slices.Sorted(maps.Keys(b.members)) {
+		ps = append(ps, b.members[name].View(now, out[name]))
+	}
+	for _, o := range overflow.Choose(cs, ps, b.set.Limits, v.Cheapest) {
+		i := slices.IndexFunc(cs, func(c overflow.Candidate) bool { return c.Job == o.Job })
+		l := overflow.Loan{Home: b.set.Cluster, Job: o.Job, N: cs[i].Lent + 1}
+		slog.Info("overflow: lends", "loan", l, "peer", o.Peer, "why", o.Why, "there_in", o.PeerEnd, "here_in", cs[i].HomeEnd, "aim_in", cs[i].Aim)
+		b.homeOp(overflow.HomeOp{Kind: overflow.Lend, Loan: l, Peer: o.Peer, Stop: b.members[o.Peer].Stop()})
+	}
+}
+
+// homeOp has one step of a loan of ours made durable.
+func (b *Broker) homeOp(op overflow.HomeOp) {
+	kind := map[overflow.HomeOpKind]core.LoanKind{
+		overflow.Lend: core.LoanLend, overflow.TakeBack: core.LoanBack, overflow.Settle: core.LoanSettle, overflow.EndCancelled: core.LoanCancelled,
+	}[op.Kind]
+	if op.Kind != overflow.Lend {
+		slog.Info("overflow: loan ends", "loan", op.Loan, "how", op.Kind, "cause", op.Cause)
+		b.met.ended(op)
+	}
+	home := b.home
+	if b.busy[op.Loan] {
+		// An earlier step is still being written: decided again when it is known.
+		home.Closed(op.Loan)
+		return
+	}
+	b.do(op.Loan, core.LoanOp{Kind: kind, Job: op.Loan.Job, Loan: op.Loan.String(), N: op.Loan.N, Peer: op.Peer, Stop: op.Stop, Cause: string(op.Cause)}, func(s core.LoanStatus) {
+		if b.home != home {
+			return
+		}
+		if s == core.LoanNot {
+			home.Closed(op.Loan)
+		}
+		if op.Kind == overflow.TakeBack && s == core.LoanDurable {
+			b.rest[op.Loan.Job] = time.Now()
+		}
+	})
+}
+
+// guestOp has one step of a peer's loan made durable.
+func (b *Broker) guestOp(op overflow.GuestOp) {
+	kind := map[overflow.GuestOpKind]core.LoanKind{
+		overflow.Accept: core.LoanAccept, overflow.GiveUp: core.LoanGiveUp, overflow.Drop: core.LoanDrop,
+	}[op.Kind]
+	spec := op.Spec
+	spec.ID, spec.Team = op.Loan.GuestID(), b.set.GuestTeam
+	slog.Info("overflow: borrowed", "loan", op.Loan, "what", op.Kind, "cause", op.Cause)
+	guest := b.guest
+	b.do(op.Loan, core.LoanOp{Kind: kind, Job: spec.ID, Loan: op.Loan.String(), Spec: spec, Age: op.Age, Cause: string(op.Cause)}, func(s core.LoanStatus) {
+		if b.guest == guest && op.Kind == overflow.Accept && s == core.LoanNot {
+			// Durable ones are told once a view shows them, so that no report
+			// can leave them out.
+			guest.Accepted(op.Loan, false)
+		}
+	})
+}
+
+// do runs a transaction until its outcome is known. One at a time for a loan.
+func (b *Broker) do(l overflow.Loan, op core.LoanOp, over func(core.LoanStatus)) {
+	if b.busy[l] {
+		return
+	}
+	b.busy[l] = true
+	epoch := b.epoch
+	go func() {
+		for b.ctx.Err() == nil {
+			ctx, cancel := context.WithTimeout(b.ctx, corePatience)
+			e, err := b.core.Ask(ctx, func(r uint64) core.Command { op.Reply = r; return op })
+			cancel()
+			if d, ok := e.(core.LoanDone); ok && err == nil && d.Status != core.LoanUnsure {
+				b.post(func() {
+					if b.epoch == epoch {
+						delete(b.busy, l)
+						over(d.Status)
+					}
+				})
+				return
+			}
+			time.Sleep(unsurePause)
+		}
+	}()
+}
+
+func (b *Broker) homeView() overflow.HomeView {
+	hv := overflow.HomeView{Epoch: b.view.Epoch, SureUntil: b.view.SureUntil}
+	for _, x := range b.view.Lent {
+		hv.Lent = append(hv.Lent, overflow.Lent{
+			Loan: overflow.Loan{Home: b.set.Cluster, Job: x.Spec.ID, N: x.N}, Peer: x.Peer, Spec: x.Spec, At: x.At, Stop: x.Stop, Cancel: x.Wanted,
+		})
+	}
+	return hv
+}
+
+func (b *Broker) guestView() overflow.GuestView {
+	v := &b.view
+	gv := overflow.GuestView{
+		Epoch: v.Epoch, Draining: v.Drain, Lender: len(v.Lent) > 0 || v.Late,
+		Stop: workerLeases*b.set.WorkerLease + stopSlack, Images: v.Images, Renewed: map[string]time.Time{},
+	}
+	for home, t := range v.Renewed {
+		// Written by another controller's clock: neither is sure of the time of day.
+		gv.Renewed[home] = t.Add(-2 * b.set.ClockBound)
+	}
+	for _, r := range v.Room {
+		gv.Room = append(gv.Room, overflow.Room{Flavour: r.Flavour, Zone: r.Zone, Spot: r.Spot, Each: r.Each, Machines: r.Machines, In: r.In, Price: r.Price, Rate: r.Rate})
+	}
+	for _, x := range v.Borrowed {
+		l, ok := parseLoan(x.Loan)
+		if !ok {
+			continue
+		}
+		y := overflow.Borrowed{Loan: l, Spec: x.Spec, Ending: x.Ending, Began: x.Began, Done: x.Done, Running: x.Running, Cause: overflow.Cause(x.Cause)}
+		switch {
+		case x.Known && x.Status == core.Done:
+			y.State = overflow.Finished
+		case x.Known && x.Status == core.Cancelled:
+			y.State = overflow.Gone
+		}
+		gv.Borrowed = append(gv.Borrowed, y)
+	}
+	return gv
+}
+
+// parseLoan reads a loan's name, as it stands in keys.
+func parseLoan(s string) (overflow.Loan, bool) {
+	p := strings.Split(s, "/")
+	if len(p) != 3 {
+		return overflow.Loan{}, false
+	}
+	n := uint64(0)
+	for _, ch := range p[2] {
+		if ch < '0' || ch > '9' {
+			return overflow.Loan{}, false
+		}
+		n = n*10 + uint64(ch-'0')
+	}
+	return overflow.Loan{Home: p[0], Job: p[1], N: n}, true
+}
--- a/internal/overflow/decide.go
+++ b/internal/overflow/decide.go
@@ -20,7 +20,7 @@
 	Machines int
 	// In is how long until the room is there; 0: now.
 	In time.Duration
-	// Price is for a machine of this kind, an hour.
+	// Price is for one CPU of such a machine, an hour.
 	Price float64
 	// Rate is how many GB of image a machine fetches in a second.
 	Rate float64
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -157,6 +157,10 @@
 		s.reply(e.Reply, e)
 	case core.StatusReply:
 		s.reply(e.Reply, e)
+	case core.LoanView:
+		s.reply(e.Reply, e)
+	case core.LoanDone:
+		s.reply(e.Reply, e)
 	case core.StateOp:
 		go func() { s.Post(s.out.State(ctx, e)) }()
 	case core.CloudOp:
--- a/internal/standin/live.go
+++ b/internal/standin/live.go
@@ -101,6 +101,21 @@
 	l.w.jobs[spec.ID] = &userJob{spec: spec, run: run, results: map[int]bool{}, saved: map[int]time.Duration{}}
 }
 
+// Running names the tasks that are on machines now, and Started counts all starts.
+func (l *Live) Running() (tasks []string, started int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, id := range sorted(l.w.machine) {
+		m := l.w.machine[id]
+		for _, t := range m.tasks {
+			if t.onMachine() && !m.dead {
+				tasks = append(tasks, taskName(t.job.spec.ID, t.index))
+			}
+		}
+	}
+	return tasks, l.w.Started
+}
+
 // Broken lists broken rules.
 func (l *Live) Broken() []string {
 	l.mu.Lock()
