micahill-lab up and overflow; borrowing follows the guests' team, not the leader

Need: a newcomer's first job within a minute of cloning, and lending proven on whole clusters by the workers' word.

Cause: micahill-lab overflow, on its first run, left 8 of 24 jobs without an end: with two controllers the guests' team is run by another one than the leader, which took jobs in that its own share could never start. Change: what is borrowed is dealt with by the controller that runs the guests' team, under its share's stamp, and what is lent by the leader, under the lead's.

--- a/cmd/micahill-lab/main.go
+++ b/cmd/micahill-lab/main.go
@@ -6,19 +6,20 @@
 	"fmt"
 	"os"
 	"os/signal"
+	"syscall"
 
 	"github.com/spf13/cobra"
 )
 
 func main() {
-	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt)
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
 	root := &cobra.Command{
 		Use: "micahill-lab", Short: "Experiments with micahill on stand-ins",
 		Long:         "Experiments with micahill over the project's own stand-ins: nothing of a real\ncloud is touched, and all traffic stays on this machine.",
 		SilenceUsage: true, SilenceErrors: true,
 	}
-	root.AddCommand(conditionsCommand())
+	root.AddCommand(upCommand(), overflowCommand(), conditionsCommand())
 	if err := root.ExecuteContext(ctx); err != nil {
 		fmt.Fprintln(os.Stderr, "micahill-lab:", err)
 		os.Exit(1)
--- /dev/null
+++ b/cmd/micahill-lab/up.go
@@ -0,0 +1,98 @@
+package main
+
+import (
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"os"
+	"path/filepath"
+	"time"
+
+	"github.com/micahill/micahill/internal/lab/fleet"
+	"github.com/spf13/cobra"
+)
+
+// program finds the controllers' program beside this one.
+func program(flag string) string {
+	if flag != "" {
+		return flag
+	}
+	if me, err := os.Executable(); err == nil {
+		return filepath.Join(filepath.Dir(me), "micahill")
+	}
+	return filepath.Join("target", "micahill")
+}
+
+// upCommand brings clusters up to try things with.
+func upCommand() *cobra.Command {
+	var opt fleet.Options
+	var first bool
+	var program_, dir string
+	c := &cobra.Command{
+		Use: "up", Short: "Bring clusters up on loopback and keep them until interrupted", Args: cobra.NoArgs,
+		Long: "Brings up whole clusters on this machine: real controllers, and stand-ins for state\nservice, cloud and workers. Prints their addresses, runs a first job if asked to, and\nstays until interrupted. At most one hour.",
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			out := cmd.OutOrStdout()
+			var err error
+			if opt.Dir = dir; dir == "" {
+				if opt.Dir, err = os.MkdirTemp("", "micahill-lab"); err != nil {
+					return fmt.Errorf("up: %w", err)
+				}
+				defer os.RemoveAll(opt.Dir)
+			}
+			opt.Program, opt.Overflow, opt.LogLevel = program(program_), opt.Clusters > 1, "info"
+			f, err := fleet.Up(cmd.Context(), opt)
+			if err != nil {
+				return err
+			}
+			defer f.Down()
+			for _, c := range f.Clusters {
+				fmt.Fprintf(out, "%s: users at %s, operators at %s\n", c.Name, c.API[0], c.Back[0])
+			}
+			fmt.Fprintf(out, "logs: %s\nlook: %s status --addr %s\n", opt.Dir, opt.Program, f.Clusters[0].Back[0])
+			if first {
+				if err := firstJob(cmd, f.Clusters[0]); err != nil {
+					return err
+				}
+			}
+			fmt.Fprintln(out, "running; interrupt to end")
+			select {
+			case <-cmd.Context().Done():
+			case <-time.After(time.Hour):
+			}
+			return nil
+		},
+	}
+	c.Flags().IntVar(&opt.Clusters, "clusters", 1, "how many clusters, 1 to 5; more than one lend to each other")
+	c.Flags().IntVar(&opt.Controllers, "controllers", 3, "controllers of each, 1 to 5")
+	c.Flags().IntSliceVar(&opt.Machines, "machines", nil, "machines that each cluster's cloud has, such as 1,20,20")
+	c.Flags().BoolVar(&first, "job", true, "run a first job of four tasks")
+	c.Flags().StringVar(&program_, "micahill", "", "the controllers' program (default: beside this one)")
+	c.Flags().StringVar(&dir, "dir", "", "folder for settings, keys and logs (default: a temporary one)")
+	return c
+}
+
+func firstJob(cmd *cobra.Command, c *fleet.Cluster) error {
+	began := time.Now()
+	j := fleet.Job{ID: fmt.Sprintf("job-%08x", rand.Uint32()), Team: "ops", Tasks: 4, CPUs: 1, Run: 3 * time.Second, Urgency: "normal"}
+	said := ""
+	for accepted := false; time.Since(began) < time.Minute; time.Sleep(100 * time.Millisecond) {
+		if !accepted {
+			var err error
+			if accepted, err = c.Submit(cmd.Context(), j); err != nil {
+				return err
+			}
+			continue
+		}
+		s, state := c.Query(cmd.Context(), j.ID)
+		if s == http.StatusOK && state != said {
+			said = state
+			fmt.Fprintf(cmd.OutOrStdout(), "%s: %s after %.1f s\n", j.ID, state, time.Since(began).Seconds())
+		}
+		if state == "done" {
+			return nil
+		}
+	}
+	return errors.New("up: the first job did not end within a minute; look at the logs")
+}
--- a/cmd/micahill/overflow.go
+++ b/cmd/micahill/overflow.go
@@ -171,15 +171,22 @@
 }
 
 func printPeers(out io.Writer, s *broker.Status) error {
-	if !s.Leads {
-		fmt.Fprintf(out, "%s: this controller does not lead; ask %s\n", s.Cluster, s.Leader)
+	if !s.Leads && !s.Guests {
+		fmt.Fprintf(out, "%s: this controller neither leads nor runs the guests' team; ask %s\n", s.Cluster, s.Leader)
 		return nil
 	}
 	state := "serving"
 	if s.Draining {
 		state = "draining, borrowed work gone by " + s.DrainBy.Format(time.RFC3339)
 	}
-	fmt.Fprintf(out, "%s: %s; lent %d, borrowed %d\n", s.Cluster, state, len(s.Lent), len(s.Borrowed))
+	lent, borrowed := fmt.Sprint(len(s.Lent)), fmt.Sprint(len(s.Borrowed))
+	if !s.Leads {
+		lent = "not known here, ask " + s.Leader
+	}
+	if !s.Guests {
+		borrowed = "not known here"
+	}
+	fmt.Fprintf(out, "%s: %s; lent: %s; borrowed: %s\n", s.Cluster, state, lent, borrowed)
 	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
 	fmt.Fprintln(w, "\nPEER\tSTATE\tTRUST\tDELAY\tHEARD\tCIRCUIT\tOFFERS\tLENT\tBORROWED")
 	for _, p := range s.Peers {
--- a/internal/core/loans.go
+++ b/internal/core/loans.go
@@ -97,20 +97,31 @@
 	Progress []Progress
 	// Plan asks for Waiting and Room as well, which cost a look ahead.
 	Plan bool
+	// Team is the guests' team.
+	Team string
 }
 
-// LoanView answers a LoanQuery, as of a moment after it was asked. OK is false on
-// a controller that does not lead, or cannot read now; Leader then says who does.
+// LoanView answers a LoanQuery, as of a moment after it was asked. OK is false while
+// nothing can be read. Leads: this controller leads, and answers peers; Leader says
+// which one does. Guests: it runs the guests' team, and speaks for the cluster as a
+// borrower; Frozen: not for long, the team is being given up.
 type LoanView struct {
 	Reply     uint64
 	OK        bool
+	Leads     bool
 	Leader    string
 	Epoch     uint64
 	SureUntil time.Time
-	Drain     bool
-	DrainBy   time.Time
-	Lent      []LentJob
-	Borrowed  []BorrowedJob
+	Guests    bool
+	Frozen    bool
+	// GuestEpoch is the stamp of the share with the guests' team, and GuestTerm
+	// changes whenever the team is taken up anew.
+	GuestEpoch uint64
+	GuestTerm  int
+	Drain      bool
+	DrainBy    time.Time
+	Lent       []LentJob
+	Borrowed   []BorrowedJob
 	// Renewed is, for each home, when a report was sent that is known to have been
 	// answered, in the time of day.
 	Renewed  map[string]time.Time
@@ -120,8 +131,6 @@
 	Late     bool
 	Urgency  Urgency
 	Cheapest float64
-	// Guests: the guests' team is run here, so that borrowed work can be.
-	Guests bool
 }
 
 // LentJob is a job of ours that a peer has.
@@ -203,27 +212,35 @@
 // loan's name begins like that, as no cluster's does.
 const renewedPrefix = guestPrefix + "0/"
 
-// guests is the leader's picture of guest/.
+// guests is the picture that the owner of the guests' team has of guest/, in the
+// given term as owner.
 type guests struct {
-	stamp   uint64
+	term    int
 	loaded  bool
 	loading bool
 	by      map[string]guestRecord
 	renewed map[string]time.Time
 }
 
-// loanOp carries out one transaction. Each names the leader's record, so that none
-// of a deposed leader's is applied, and the record that the decision rests on.
+// loanOp carries out one transaction. Each names the record of whoever decides, the
+// leader's for what is lent, the share with the guests' team for what is borrowed, so
+// that nothing of a deposed one's is applied, and the record the decision rests on.
 func loanOp(n *Node, c LoanOp) {
 	done := func(s LoanStatus) { n.emit(LoanDone{c.Reply, s}) }
-	if n.leader == nil {
+	owns := n.owner != nil && n.owner.ready
+	op := StateOp{Kind: OpTxn, Prio: PrioStart}
+	switch borrows := c.Kind >= LoanAccept; {
+	case borrows && owns && n.guests.loaded && n.guests.term == n.owner.gen:
+		op.When = append(op.When, Cond{sharePrefix + n.set.Host, n.owner.epoch})
+	case !borrows && n.leader != nil:
+		op.When = append(op.When, Cond{leadKey, n.leader.stamp})
+	default:
 		done(LoanNot)
 		return
 	}
-	op := StateOp{Kind: OpTxn, Prio: PrioStart, When: []Cond{{leadKey, n.leader.stamp}}}
 	open := openPrefix + c.Job
 	var j *job
-	if n.owner != nil && n.owner.ready {
+	if owns {
 		j = n.owner.jobs[c.Job]
 	}
 	after := func(Item) {}
@@ -356,19 +373,19 @@
 // answered.
 const cancelLook = 250 * time.Millisecond
 
-// loadGuests reads guest/ for a new leader.
+// loadGuests reads guest/ for a new owner of the guests' team.
 func loadGuests(n *Node) {
 	g := &n.guests
 	if g.loading {
 		return
 	}
 	g.loading = true
-	stamp := n.leader.stamp
+	term := n.owner.gen
 	by, renewed := map[string]guestRecord{}, map[string]time.Time{}
 	var list func(from string)
 	list = func(from string) {
 		n.ask(StateOp{Kind: OpList, Prio: PrioSession, Key: guestPrefix, From: from}, func(d StateDone) {
-			if d.Status != StateOK || n.leader == nil || n.leader.stamp != stamp {
+			if d.Status != StateOK || n.owner == nil || n.owner.gen != term {
 				g.loading = false
 				return
 			}
@@ -387,7 +404,7 @@
 				list(d.Items[len(d.Items)-1].Key)
 				return
 			}
-			*g = guests{stamp: stamp, loaded: true, by: by, renewed: renewed}
+			*g = guests{term: term, loaded: true, by: by, renewed: renewed}
 		})
 	}
 	list("")
@@ -400,10 +417,10 @@
 func (RenewOp) command() {}
 
 func renewOp(n *Node, c RenewOp) {
-	if n.leader == nil || !n.guests.loaded {
+	if n.owner == nil || !n.guests.loaded || n.guests.term != n.owner.gen {
 		return
 	}
-	op := StateOp{Kind: OpTxn, Prio: PrioLazy, When: []Cond{{leadKey, n.leader.stamp}}}
+	op := StateOp{Kind: OpTxn, Prio: PrioLazy, When: []Cond{{sharePrefix + n.set.Host, n.owner.epoch}}}
 	for _, home := range sortedKeys(c.Renewed) {
 		if len(op.Apply) < n.set.TxnOps {
 			op.Apply = append(op.Apply, Change{Key: renewedPrefix + home, Value: encode(guestRecord{Renewed: c.Renewed[home].UnixMilli()})})
@@ -431,73 +448,83 @@
 		}
 	}
 	no := func() { n.emit(LoanView{Reply: c.Reply, Leader: n.sess.lead.Host}) }
-	if n.leader == nil {
-		no()
-		return
+	here := func() bool {
+		return n.owner != nil && n.owner.ready && slices.Contains(n.owner.share.Teams, c.Team)
 	}
-	if !n.guests.loaded || n.guests.stamp != n.leader.stamp {
+	if here() && (!n.guests.loaded || n.guests.term != n.owner.gen) {
 		n.guests.loaded = false
 		loadGuests(n)
 		no()
 		return
 	}
+	if n.leader == nil && !here() {
+		n.emit(LoanView{Reply: c.Reply, OK: true, Leader: n.sess.lead.Host})
+		return
+	}
 	n.freshen(func(ok bool) {
-		if !ok || n.leader == nil || !n.guests.loaded || n.guests.stamp != n.leader.stamp {
+		if !ok || here() && (!n.guests.loaded || n.guests.term != n.owner.gen) {
 			no()
 			return
 		}
-		n.emit(loanView(n, c))
+		n.emit(loanView(n, c, here()))
 	})
 }
 
-func loanView(n *Node, c LoanQuery) LoanView {
+func loanView(n *Node, c LoanQuery, guests bool) LoanView {
 	m := &n.users.mirror
 	v := LoanView{
-		Reply: c.Reply, OK: true, Leader: n.set.Host, Epoch: n.leader.stamp, SureUntil: n.sess.sureUntil,
-		Drain: n.sess.drain.On, Renewed: maps.Clone(n.guests.renewed),
+		Reply: c.Reply, OK: true, Leader: n.sess.lead.Host, SureUntil: n.sess.sureUntil,
+		Drain: n.sess.drain.On, Renewed: maps.Clone(n.guests.renewed), Guests: guests,
+	}
+	if n.leader != nil {
+		v.Leads, v.Epoch = true, n.leader.stamp
+	}
+	if guests {
+		v.GuestEpoch, v.GuestTerm, v.Frozen = n.owner.epoch, n.owner.gen, n.owner.frozen[c.Team]
 	}
 	if n.sess.drain.By > 0 {
 		v.DrainBy = time.UnixMilli(n.sess.drain.By)
 	}
 	for _, id := range sortedKeys(m.open) {
-		if r := m.open[id].rec; r.Lent != "" {
+		if r := m.open[id].rec; v.Leads && r.Lent != "" {
 			v.Lent = append(v.Lent, LentJob{Spec: r.spec(id), At: time.UnixMilli(r.At), Peer: r.Lent, N: r.LentN, Stop: time.Duration(r.LentStop) * time.Millisecond, Wanted: r.Wanted})
 		}
 	}
-	for _, name := range sortedKeys(n.guests.by) {
-		g := n.guests.by[name]
-		b := BorrowedJob{Loan: name, Job: g.Job, Cause: g.Cause, Status: Queued}
-		if l, there := m.open[g.Job]; there {
-			b.Known, b.Spec, b.Ending = true, l.rec.spec(g.Job), l.rec.Cancelled
-		} else if s, ok := n.users.final[g.Job]; ok {
-			b.Known, b.Status = true, s
-		} else {
-			job := g.Job
-			n.read(job, func(d StateDone) {
-				var r jobRecord
-				if d.Status == StateOK && decode(d.Items[0].Value, &r) && r.Status.Final() {
-					n.setFinal(job, r.Status)
-				}
-			})
+	if guests {
+		for _, name := range sortedKeys(n.guests.by) {
+			v.Borrowed = append(v.Borrowed, borrowedJob(n, name))
 		}
-		p := n.progress(g.Job)
-		b.Done, b.Running, b.Began = p.Done, p.Running, true
-		if n.owner != nil {
-			if j := n.owner.jobs[g.Job]; j != nil {
-				b.Began = j.fresh > 0
-			}
-		}
-		v.Borrowed = append(v.Borrowed, b)
 	}
-	if o := n.owner; o != nil && o.ready {
-		v.Guests = true
-		if c.Plan {
-			loanPlan(n, &v)
-		}
+	if o := n.owner; o != nil && o.ready && c.Plan {
+		loanPlan(n, &v)
 	}
 	return v
 }
 
+// borrowedJob is what is durable of a loan that was taken.
+func borrowedJob(n *Node, name string) BorrowedJob {
+	g := n.guests.by[name]
+	b := BorrowedJob{Loan: name, Job: g.Job, Cause: g.Cause, Status: Queued, Began: true}
+	if l, there := n.users.mirror.open[g.Job]; there {
+		b.Known, b.Spec, b.Ending = true, l.rec.spec(g.Job), l.rec.Cancelled
+	} else if s, ok := n.users.final[g.Job]; ok {
+		b.Known, b.Status = true, s
+	} else {
+		n.read(g.Job, func(d StateDone) {
+			var r jobRecord
+			if d.Status == StateOK && decode(d.Items[0].Value, &r) && r.Status.Final() {
+				n.setFinal(g.Job, r.Status)
+			}
+		})
+	}
+	p := n.progress(g.Job)
+	b.Done, b.Running = p.Done, p.Running
+	if j := n.owner.jobs[g.Job]; j != nil {
+		b.Began = j.fresh > 0
+	}
+	return b
+}
+
 // loanPlan plays the queue forward on the machines there are: which jobs of which
 // nothing was started end too late, and which machines nothing of ours will want.
 func loanPlan(n *Node, v *LoanView) {
--- a/internal/overflow/broker/broker.go
+++ b/internal/overflow/broker/broker.go
@@ -1,7 +1,8 @@
 // Package broker runs lending on one controller: it asks the core what is durable,
 // lets internal/overflow decide, has the core make it durable, and speaks with the
-// peers. One goroutine owns all of its state; only the controller that leads does
-// more than send peers on.
+// peers. One goroutine owns all of its state. The controller that leads answers the
+// peers' reports, for what the cluster lends; the one that runs the guests' team sends
+// the cluster's reports, for what it borrows.
 package broker
 
 import (
@@ -82,16 +83,18 @@
 	events chan func()
 	snap   chan chan Status
 
-	epoch   uint64
-	leads   bool
-	home    *overflow.Home
-	guest   *overflow.Guest
-	members map[string]*overflow.Member
-	view    core.LoanView
-	viewed  time.Time
-	planned time.Time
-	renewed time.Time
-	waiting []question
+	// leads and guests say which side this controller is now, in which term.
+	leads, guests bool
+	epoch         uint64
+	term          int
+	home          *overflow.Home
+	guest         *overflow.Guest
+	members       map[string]*overflow.Member
+	view          core.LoanView
+	viewed        time.Time
+	planned       time.Time
+	renewed       time.Time
+	waiting       []question
 	// busy are loans with a transaction under way.
 	busy map[overflow.Loan]bool
 	// rest are jobs that came back lately, and progress what peers say of ours.
@@ -119,19 +122,31 @@
 		ctx: ctx, set: set, core: c, link: l, met: met, rng: rng,
 		events: make(chan func(), queueLen), snap: make(chan chan Status),
 	}
-	b.fresh(time.Now())
-	return b
-}
-
-// fresh forgets everything that holds for one term as leader only.
-func (b *Broker) fresh(now time.Time) {
-	b.home, b.guest = overflow.NewHome(b.set.Cluster, now, b.set.Lease), overflow.NewGuest()
+	now := time.Now()
+	b.newHome(now)
+	b.newGuest()
 	b.members = map[string]*overflow.Member{}
-	for name, addrs := range b.set.Peers {
-		b.members[name] = overflow.NewMember(name, addrs, b.set.Every, now)
+	for name, addrs := range set.Peers {
+		b.members[name] = overflow.NewMember(name, addrs, set.Every, now)
 	}
 	b.busy, b.rest, b.progress = map[overflow.Loan]bool{}, map[string]time.Time{}, map[string]core.Progress{}
-	b.late, b.renewed = time.Time{}, now
+	return b
+}
+
+// newHome and newGuest forget what holds for one term only.
+func (b *Broker) newHome(now time.Time) {
+	b.home = overflow.NewHome(b.set.Cluster, now, b.set.Lease)
+	b.drop(func(l overflow.Loan) bool { return l.Home == b.set.Cluster })
+}
+
+func (b *Broker) newGuest() {
+	b.guest = overflow.NewGuest()
+	b.drop(func(l overflow.Loan) bool { return l.Home != b.set.Cluster })
+}
+
+// drop forgets transactions under way: whoever decided on them is no more.
+func (b *Broker) drop(is func(overflow.Loan) bool) {
+	maps.DeleteFunc(b.busy, func(l overflow.Loan, _ bool) bool { return is(l) })
 }
 
 // Answer takes a peer's report; it is the link server's handler.
@@ -188,7 +203,7 @@
 func (b *Broker) look(ctx context.Context) {
 	now := time.Now()
 	plan := now.Sub(b.planned) >= planEvery && len(b.set.Peers) > 0
-	q := core.LoanQuery{Startable: map[string]time.Time{}, Plan: plan}
+	q := core.LoanQuery{Startable: map[string]time.Time{}, Plan: plan, Team: b.set.GuestTeam}
 	for _, x := range b.view.Borrowed {
 		if l, ok := parseLoan(x.Loan); ok {
 			if u := b.guest.Startable(l); !u.IsZero() {
@@ -208,24 +223,22 @@
 	waiting := b.waiting
 	b.waiting = nil
 	if err != nil || !ok || !v.OK {
-		if ok && b.leads {
-			slog.Info("overflow: leads no more")
-		}
-		b.leads = b.leads && !ok
-		why := link.ErrStale
-		if ok && v.Leader != "" {
-			why = link.ErrNotLeader
-		}
 		for _, q := range waiting {
-			q.out <- answered{err: why}
+			q.out <- answered{err: link.ErrStale}
 		}
 		return
 	}
-	if !b.leads || v.Epoch != b.epoch {
-		slog.Info("overflow: leads", "epoch", v.Epoch, "lent", len(v.Lent), "borrowed", len(v.Borrowed))
-		b.fresh(b.viewed)
-		b.leads, b.epoch = true, v.Epoch
+	if v.Leads && (!b.leads || v.Epoch != b.epoch) {
+		slog.Info("overflow: answers peers", "epoch", v.Epoch, "lent", len(v.Lent))
+		b.newHome(b.viewed)
+		b.epoch = v.Epoch
+	}
+	if v.Guests && (!b.guests || v.GuestTerm != b.term) {
+		slog.Info("overflow: borrows", "epoch", v.GuestEpoch, "borrowed", len(v.Borrowed))
+		b.newGuest()
+		b.term, b.renewed = v.GuestTerm, b.viewed
 	}
+	b.leads, b.guests = v.Leads, v.Guests
 	if !plan {
 		// What was planned last holds a little longer.
 		v.Waiting, v.Room, v.Images, v.Late, v.Urgency, v.Cheapest = b.view.Waiting, b.view.Room, b.view.Images, b.view.Late, b.view.Urgency, b.view.Cheapest
@@ -238,26 +251,34 @@
 func (b *Broker) step(ctx context.Context, planned bool, waiting []question) {
 	now := b.viewed
 	hv, gv := b.homeView(), b.guestView()
-	for _, x := range gv.Borrowed {
-		b.guest.Accepted(x.Loan, true)
-	}
 	for _, q := range waiting {
+		if !b.leads {
+			q.out <- answered{err: link.ErrNotLeader}
+			continue
+		}
 		q.out <- b.answer(now, hv, q.r)
 	}
-	for _, op := range b.home.Overdue(now, hv) {
-		if m := b.members[b.peerOf(op.Loan)]; m != nil {
-			m.Broke(now)
+	if b.leads {
+		for _, op := range b.home.Overdue(now, hv) {
+			if m := b.members[b.peerOf(op.Loan)]; m != nil {
+				m.Broke(now)
+			}
+			b.homeOp(op)
 		}
-		b.homeOp(op)
 	}
-	for _, op := range b.guest.Expired(now, b.set.Lease, gv) {
-		b.guestOp(op)
+	if b.guests {
+		for _, x := range gv.Borrowed {
+			b.guest.Accepted(x.Loan, true)
+		}
+		for _, op := range b.guest.Expired(now, b.set.Lease, gv) {
+			b.guestOp(op)
+		}
 	}
 	if planned {
 		b.planned = now
 		b.plan(now, gv)
 	}
-	if now.Sub(b.renewed) >= renewEvery {
+	if b.guests && now.Sub(b.renewed) >= renewEvery {
 		b.renewed = now
 		if r := b.guest.Renewals(b.set.Lease, gv); len(r) > 0 {
 			b.core.Post(core.RenewOp{Renewed: r})
@@ -268,6 +289,9 @@
 		if s, changed := m.Changed(now); changed {
 			slog.Info("overflow: peer", "cluster", name, "state", s, "trust", m.Trust(now))
 		}
+		if !b.guests {
+			continue
+		}
 		if addr, due := m.Ask(now); due {
 			b.report(now, name, addr, gv)
 		}
@@ -312,7 +336,7 @@
 // report sends a report to a peer, beside the loop.
 func (b *Broker) report(now time.Time, peer, addr string, gv overflow.GuestView) {
 	r := b.guest.Report(now, b.set.Cluster, peer, gv)
-	if !b.set.Borrow || !b.view.Guests {
+	if !b.set.Borrow || b.view.Frozen {
 		r.Room = nil
 	}
 	guest, m := b.guest, b.members[peer]
@@ -322,9 +346,6 @@
 		a, err := b.link.Report(ctx, peer, addr, r)
 		took := time.Since(now)
 		b.post(func() {
-			if b.guest != guest {
-				return // another term as leader
-			}
 			b.met.answered(peer, err, took)
 			switch now := time.Now(); {
 			case errors.Is(err, link.ErrNotLeader):
@@ -334,7 +355,9 @@
 				m.Failed(now, b.rng)
 			default:
 				m.Told(now, took, b.rng)
-				b.told(peer, r.Tick, a)
+				if b.guest == guest && b.guests {
+					b.told(peer, r.Tick, a)
+				}
 			}
 		})
 	}()
@@ -350,9 +373,6 @@
 
 // told takes a home's answer in.
 func (b *Broker) told(peer string, tick uint64, a overflow.Answer) {
-	if !b.leads {
-		return
-	}
 	gv := b.guestView()
 	for _, op := range b.guest.Answered(peer, tick, a, gv, b.accept) {
 		b.guestOp(op)
@@ -362,7 +382,7 @@
 // accept says whether a peer's job is taken in.
 func (b *Broker) accept(o overflow.Order) overflow.Cause {
 	switch {
-	case !b.set.Borrow || !b.view.Guests:
+	case !b.set.Borrow || b.view.Frozen:
 		return overflow.Refused
 	case b.view.Drain:
 		return overflow.Draining
@@ -398,7 +418,7 @@
 		}
 		b.guestOp(overflow.GuestOp{Kind: overflow.GiveUp, Loan: l, Cause: why})
 	}
-	if !b.set.Lend || v.Drain {
+	if !b.set.Lend || v.Drain || !b.leads {
 		return
 	}
 	for job, at := range b.rest {
@@ -481,7 +501,7 @@
 		return
 	}
 	b.busy[l] = true
-	epoch := b.epoch
+	home, guest := b.home, b.guest
 	go func() {
 		for b.ctx.Err() == nil {
 			ctx, cancel := context.WithTimeout(b.ctx, corePatience)
@@ -489,7 +509,7 @@
 			cancel()
 			if d, ok := e.(core.LoanDone); ok && err == nil && d.Status != core.LoanUnsure {
 				b.post(func() {
-					if b.epoch == epoch {
+					if b.home == home && b.guest == guest {
 						delete(b.busy, l)
 						over(d.Status)
 					}
@@ -514,7 +534,7 @@
 func (b *Broker) guestView() overflow.GuestView {
 	v := &b.view
 	gv := overflow.GuestView{
-		Epoch: v.Epoch, Draining: v.Drain, Lender: len(v.Lent) > 0 || v.Late,
+		Epoch: v.GuestEpoch, Draining: v.Drain, Lender: len(v.Lent) > 0 || v.Late,
 		Stop: workerLeases*b.set.WorkerLease + stopSlack, Images: v.Images, Renewed: map[string]time.Time{},
 	}
 	for home, t := range v.Renewed {
--- a/internal/overflow/broker/status.go
+++ b/internal/overflow/broker/status.go
@@ -17,7 +17,9 @@
 type Status struct {
 	Cluster string `json:"cluster"`
 	// Leads: this controller does the lending; Leader says which one does.
-	Leads    bool         `json:"leads"`
+	Leads bool `json:"leads"`
+	// Guests: it runs what is borrowed.
+	Guests   bool         `json:"guests"`
 	Leader   string       `json:"leader"`
 	Draining bool         `json:"draining"`
 	DrainBy  time.Time    `json:"drain_by,omitzero"`
@@ -59,8 +61,8 @@
 }
 
 func (b *Broker) status(now time.Time) Status {
-	s := Status{Cluster: b.set.Cluster, Leads: b.leads, Leader: b.view.Leader, Draining: b.view.Drain, DrainBy: b.view.DrainBy, Peers: []PeerStatus{}, Lent: []LoanStatus{}, Borrowed: []LoanStatus{}}
-	if !b.leads {
+	s := Status{Cluster: b.set.Cluster, Leads: b.leads, Guests: b.guests, Leader: b.view.Leader, Draining: b.view.Drain, DrainBy: b.view.DrainBy, Peers: []PeerStatus{}, Lent: []LoanStatus{}, Borrowed: []LoanStatus{}}
+	if !b.leads && !b.guests {
 		return s
 	}
 	lent, borrowed := map[string]int{}, map[string]int{}
--- a/internal/standin/live.go
+++ b/internal/standin/live.go
@@ -98,7 +98,22 @@
 func (l *Live) Know(spec core.Spec, run time.Duration) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.w.jobs[spec.ID] = &userJob{spec: spec, run: run, results: map[int]bool{}, saved: map[int]time.Duration{}}
+	l.w.jobs[spec.ID] = newUserJob(spec, run)
+}
+
+// Learn lets the workers fetch descriptions of jobs from the function, which is
+// called with a job's id.
+func (l *Live) Learn(fn func(id string) (core.Spec, time.Duration, bool)) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.w.learn = fn
+}
+
+// Room sets how many machines the cloud has left of a kind, such as box/a/true.
+func (l *Live) Room(kind string, machines int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.w.room[kind] = machines
 }
 
 // Running names the tasks that are on machines now, and Started counts all starts.
--- a/internal/standin/users.go
+++ b/internal/standin/users.go
@@ -30,9 +30,14 @@
 	}
 }
 
+func newUserJob(spec core.Spec, run time.Duration) *userJob {
+	return &userJob{spec: spec, run: run, results: map[int]bool{}, saved: map[int]time.Duration{}}
+}
+
 // Submit sends a job and keeps trying, then polls until it is over.
 func (w *World) Submit(spec core.Spec, run time.Duration, broken bool) {
-	j := &userJob{spec: spec, run: run, broken: broken, results: map[int]bool{}, saved: map[int]time.Duration{}, submitted: w.now}
+	j := newUserJob(spec, run)
+	j.broken, j.submitted = broken, w.now
 	w.jobs[spec.ID] = j
 	w.trySubmit(j)
 }
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -113,6 +113,12 @@
 
 func (w *World) startTask(m *Worker, o core.Order, k string) {
 	j := w.jobs[o.Job]
+	if j == nil && w.learn != nil {
+		if spec, run, ok := w.learn(o.Job); ok {
+			j = newUserJob(spec, run)
+			w.jobs[o.Job] = j
+		}
+	}
 	if j == nil {
 		return
 	}
--- a/internal/standin/world.go
+++ b/internal/standin/world.go
@@ -57,6 +57,9 @@
 	// reporter sends a worker's report, and rented is told of new machines.
 	reporter func(*Worker)
 	rented   func(*Worker)
+	// learn, when set, is where workers fetch the description of a job that nobody
+	// told them of.
+	learn func(id string) (core.Spec, time.Duration, bool)
 	// trace names a job whose debug lines are kept as well.
 	trace string
 }
