What waits for room may be lent; loans' steps and their conditions in scenarios

Cause, found by the new scenario lent: a job whose placing had been tried once counted as begun, though no task of it was ever started, and was never lent. A task's record is what tells: it is made with the first attempt.

Change: a job may be lent while it has no task record and nothing live. With no peers in the file the broker looks only every 10 s.

--- a/internal/core/loans.go
+++ b/internal/core/loans.go
@@ -329,10 +329,14 @@
 	})
 }
 
-// untouched says that no task of the job was ever started, is being started or
-// waits for a write: nothing of it can be anywhere.
+// began says that some task of the job was ever started, is being started or waits
+// for a write: each of these makes a record of its part of the tasks. One that only
+// found no room has none.
+func (j *job) began() bool { return len(j.chunks) > 0 || j.live > 0 }
+
+// untouched says that the job may be lent: nothing of it can be anywhere.
 func (j *job) untouched() bool {
-	return j.fresh == 0 && len(j.chunks) == 0 && j.live == 0 && !j.cancelled && !j.ending && !j.elsewhere() && j.guest == ""
+	return !j.began() && !j.cancelled && !j.ending && !j.elsewhere() && j.guest == ""
 }
 
 // record0 is the job's record in open/ as it stands.
@@ -520,7 +524,7 @@
 	p := n.progress(g.Job)
 	b.Done, b.Running = p.Done, p.Running
 	if j := n.owner.jobs[g.Job]; j != nil {
-		b.Began = j.fresh > 0
+		b.Began = j.began()
 	}
 	return b
 }
--- a/internal/core/safety_test.go
+++ b/internal/core/safety_test.go
@@ -198,6 +198,17 @@
 			text += " to " + e.Steward
 		}
 		b.out = append(b.out, fmt.Sprintf("%s %s", n.asked[e.Reply], text))
+	case core.LoanDone:
+		b.out = append(b.out, n.asked[e.Reply]+" "+[...]string{"durable", "not", "unsure"}[e.Status])
+	case core.LoanView:
+		text := fmt.Sprintf("view ok=%v leads=%v guests=%v", e.OK, e.Leads, e.Guests)
+		for _, l := range e.Lent {
+			text += fmt.Sprintf(" lent=%s#%d->%s", l.Spec.ID, l.N, l.Peer)
+		}
+		for _, l := range e.Borrowed {
+			text += fmt.Sprintf(" borrowed=%s:%s:ending=%v", l.Loan, l.Status, l.Ending)
+		}
+		b.out = append(b.out, text)
 	case core.PeerSend:
 		if o := b.nodes[e.To]; o != nil && n.news && o.news {
 			o.push(e.News)
@@ -451,6 +462,26 @@
 		}
 		b.ask(n, s.ID, func(r uint64) core.Command { return core.Submit{Reply: r, Spec: s} })
 		b.run(core.Seconds(number("for", 2)))
+	case "loan":
+		// One step of a loan: what, job, n=1.
+		kinds := []string{"lend", "back", "settle", "cancelled", "accept", "give_up", "drop"}
+		id := d.CmdArgs[1].Key
+		op := core.LoanOp{
+			Kind: core.LoanKind(slices.Index(kinds, first())), Job: id, N: uint64(number("n", 1)), Peer: "west", Loan: "west/" + id + "/1",
+			Spec: core.Spec{ID: id, Team: "ops", Urgency: core.Normal, Tasks: 1, Need: core.Resources{CPU: 4, Memory: 4}, Image: "img", ImageGB: 1, Expected: 20 * time.Second},
+		}
+		b.ask(n, first()+" "+id, func(r uint64) core.Command { op.Reply = r; return op })
+		b.run(core.Seconds(number("for", 0.5)))
+	case "view":
+		// startable=job: that borrowed job may be started for the next 10 s.
+		q := core.LoanQuery{Team: "ops", Startable: map[string]time.Time{}}
+		if d.HasArg("startable") {
+			var id string
+			d.ScanArgs(t, "startable", &id)
+			q.Startable[id] = b.now.Add(10 * time.Second)
+		}
+		b.ask(n, "view", func(r uint64) core.Command { q.Reply = r; return q })
+		b.run(core.Seconds(number("for", 0.5)))
 	case "query":
 		id := first()
 		b.ask(n, id, func(r uint64) core.Command { return core.Query{Reply: r, ID: id} })
--- a/internal/overflow/broker/broker.go
+++ b/internal/overflow/broker/broker.go
@@ -24,6 +24,8 @@
 	// lookEvery is how often the core is asked what is durable; a peer's report is
 	// answered at once, with a look of its own.
 	lookEvery = time.Second
+	// aloneEvery is how often the core is asked where the file names no peers.
+	aloneEvery = 10 * time.Second
 	// planEvery is how often the queue is played forward to choose offers.
 	planEvery = 2 * time.Second
 	// renewEvery is how often the times of answered reports are written down.
@@ -192,10 +194,15 @@
 			}
 		}
 		now := time.Now()
-		if len(b.waiting) > 0 || now.Sub(b.viewed) >= lookEvery {
+		every := lookEvery
+		if len(b.set.Peers) == 0 {
+			// Nobody to lend to: only loans from before need to be seen to.
+			every = aloneEvery
+		}
+		if len(b.waiting) > 0 || now.Sub(b.viewed) >= every {
 			b.look(ctx)
 		}
-		timer.Reset(max(10*time.Millisecond, time.Until(b.viewed.Add(lookEvery))))
+		timer.Reset(max(10*time.Millisecond, time.Until(b.viewed.Add(every))))
 	}
 }
 
