Read once more: dead code of overflow out, one check of cluster names, no needless sort

A key with its serial number was made twice over in keys. - Whether guest/ has been read in this term is asked in one place. - The look at borrowed jobs, once a second, no longer sorts all jobs.

--- a/internal/config/extras.go
+++ b/internal/config/extras.go
@@ -11,6 +11,7 @@
 	"strings"
 
 	"github.com/go-playground/validator/v10"
+	"github.com/micahill/micahill/internal/keys"
 	"github.com/pelletier/go-toml/v2"
 )
 
@@ -71,9 +72,6 @@
 	}
 }
 
-// clusterName keeps names fit for keys in the state service and for certificates.
-var clusterName = regexp.MustCompile(`^[a-z][a-z0-9-]{0,30}$`)
-
 // Prefixes are the allowed networks.
 func (o *Overflow) Prefixes() ([]netip.Prefix, error) {
 	var out []netip.Prefix
@@ -149,7 +147,7 @@
 func newExtrasCheck() *validator.Validate {
 	v := validator.New(validator.WithRequiredStructEnabled())
 	v.RegisterTagNameFunc(func(f reflect.StructField) string { return f.Tag.Get("toml") })
-	err := v.RegisterValidation("clustername", func(fl validator.FieldLevel) bool { return clusterName.MatchString(fl.Field().String()) })
+	err := v.RegisterValidation("clustername", func(fl validator.FieldLevel) bool { return keys.IsCluster(fl.Field().String()) })
 	if err != nil {
 		panic("config: " + err.Error())
 	}
--- a/internal/core/loans.go
+++ b/internal/core/loans.go
@@ -161,7 +161,6 @@
 // WaitingJob is a job of ours of which nothing was ever started.
 type WaitingJob struct {
 	Spec    Spec
-	Age     time.Duration
 	Aim     time.Duration
 	HomeEnd time.Duration
 	Run     time.Duration
@@ -230,7 +229,7 @@
 	owns := n.owner != nil && n.owner.ready
 	op := StateOp{Kind: OpTxn, Prio: PrioStart}
 	switch borrows := c.Kind >= LoanAccept; {
-	case borrows && owns && n.guests.loaded && n.guests.term == n.owner.gen:
+	case borrows && owns && guestsKnown(n):
 		op.When = append(op.When, Cond{sharePrefix + n.set.Host, n.owner.epoch})
 	case !borrows && n.leader != nil:
 		op.When = append(op.When, Cond{leadKey, n.leader.stamp})
@@ -243,7 +242,7 @@
 	if owns {
 		j = n.owner.jobs[c.Job]
 	}
-	after := func(Item) {}
+	after := func() {}
 	var item Item
 	switch l, there := n.users.mirror.open[c.Job]; c.Kind {
 	case LoanLend:
@@ -277,14 +276,14 @@
 		op.When = append(op.When, Cond{open, l.stamp})
 		op.Apply = append(op.Apply, Change{Key: jobPrefix + c.Job, Value: encode(jobRecord{Status: status, Tasks: l.rec.Tasks})})
 		item = Item{Key: open, Removed: true}
-		after = func(Item) { n.setFinal(c.Job, status) }
+		after = func() { n.setFinal(c.Job, status) }
 	case LoanAccept:
 		rec := c.Spec.record(n.now.Add(-c.Age))
 		rec.Guest = c.Loan
 		op.When = append(op.When, Cond{guestPrefix + c.Loan, 0}, Cond{open, 0}, Cond{jobPrefix + c.Job, 0})
 		op.Apply = append(op.Apply, Change{Key: guestPrefix + c.Loan, Value: encode(guestRecord{Job: c.Job})})
 		item = Item{Key: open, Value: encode(rec)}
-		after = func(Item) { n.guests.by[c.Loan] = guestRecord{Job: c.Job} }
+		after = func() { n.guests.by[c.Loan] = guestRecord{Job: c.Job} }
 	case LoanGiveUp:
 		if !there || l.rec.Cancelled {
 			done(LoanNot)
@@ -297,11 +296,11 @@
 		op.Apply = append(op.Apply, Change{Key: jobPrefix + c.Job, Value: encode(jobRecord{Status: Cancelled, Tasks: rec.Tasks})},
 			Change{Key: guestPrefix + c.Loan, Value: encode(g)})
 		item = Item{Key: open, Value: encode(rec)}
-		after = func(Item) { n.guests.by[c.Loan] = g }
+		after = func() { n.guests.by[c.Loan] = g }
 	case LoanDrop:
 		op.When = append(op.When, Cond{open, 0})
 		op.Apply = append(op.Apply, Change{Key: guestPrefix + c.Loan}, Change{Key: jobPrefix + c.Job})
-		after = func(Item) {
+		after = func() {
 			delete(n.guests.by, c.Loan)
 			delete(n.users.final, c.Job)
 		}
@@ -316,7 +315,7 @@
 		switch d.Status {
 		case StateOK:
 			item.Stamp = d.Rev
-			after(item)
+			after()
 			if item.Key != "" {
 				n.ownerSees(item)
 			}
@@ -377,6 +376,9 @@
 // answered.
 const cancelLook = 250 * time.Millisecond
 
+// guestsKnown says that guest/ has been read in this term as owner.
+func guestsKnown(n *Node) bool { return n.guests.loaded && n.guests.term == n.owner.gen }
+
 // loadGuests reads guest/ for a new owner of the guests' team.
 func loadGuests(n *Node) {
 	g := &n.guests
@@ -421,7 +423,7 @@
 func (RenewOp) command() {}
 
 func renewOp(n *Node, c RenewOp) {
-	if n.owner == nil || !n.guests.loaded || n.guests.term != n.owner.gen {
+	if n.owner == nil || !guestsKnown(n) {
 		return
 	}
 	op := StateOp{Kind: OpTxn, Prio: PrioLazy, When: []Cond{{sharePrefix + n.set.Host, n.owner.epoch}}}
@@ -442,8 +444,8 @@
 		n.display[p.ID] = p
 	}
 	if o := n.owner; o != nil {
-		for _, id := range sortedKeys(o.jobs) {
-			if j := o.jobs[id]; j.guest != "" {
+		for id, j := range o.jobs {
+			if j.guest != "" {
 				if was := j.startable; c.Startable[id].After(was) || c.Startable[id].IsZero() {
 					j.startable = c.Startable[id]
 					o.place = o.place || was.Before(n.now)
@@ -455,8 +457,7 @@
 	here := func() bool {
 		return n.owner != nil && n.owner.ready && slices.Contains(n.owner.share.Teams, c.Team)
 	}
-	if here() && (!n.guests.loaded || n.guests.term != n.owner.gen) {
-		n.guests.loaded = false
+	if here() && !guestsKnown(n) {
 		loadGuests(n)
 		no()
 		return
@@ -466,7 +467,7 @@
 		return
 	}
 	n.freshen(func(ok bool) {
-		if !ok || here() && (!n.guests.loaded || n.guests.term != n.owner.gen) {
+		if !ok || here() && !guestsKnown(n) {
 			no()
 			return
 		}
@@ -562,7 +563,7 @@
 		}
 		if d.j.untouched() {
 			v.Waiting = append(v.Waiting, WaitingJob{
-				Spec: d.j.Spec, Age: n.now.Sub(d.j.at), Aim: aim, HomeEnd: end, Run: n.expects(d.j), LentN: d.j.lentN,
+				Spec: d.j.Spec, Aim: aim, HomeEnd: end, Run: n.expects(d.j), LentN: d.j.lentN,
 			})
 		}
 	}
--- a/internal/core/record.go
+++ b/internal/core/record.go
@@ -81,8 +81,8 @@
 	Due       float64  `msgpack:"d,omitempty"`
 	At        int64    `msgpack:"at"`
 	Cancelled bool     `msgpack:"x,omitempty"`
-	// Lent names the peer that has the job, LentN how often it was lent, LentStop
-	// the peer's bound in milliseconds, and LentAt when, on this cluster's clock.
+	// Lent names the peer that has the job, LentN how often it was lent, and LentStop
+	// the peer's bound in milliseconds.
 	// Wanted: its user wants it cancelled, which the peer has to hear first.
 	Lent     string `msgpack:"ln,omitempty"`
 	LentN    uint64 `msgpack:"lc,omitempty"`
--- a/internal/keys/keys.go
+++ b/internal/keys/keys.go
@@ -49,6 +49,10 @@
 
 var clusterName = regexp.MustCompile(`^[a-z][a-z0-9-]{0,30}$`)
 
+// IsCluster says whether a name is fit for a cluster: for its certificate and for
+// keys in the state service.
+func IsCluster(name string) bool { return clusterName.MatchString(name) }
+
 // ErrExists says that a folder already holds a CA, which is never overwritten.
 var ErrExists = errors.New("already holds a CA; rotate makes a new one beside it")
 
@@ -66,11 +70,7 @@
 
 // newCA writes a CA whose trusted certificates are its own and then old.
 func newCA(dir string, old []byte, now time.Time) error {
-	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
-	if err != nil {
-		return fmt.Errorf("keys: %w", err)
-	}
-	serial, err := newSerial()
+	key, serial, err := newKey()
 	if err != nil {
 		return err
 	}
@@ -120,7 +120,7 @@
 // Issue writes a certificate of the CA in dir for a cluster, with the CAs to trust,
 // into out. An earlier certificate there is replaced in one step.
 func Issue(dir, cluster, out string, life time.Duration, now time.Time) error {
-	if !clusterName.MatchString(cluster) {
+	if !IsCluster(cluster) {
 		return fmt.Errorf("keys: %q is no cluster's name: want a small letter, then at most 30 small letters, digits and hyphens", cluster)
 	}
 	if life <= 0 || life > caLife {
@@ -137,11 +137,7 @@
 	if pub, ok := cas[0].PublicKey.(*ecdsa.PublicKey); !ok || !pub.Equal(signer.Public()) {
 		return fmt.Errorf("keys: %s does not belong to the newest CA in %s: a rotation was interrupted; run rotate again", CAKeyFile, CAFile)
 	}
-	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
-	if err != nil {
-		return fmt.Errorf("keys: %w", err)
-	}
-	serial, err := newSerial()
+	key, serial, err := newKey()
 	if err != nil {
 		return err
 	}
@@ -233,19 +229,24 @@
 // ClusterOf is the cluster that a certificate names, or nothing.
 func ClusterOf(c *x509.Certificate) string {
 	for _, u := range c.URIs {
-		if u.Scheme == scheme && u.Host == "cluster" && len(u.Path) > 1 && clusterName.MatchString(u.Path[1:]) {
+		if u.Scheme == scheme && u.Host == "cluster" && len(u.Path) > 1 && IsCluster(u.Path[1:]) {
 			return u.Path[1:]
 		}
 	}
 	return ""
 }
 
-func newSerial() (*big.Int, error) {
-	n, err := rand.Int(rand.Reader, new(big.Int).Lsh(big.NewInt(1), 127))
+// newKey is a key, and a serial number for its certificate.
+func newKey() (*ecdsa.PrivateKey, *big.Int, error) {
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
 	if err != nil {
-		return nil, fmt.Errorf("keys: %w", err)
+		return nil, nil, fmt.Errorf("keys: %w", err)
+	}
+	serial, err := rand.Int(rand.Reader, new(big.Int).Lsh(big.NewInt(1), 127))
+	if err != nil {
+		return nil, nil, fmt.Errorf("keys: %w", err)
 	}
-	return n, nil
+	return key, serial, nil
 }
 
 func pemOf(kind string, der []byte) []byte {
--- a/internal/lab/fleet/fleet.go
+++ b/internal/lab/fleet/fleet.go
@@ -21,7 +21,6 @@
 
 	"github.com/micahill/micahill/internal/core"
 	"github.com/micahill/micahill/internal/keys"
-	"github.com/micahill/micahill/internal/overflow"
 	"github.com/micahill/micahill/internal/standin"
 	"github.com/vmihailenco/msgpack/v5"
 )
@@ -358,11 +357,6 @@
 	return s, state
 }
 
-// Guest is the name of a job's nth loan at the guest.
-func Guest(home, id string, n uint64) string {
-	return overflow.Loan{Home: home, Job: id, N: n}.GuestID()
-}
-
 // Pause holds controller i still, as a machine that hangs: it goes on later as if
 // nothing had been.
 func (c *Cluster) Pause(i int) { c.signal(i, syscall.SIGSTOP) }
--- a/internal/overflow/broker/broker.go
+++ b/internal/overflow/broker/broker.go
@@ -251,11 +251,11 @@
 		v.Waiting, v.Room, v.Images, v.Late, v.Urgency, v.Cheapest = b.view.Waiting, b.view.Room, b.view.Images, b.view.Late, b.view.Urgency, b.view.Cheapest
 	}
 	b.view = v
-	b.step(ctx, plan, waiting)
+	b.step(plan, waiting)
 }
 
 // step does what the fresh view asks for.
-func (b *Broker) step(ctx context.Context, planned bool, waiting []question) {
+func (b *Broker) step(planned bool, waiting []question) {
 	now := b.viewed
 	hv, gv := b.homeView(), b.guestView()
 	for _, q := range waiting {
@@ -437,7 +437,7 @@
 	for _, w := range v.Waiting {
 		_, rest := b.rest[w.Spec.ID]
 		cs = append(cs, overflow.Candidate{
-			Job: w.Spec.ID, Spec: w.Spec, Age: w.Age, Aim: w.Aim, HomeEnd: w.HomeEnd, Run: w.Run, Lent: w.LentN, Rest: rest,
+			Job: w.Spec.ID, Spec: w.Spec, Aim: w.Aim, HomeEnd: w.HomeEnd, Run: w.Run, Lent: w.LentN, Rest: rest,
 		})
 	}
 	out := map[string]int{}
--- a/internal/overflow/decide.go
+++ b/internal/overflow/decide.go
@@ -30,8 +30,6 @@
 type Candidate struct {
 	Job  string
 	Spec core.Spec
-	// Age is since its submission.
-	Age time.Duration
 	// Aim is when its next aim is, from now; it may be over. HomeEnd is when it
 	// would be done at home, as the plan played forward says.
 	Aim     time.Duration
--- a/internal/overflow/home.go
+++ b/internal/overflow/home.go
@@ -183,14 +183,3 @@
 	slices.SortFunc(ops, func(a, b HomeOp) int { return cmp.Compare(a.Loan.String(), b.Loan.String()) })
 	return ops
 }
-
-// Next is when Overdue has something to do at the latest, or zero.
-func (h *Home) Next(v HomeView) time.Time {
-	var t time.Time
-	for _, l := range v.Lent {
-		if o := h.over(l); !h.closing[l.Loan] && (t.IsZero() || o.Before(t)) {
-			t = o
-		}
-	}
-	return t
-}
--- a/internal/overflow/member.go
+++ b/internal/overflow/member.go
@@ -144,17 +144,6 @@
 	return m.addrs[m.at%len(m.addrs)], true
 }
 
-// Next is when Ask is due at the latest.
-func (m *Member) Next() time.Time {
-	if m.asking {
-		return time.Time{}
-	}
-	if m.openTil.After(m.next) {
-		return m.openTil
-	}
-	return m.next
-}
-
 // Told notes that the answer came after d, from the right controller.
 func (m *Member) Told(now time.Time, d time.Duration, rng *rand.Rand) {
 	m.asking, m.failed, m.openTil = false, 0, time.Time{}
