A controller that hears the state service but no worker gives its share up

Change: internal/ears puts two accounts together, the owner's silence that chance can't explain and the others' word that its machines keep coming to them; then the owner ends its grant and stands back. Nobody gives up where nobody hears.

--- /dev/null
+++ b/internal/core/deaf.go
@@ -0,0 +1,134 @@
+package core
+
+import "time"
+
+// A controller that reaches the state service but no worker is of no use as an
+// owner: it keeps its grant, so nobody takes its share, and the workers' leases
+// run out while they ask the others in vain. The others tell it, by a record that
+// its watch brings, that its machines keep coming to them; together with its own
+// silence that is proof, and it gives its grant up. Where nobody hears the
+// workers nobody says so, and everything stays as it is.
+
+const (
+	// hearsPrefix keeps what a controller says of machines that come back to it.
+	hearsPrefix = ctlPrefix + "hears/"
+	// strayLeast is how many machines must come back before anybody says so. One
+	// may have lost its way by itself.
+	strayLeast = 2
+	// hearsEvery separates two such records, and hearsFresh is how long one counts.
+	hearsEvery = 3 * time.Second
+	hearsFresh = 10 * time.Second
+	// deafLong is how long a controller that gave up stands back, unless a report
+	// comes before; it goes on serving users.
+	deafLong = 2 * time.Minute
+	// deafWait is how long it leaves the lead to others when there is none. If all
+	// have given up, one of them has to lead after all.
+	deafWait = 3 * time.Second
+)
+
+// hearsRecord says that machines of the controller Of, in its life Nonce, keep
+// coming to whoever writes it.
+type hearsRecord struct {
+	Of       string `msgpack:"of"`
+	Nonce    string `msgpack:"nonce"`
+	Machines int    `msgpack:"n"`
+}
+
+// deaf says that this controller has lately given up for hearing no worker.
+func (s *session) deaf(now time.Time) bool { return now.Before(s.deafUntil) }
+
+// reportCame notes that a report has reached this controller at all.
+func reportCame(n *Node) {
+	n.ears.Heard(n.now)
+	if n.sess.deaf(n.now) {
+		hearsAgain(n)
+	}
+}
+
+// hearsAgain lets the controller be chosen again.
+func hearsAgain(n *Node) {
+	n.sess.deafUntil = time.Time{}
+	if n.sess.grant != 0 && n.sess.loaded {
+		n.register()
+	}
+}
+
+// strayed notes that a machine was sent to its steward, and tells that steward
+// when its machines keep coming here.
+func strayed(n *Node, machine, steward string) {
+	s := &n.sess
+	share, ok := s.shares[steward]
+	if !ok || steward == n.set.Host {
+		return
+	}
+	n.strays.Sent(n.now, machine, steward)
+	if n.now.Sub(n.toldStrays) < hearsEvery || s.grant == 0 || n.now.After(s.sureUntil) {
+		return
+	}
+	k := n.strays.Back(n.now, steward)
+	if k < strayLeast {
+		return
+	}
+	n.toldStrays = n.now
+	n.info("machines come back from their steward", "steward", steward, "machines", k)
+	rec := encode(hearsRecord{Of: steward, Nonce: share.Nonce, Machines: k})
+	n.ask(StateOp{Kind: OpTxn, Prio: PrioStart, Apply: []Change{{Key: hearsPrefix + n.set.Host, Value: rec, Grant: s.grant}}}, func(StateDone) {})
+}
+
+// hearsItem takes in what another controller says of this one's machines.
+func hearsItem(n *Node, it Item) {
+	var r hearsRecord
+	if !it.Removed && decode(it.Value, &r) && r.Of == n.set.Host && r.Nonce == n.set.Nonce {
+		n.sess.othersHear = n.now
+	}
+}
+
+// checkEars gives the share up when this owner hears nothing and others do.
+func checkEars(n *Node) {
+	o, s := n.owner, &n.sess
+	if s.grant == 0 || n.now.Sub(s.othersHear) > hearsFresh {
+		return
+	}
+	reporting := 0
+	for _, m := range o.byID {
+		if (m.heard || len(m.attempts) > 0) && !m.returning {
+			reporting++
+		}
+	}
+	if !n.ears.Deaf(n.now, o.readyAt, reporting, n.longestReport()) {
+		return
+	}
+	n.info("hears no worker, and others do: the share is given up", "machines", reporting)
+	grant := s.grant
+	s.grant, s.othersHear, s.deafUntil = 0, time.Time{}, n.now.Add(deafLong)
+	n.after(deafLong, func() {
+		if !s.deaf(n.now) {
+			hearsAgain(n)
+		}
+	})
+	n.dropLead()
+	n.dropOwner("hears no worker")
+	// Ended, the grant takes the lead and the node's record with it at once. A new
+	// one is asked for only then: this node is not to look alive in between.
+	n.ask(StateOp{Kind: OpGrantDrop, Prio: PrioSession, Grant: grant}, func(StateDone) {
+		if s.grant == 0 {
+			n.grantNew()
+		}
+	})
+}
+
+// hearing leaves out the controllers that hear no worker, unless all of them do.
+func hearing(n *Node, out map[string]shareRecord) {
+	deaf := map[string]bool{}
+	for h := range out {
+		if h == n.set.Host && n.sess.deaf(n.now) || h != n.set.Host && n.sess.nodes[h].Deaf {
+			deaf[h] = true
+		}
+	}
+	if len(deaf) == len(out) {
+		return
+	}
+	for h := range deaf {
+		delete(out, h)
+	}
+}
--- a/internal/core/fleet.go
+++ b/internal/core/fleet.go
@@ -241,6 +241,7 @@
 			out[host] = shareRecord{Nonce: r.Nonce}
 		}
 	}
+	hearing(n, out)
 	known := map[string]bool{}
 	for _, t := range n.set.Teams {
 		known[t.Name] = true
@@ -260,6 +261,9 @@
 	least := func() string {
 		best := n.set.Host
 		for _, h := range sortedKeys(out) {
+			if _, ok := out[best]; !ok {
+				best = h
+			}
 			if len(out[h].Teams) < len(out[best].Teams) {
 				best = h
 			}
--- a/internal/core/machines.go
+++ b/internal/core/machines.go
@@ -174,11 +174,13 @@
 func (n *Node) workerReport(c WorkerReport) {
 	o := n.owner
 	s := &n.sess
+	reportCame(n)
 	switch {
 	case o == nil:
 		st := ""
 		if s.leadStamp != 0 {
 			st = n.steward(c.Report.Machine)
+			strayed(n, c.Report.Machine, st)
 		}
 		n.emit(ReportReply{Reply: c.Reply, Status: 421, Steward: st})
 		return
@@ -201,6 +203,7 @@
 		return
 	}
 	if st := n.steward(c.Report.Machine); st != n.set.Host {
+		strayed(n, c.Report.Machine, st)
 		n.emit(ReportReply{Reply: c.Reply, Status: 421, Steward: st})
 		return
 	}
--- a/internal/core/node.go
+++ b/internal/core/node.go
@@ -3,6 +3,8 @@
 import (
 	"math/rand/v2"
 	"time"
+
+	"github.com/micahill/micahill/internal/ears"
 )
 
 // Node is one controller. All of its state belongs to the goroutine that
@@ -44,6 +46,11 @@
 	// not answer there.
 	away     map[string]time.Time
 	toldAway time.Time
+	// ears and strays are what this node hears of workers, and which it sent on;
+	// see deaf.go.
+	ears       ears.Own
+	strays     ears.Strays
+	toldStrays time.Time
 	// guests are the loans this cluster has taken, as far as this node has read.
 	guests guests
 }
@@ -72,6 +79,7 @@
 func (n *Node) Step(now time.Time, cmds []Command) []Effect {
 	n.now = now
 	n.out = nil
+	n.ears.Run(now)
 	if !n.sess.started {
 		n.sessionStart()
 	}
--- a/internal/core/owner.go
+++ b/internal/core/owner.go
@@ -544,7 +544,7 @@
 	if n.now.Sub(o.swept) >= ownerPeriod {
 		o.swept = n.now
 		n.sweep()
-		if n.owner != o {
+		if checkEars(n); n.owner != o {
 			return
 		}
 		n.relaunch()
--- a/internal/core/record.go
+++ b/internal/core/record.go
@@ -31,6 +31,8 @@
 type nodeRecord struct {
 	Grant uint64 `msgpack:"grant"`
 	Nonce string `msgpack:"nonce"`
+	// Deaf: it hears no worker and wants no share.
+	Deaf bool `msgpack:"deaf,omitempty"`
 }
 
 type leadRecord struct {
--- a/internal/core/session.go
+++ b/internal/core/session.go
@@ -50,6 +50,10 @@
 	stamps    map[string]uint64
 	claiming  bool
 	drain     drainRecord
+	// deafUntil: this node has given up for hearing no worker and stands back
+	// until then. othersHear is when another last said that it hears this node's.
+	deafUntil  time.Time
+	othersHear time.Time
 }
 
 func (n *Node) stateDown(now time.Time) bool {
@@ -125,7 +129,7 @@
 
 func (n *Node) register() {
 	grant := n.sess.grant
-	rec := encode(nodeRecord{Grant: grant, Nonce: n.set.Nonce})
+	rec := encode(nodeRecord{Grant: grant, Nonce: n.set.Nonce, Deaf: n.sess.deaf(n.now)})
 	n.ask(StateOp{Kind: OpTxn, Prio: PrioSession, Apply: []Change{{Key: nodePrefix + n.set.Host, Value: rec, Grant: grant}}}, func(d StateDone) {
 		if n.sess.grant != grant {
 			return
@@ -251,6 +255,8 @@
 		if !it.Removed && decode(it.Value, &s.lead) {
 			s.leadStamp = it.Stamp
 		}
+	case strings.HasPrefix(it.Key, hearsPrefix):
+		hearsItem(n, it)
 	case strings.HasPrefix(it.Key, nodePrefix):
 		host := strings.TrimPrefix(it.Key, nodePrefix)
 		delete(s.nodes, host)
@@ -284,6 +290,15 @@
 	switch {
 	case s.leadStamp == 0:
 		n.dropLead()
+		if s.deaf(n.now) {
+			// The others first; see deaf.go.
+			n.after(deafWait, func() {
+				if s.leadStamp == 0 {
+					n.claimLead()
+				}
+			})
+			break
+		}
 		n.claimLead()
 	case s.lead.Nonce == n.set.Nonce && s.grant != 0:
 		n.becomeLeader()
--- /dev/null
+++ b/internal/ears/ears.go
@@ -0,0 +1,110 @@
+// Package ears tells a controller that is cut off from the workers from one
+// whose workers are gone. Alone neither can be known: both hear nothing. So two
+// accounts are put together: the owner's own, that no report has come for longer
+// than chance explains, and the others', that machines which they sent to the
+// owner keep coming back. The package has no clock and sends nothing.
+package ears
+
+import "time"
+
+const (
+	// sure is how many reports must be missing before their absence is no
+	// chance: where so many are expected, all are missing once in e^8 times.
+	sure = 8
+	// atLeast is the shortest silence that counts, however many machines report:
+	// a lost packet on the way is repeated within it.
+	atLeast = 3 * time.Second
+	// stoodStill is how long the controller must not have run for the silence to
+	// be its own doing. It is then counted anew.
+	stoodStill = 1500 * time.Millisecond
+	// backAfter and backWithin say when a machine that was sent on and comes
+	// again has not been heard there: sooner it is a doubled report, and later
+	// something else may have happened to it.
+	backAfter  = 2 * time.Second
+	backWithin = 20 * time.Second
+	// remembered bounds how many machines are kept in mind; those of long ago go.
+	remembered = 1 << 14
+)
+
+// Own is what a controller hears itself.
+type Own struct {
+	heard, ran, awake time.Time
+}
+
+// Heard notes a report of any worker, whatever its answer.
+func (o *Own) Heard(now time.Time) { o.heard = now }
+
+// Run notes that the controller runs. After it has stood still it has heard
+// nothing for that reason alone.
+func (o *Own) Run(now time.Time) {
+	if now.Sub(o.ran) > stoodStill {
+		o.awake = now
+	}
+	o.ran = now
+}
+
+// Deaf says that so many machines, each of which reports at least once in the
+// time every, can't all have been silent since the last report by chance. What
+// was before since does not count.
+func (o *Own) Deaf(now, since time.Time, machines int, every time.Duration) bool {
+	if machines < 2 {
+		return false
+	}
+	for _, t := range [...]time.Time{o.heard, o.awake} {
+		if t.After(since) {
+			since = t
+		}
+	}
+	return now.Sub(since) > max(atLeast, sure*every/time.Duration(machines))
+}
+
+// Strays are the machines that were sent to another controller.
+type Strays struct {
+	sent map[string]sent
+}
+
+type sent struct {
+	to        string
+	at        time.Time
+	back      time.Time
+	cameAgain bool
+}
+
+// Sent notes that a machine was sent to a controller. One that was sent there
+// before, not long ago, has come back.
+func (s *Strays) Sent(now time.Time, machine, to string) {
+	if s.sent == nil {
+		s.sent = map[string]sent{}
+	}
+	x := s.sent[machine]
+	gap := now.Sub(x.at)
+	switch {
+	case x.to != to || gap > backWithin:
+		x = sent{to: to}
+	case gap >= backAfter:
+		x.cameAgain, x.back = true, now
+	}
+	x.at = now
+	s.sent[machine] = x
+	if len(s.sent) > remembered {
+		for id, y := range s.sent {
+			if now.Sub(y.at) > backWithin {
+				delete(s.sent, id)
+			}
+		}
+		if len(s.sent) > remembered {
+			clear(s.sent)
+		}
+	}
+}
+
+// Back counts the machines that lately came back from a controller.
+func (s *Strays) Back(now time.Time, from string) int {
+	k := 0
+	for _, x := range s.sent {
+		if x.to == from && x.cameAgain && now.Sub(x.back) <= backWithin {
+			k++
+		}
+	}
+	return k
+}
--- /dev/null
+++ b/internal/ears/ears_test.go
@@ -0,0 +1,76 @@
+package ears
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+var t0 = time.Unix(1_750_000_000, 0)
+
+func at(s float64) time.Time { return t0.Add(time.Duration(s * float64(time.Second))) }
+
+// TestDeaf guards against giving up a share for a silence that chance, a pause of
+// the process itself or the takeover explain.
+func TestDeaf(t *testing.T) {
+	const every = 10 * time.Second
+	for _, c := range []struct {
+		name     string
+		machines int
+		heard    float64
+		still    bool
+		since    float64
+		now      float64
+		want     bool
+	}{
+		{"many machines, a short silence", 1000, 100, false, 0, 102.9, false},
+		{"many machines, silent for seconds", 1000, 100, false, 0, 103.1, true},
+		{"few machines report seldom", 4, 100, false, 0, 119, false},
+		{"few machines, silent for long", 4, 100, false, 0, 121, true},
+		{"one machine proves nothing", 1, 100, false, 0, 500, false},
+		{"the process stood still", 1000, 100, true, 0, 110, false},
+		{"it has only just taken over", 1000, 100, false, 109, 110, false},
+	} {
+		var o Own
+		for s := 0.0; s <= c.now; s += 0.5 {
+			if c.still && s > c.heard && s < c.now-1 {
+				continue
+			}
+			o.Run(at(s))
+			if s == c.heard {
+				o.Heard(at(s))
+			}
+		}
+		if got := o.Deaf(at(c.now), at(c.since), c.machines, every); got != c.want {
+			t.Errorf("%s: deaf %v, want %v", c.name, got, c.want)
+		}
+	}
+}
+
+// TestStrays: only machines that come back after a while count, each once.
+func TestStrays(t *testing.T) {
+	var s Strays
+	s.Sent(at(0), "vm-1", "a")
+	s.Sent(at(0.3), "vm-1", "a") // a doubled report
+	if k := s.Back(at(1), "a"); k != 0 {
+		t.Errorf("a doubled report counts as %d back", k)
+	}
+	for i := range 5 {
+		s.Sent(at(5*float64(i)), "vm-1", "a")
+	}
+	s.Sent(at(20), "vm-2", "a")
+	s.Sent(at(20), "vm-3", "b")
+	s.Sent(at(25), "vm-3", "a") // there is another owner now
+	if k := s.Back(at(25), "a"); k != 1 {
+		t.Errorf("%d back, want 1", k)
+	}
+	if k := s.Back(at(60), "a"); k != 0 {
+		t.Errorf("%d back after a long time, want none", k)
+	}
+	for i := range 3 * remembered {
+		s.Sent(at(100+float64(i)/1000), fmt.Sprint("vm-", i), "a")
+	}
+	if len(s.sent) > remembered {
+		t.Errorf("%d machines are kept in mind", len(s.sent))
+	}
+}
--- a/internal/standin/scenario_test.go
+++ b/internal/standin/scenario_test.go
@@ -193,6 +193,8 @@
 				return j.told + "\n"
 			case "live":
 				return fmt.Sprintf("%d\n", s.w.live(arg(t, d, "id", "")))
+			case "owner":
+				return s.w.nodes[s.owner()].name + "\n"
 			case "starts":
 				return fmt.Sprintf("%d\n", s.w.Started)
 			case "machines":
