Planning in slices; machines in lanes by what a fetch takes; alike tasks count as one

Change: a look is a coroutine that Step carries on in slices, whose length is learnt from how long steps take (internal/pace), and planning takes two fifths of the time at most. For a task that is played forward some few lanes of alike machines are looked at instead of a heap for each image; tasks that come together are placed together.

--- a/internal/core/bench_test.go
+++ b/internal/core/bench_test.go
@@ -104,10 +104,8 @@
 			n := largePool(size)
 			for b.Loop() {
 				n.out = n.out[:0]
-				n.retire(n.futureRoom())
-				room := n.futureRoom()
-				n.spare(room)
-				n.rent(room)
+				n.owner.retired = time.Time{}
+				n.lookAtFleet(func(int) bool { return true })
 			}
 		})
 	}
--- a/internal/core/fleet.go
+++ b/internal/core/fleet.go
@@ -413,8 +413,9 @@
 	}
 	n.share()
 	if o := n.owner; o != nil && o.ready {
+		// What could not be booked at once stays wanted until the next look.
 		n.execute(n.set.Host, o.wants, o.gone)
-		o.wants, o.gone = nil, nil
+		o.gone = nil
 	}
 	for _, host := range sortedKeys(l.news) {
 		w := l.news[host]
@@ -559,44 +560,6 @@
 	}
 }
 
-// planFleet decides which machines this owner wants and which may go.
-func (n *Node) planFleet() {
-	o := n.owner
-	if n.now.Sub(o.planned) < leaderPeriod {
-		return
-	}
-	o.planned = n.now
-	if l := n.leader; l != nil {
-		if !l.listedOK {
-			return
-		}
-		v := &view{at: n.now, rentals: map[string]*rental{}, blocked: l.blocked, renting: map[kind]int{}}
-		for id, r := range l.rentals {
-			if r.gone.IsZero() && n.ownerOf(id) == n.set.Host {
-				v.rentals[id] = r
-			}
-		}
-		for a, c := range l.renting {
-			if a.owner == n.set.Host {
-				v.renting[a.kind] = c
-			}
-		}
-		o.view = v
-	}
-	o.wants, o.gone = nil, nil
-	if o.view == nil || n.now.Sub(o.view.at) > newsFresh || n.now.After(n.sess.sureUntil) {
-		return
-	}
-	// What runs and when it ends is the same for all that is planned now.
-	room := n.futureRoom()
-	if n.now.Sub(o.retired) >= leaderPeriod*time.Duration(1+len(o.byID)/retireSlow) {
-		o.retired = n.now
-		n.retire(room)
-	}
-	n.returns(room)
-	n.rent(room)
-}
-
 // fleetLog is how often the fleet is described in the log, at debug.
 const fleetLog = 10 * time.Second
 
@@ -739,8 +702,9 @@
 }
 
 // returns picks the machines to give back: failed ones, such as never came up, silent
-// ones, faulty ones and idle ones that are not needed.
-func (n *Node) returns(room []*virtual) {
+// ones, faulty ones and idle ones that are spare. A look at the fleet may have
+// taken a while, so each is judged by what it is now.
+func (n *Node) returns(spare map[string]bool) {
 	o := n.owner
 	settled := n.now.Sub(o.since) > settleTime
 	heard, silent := 0, 0
@@ -754,7 +718,7 @@
 	}
 	// When all fall silent together, the fault is likely ours.
 	ours := silent > 0 && silent == heard && heard > 1
-	spare := n.spare(room)
+	cheapest := n.cheapest()
 	for _, m := range o.byID {
 		// One that the leader no longer lists may be gone, or a list was late;
 		// only the answer to a return is proof.
@@ -785,7 +749,7 @@
 			why = "silent"
 		case m.bad && len(m.attempts) == 0:
 			why = "faulty"
-		case settled && m.heard && len(m.attempts) == 0 && spare[id]:
+		case settled && spare[id] && n.idle(m, cheapest):
 			why = "idle"
 		}
 		if why == "" || len(o.gone) >= returnMost {
@@ -838,148 +802,6 @@
 	})
 }
 
-// idleLeast is how long a machine that nothing needs stays at least: ends and
-// starts follow one another, and plans change from second to second.
-const idleLeast = 10 * time.Second
-
-// spare picks the idle machines that are not needed: for what waits or for
-// what the last while makes likely, played forward on the cheapest machines
-// first. A machine that is cheap is kept the longer.
-func (n *Node) spare(room []*virtual) map[string]bool {
-	o := n.owner
-	out := map[string]bool{}
-	cheapest := n.cheapest()
-	idle := false
-	for _, m := range o.byID {
-		if len(m.attempts) == 0 && n.now.Sub(m.idleSince) > n.idleKeep(m, cheapest) && n.usable(m) {
-			out[m.id] = true
-			idle = true
-		}
-	}
-	if !idle {
-		return out
-	}
-	// A machine being retired is one without which nothing is late; it goes as
-	// soon as it is idle, and none is kept for its sake.
-	retiring := map[*machine]bool{}
-	for _, v := range room {
-		if v.m.retiring {
-			retiring[v.m] = true
-		}
-	}
-	vs := copyRoom(room, retiring)
-	p := &plan{n: n, vs: vs}
-	slices.SortStableFunc(vs, func(a, b *virtual) int {
-		return cmp.Or(cmp.Compare(b2f(a.idle), b2f(b.idle)), cmp.Compare(n.unitPrice(a.m), n.unitPrice(b.m)))
-	})
-	for _, d := range n.demands(n.horizon(), true, true) {
-		p.play(d, func(_ int, v *virtual, _ time.Time) {
-			if v != nil {
-				delete(out, v.m.id)
-			}
-		})
-	}
-	return out
-}
-
-// dear is how many times the cheapest price a machine must cost to be retired
-// while others can do its work.
-const dear = 1.5
-
-// retire takes dear machines out of use, one after another, as long as the
-// others would start everything in time without them; what runs there ends in
-// peace. Without this, work spreads over all machines there are, none goes idle,
-// and the ordinary ones of one rush are paid for ever after.
-func (n *Node) retire(room []*virtual) {
-	var dearOnes []*machine
-	cheapest := n.cheapest()
-	for _, m := range n.owner.byID {
-		m.retiring = false
-		if n.usable(m) && n.unitPrice(m) > dear*cheapest {
-			dearOnes = append(dearOnes, m)
-		}
-	}
-	// After a takeover the forecast comes from the former owner's news, or is
-	// not there yet.
-	if len(dearOnes) == 0 || n.now.Sub(n.owner.since) < lately && len(n.inherited) == 0 {
-		return
-	}
-	// The emptiest go first.
-	slices.SortStableFunc(dearOnes, func(a, b *machine) int {
-		return cmp.Compare(a.used.CPU/max(a.size.CPU, 1), b.used.CPU/max(b.size.CPU, 1))
-	})
-	demands := n.demands(n.horizon(), true, false)
-	base := n.lateness(room, demands, nil)
-	before, dears := base, len(dearOnes)
-	for _, d := range demands {
-		base += time.Duration(d.count) * trifle
-	}
-	out := map[*machine]bool{}
-	misses := 0
-	// Of many, several are tried at once, and fewer when that is too much: each
-	// try plays all demands forward.
-	some := max(1, len(dearOnes)/retireParts)
-	for len(dearOnes) > 0 {
-		try := dearOnes[:min(some, len(dearOnes))]
-		for _, m := range try {
-			out[m] = true
-		}
-		if n.lateness(room, demands, out) <= base {
-			dearOnes = dearOnes[len(try):]
-			continue
-		}
-		for _, m := range try {
-			delete(out, m)
-		}
-		if misses++; misses >= retireTries {
-			break
-		}
-		if some == 1 {
-			dearOnes = dearOnes[1:]
-		}
-		some = max(1, some/2)
-	}
-	for m := range out {
-		m.retiring = true
-	}
-	n.debug("retire", "dear", dears, "retiring", len(out), "late", before, "tries in vain", misses)
-}
-
-// trifle is how much later a task may start on the average for the sake of a
-// dear machine that goes. Of a thousand tasks some few are always a little later.
-const trifle = 10 * time.Millisecond
-
-// retireTries bounds the tries in vain in one look.
-const (
-	retireTries = 4
-	// retireParts is in how many parts a long list of machines is tried, and
-	// retireSlow after how many machines in the pool the looks get rarer.
-	retireParts = 8
-	retireSlow  = 100
-)
-
-// idleKeep is how long a machine stays idle before it may go back: the longer
-// the cheaper it is.
-func (n *Node) idleKeep(m *machine, cheapest float64) time.Duration {
-	return max(idleLeast, time.Duration(float64(n.set.Policy.IdleKeep)*cheapest/n.unitPrice(m)))
-}
-
-func (n *Node) price(k kind) float64 {
-	f := n.types[k.flavour]
-	p := f.Price
-	if k.spot {
-		p = f.SpotPrice
-	}
-	if w, ok := n.set.Policy.Prefer[k.flavour]; ok && w > 0 {
-		p *= w
-	}
-	return p
-}
-
-func (n *Node) unitPrice(m *machine) float64 {
-	return n.price(kind{m.flavour, m.zone, m.spot}) / max(m.size.CPU, 1)
-}
-
 // warmWindow is how far back arrivals are looked at, and lately the part of it
 // that shows soonest when they have ended.
 const (
@@ -987,144 +809,6 @@
 	lately     = 30 * time.Second
 )
 
-// rent asks the cloud for machines. It plays forward, in the order of placement,
-// when each waiting or expected task would start on the machines there are, by
-// the expected ends of what runs. Where a machine rented now would let it start
-// sooner, a spot one is rented; an ordinary one, several times as dear, only if
-// the task would otherwise start later than it must.
-func (n *Node) rent(room []*virtual) {
-	o := n.owner
-	p := &plan{n: n, vs: room}
-	for _, id := range sortedKeys(o.view.rentals) {
-		r := o.view.rentals[id]
-		m := o.machines[id]
-		if r.returning || r.status == "returned" || r.status == "failed" || m != nil && m.heard {
-			continue
-		}
-		if f := n.types[r.flavour]; n.boots(r) {
-			p.boot(r.kind, later(r.since.Add(f.Ready), n.now.Add(f.Ready/4)))
-		}
-	}
-	for _, k := range sortedKinds(o.view.renting) {
-		for range o.view.renting[k] {
-			p.boot(k, n.now.Add(n.types[k.flavour].Ready))
-		}
-	}
-	wants := map[kind]int{}
-	demands := n.demands(n.horizon(), false, false)
-	unmet := 0.0
-	for _, d := range demands {
-		unmet += float64(d.count) * d.j.Need.CPU
-	}
-	played := 0
-	for _, d := range demands {
-		zones := newZonePlan(d.j)
-		rented, first, reliefs := 0, time.Duration(0), 0
-		for i := range d.count {
-			if played++; played > playMost {
-				break
-			}
-			from := d.from(n.now, i)
-			v, at := p.best(d.j, from, zones)
-			if k, ok := n.worthRenting(d, i, v != nil, at, unmet, zones); ok {
-				if rented++; rented == 1 {
-					first = at.Sub(from)
-				}
-				wants[k]++
-				v = p.boot(k, n.now.Add(n.types[k.flavour].Ready))
-			} else if x, k, ok := p.relief(d.j, v, from, unmet, zones); x != nil {
-				v = x
-			} else if ok {
-				reliefs++
-				wants[k]++
-				v = p.boot(k, n.now.Add(n.types[k.flavour].Ready))
-			}
-			unmet -= d.j.Need.CPU
-			if v != nil {
-				p.take(v, d.j, from, zones)
-			}
-		}
-		if rented+reliefs > 0 {
-			n.debug("wants", "workload", d.j.Workload, "tasks", d.count, "expected", d.spread > 0, "machines", rented, "instead of waiting", first, "to leave room", reliefs)
-		}
-	}
-	o.wants = wants
-}
-
-// boots says that a machine that was not heard of yet may still come up.
-func (n *Node) boots(r *rental) bool {
-	f, ok := n.types[r.flavour]
-	return ok && !r.returning && r.status != "returned" && r.status != "failed" && n.now.Sub(r.since) < 2*f.Ready+bootSlack
-}
-
-// relief is what keeps a task off room on which work that waits, and fits little
-// else, depends: another machine that is there soon enough, or a cheap kind to
-// rent. Looking for one that is there first matters: without it each task that
-// is expected would want a new machine, beside hundreds that are idle.
-func (p *plan) relief(j *job, v *virtual, from time.Time, unmet float64, zones *zonePlan) (*virtual, kind, bool) {
-	n := p.n
-	if v == nil || !p.needed(j, v.k.flavour) {
-		return nil, kind{}, false
-	}
-	k, ok := n.bestKind(j, max(1, int(unmet/max(j.Need.CPU, 0.1))), zones, true)
-	ok = ok && !p.needed(j, k.flavour)
-	if x, at := p.bestYielding(j, from, zones); x != nil {
-		f := n.types[k.flavour]
-		if !ok || !at.After(later(n.now.Add(f.Ready), from).Add(pull(&f, j)+lateMargin)) {
-			return x, kind{}, false
-		}
-	}
-	return nil, k, ok
-}
-
-// neededElsewhere says that another workload waits which fits the flavour and
-// fewer flavours than this one.
-func (n *Node) neededElsewhere(s *Spec, flavour string) bool {
-	mine := len(n.fitting(s))
-	for name := range n.owner.waiting {
-		w := n.owner.workloads[name]
-		if name == s.Workload || w == nil {
-			continue
-		}
-		if theirs := n.fitting(w.spec); len(theirs) < mine && slices.Contains(theirs, flavour) {
-			return true
-		}
-	}
-	return false
-}
-
-// worthRenting says what to rent for the demand's task i, which would start at
-// the time at (if it has a place at all).
-func (n *Node) worthRenting(d demand, i int, placed bool, at time.Time, unmet float64, zones *zonePlan) (kind, bool) {
-	j := d.j
-	from, last := d.from(n.now, i), d.last(n.now, i)
-	count := max(1, int(unmet/max(j.Need.CPU, 0.1)))
-	for _, spot := range [...]bool{true, false} {
-		k, ok := n.bestKind(j, count, zones, spot)
-		if !ok {
-			continue
-		}
-		if !placed {
-			return k, true
-		}
-		f := n.types[k.flavour]
-		// It has to fetch the image as well, and not before the task is there:
-		// without that, each task expected later than a boot takes would want a
-		// machine of its own, beside idle ones that have to fetch too.
-		ready := later(n.now.Add(f.Ready), from).Add(pull(&f, j))
-		if !at.After(ready.Add(lateMargin)) {
-			continue
-		}
-		if spot {
-			return k, true
-		}
-		if at.Add(n.margin(j)).After(last) {
-			return k, true
-		}
-	}
-	return kind{}, false
-}
-
 func sortedKinds[V any](m map[kind]V) []kind {
 	ks := make([]kind, 0, len(m))
 	for k := range m {
@@ -1136,32 +820,6 @@
 	return ks
 }
 
-// bestKind is the cheapest kind, spot or not, for some tasks of a job, among
-// those the cloud has not just refused.
-func (n *Node) bestKind(j *job, count int, zones *zonePlan, spot bool) (kind, bool) {
-	var best kind
-	var bestCost float64
-	found := false
-	for _, name := range sortedKeys(n.types) {
-		f := n.types[name]
-		fit := f.Size.Times(j.Need)
-		if fit == 0 {
-			continue
-		}
-		for _, z := range f.Zones {
-			k := kind{name, z, spot}
-			if !j.allows(name, z, spot) || zones.room(z) == 0 || n.owner.view.blocked[k].After(n.now) {
-				continue
-			}
-			cost := n.price(k) / float64(min(fit, max(count, 1)))
-			if !found || cost < bestCost {
-				best, bestCost, found = k, cost, true
-			}
-		}
-	}
-	return best, found
-}
-
 // booked notes that a booking is answered.
 func (n *Node) booked(a ask, booking string, count int) {
 	l := n.leader
--- a/internal/core/fleet_test.go
+++ b/internal/core/fleet_test.go
@@ -25,9 +25,8 @@
 	if d := n.demands(n.horizon(), false, false); len(d) != 1 || d[0].count < 50 {
 		t.Fatalf("%d demands; more tasks were to be expected", len(d))
 	}
-	n.rent(n.futureRoom())
-	if len(n.owner.wants) != 0 {
-		t.Errorf("wants %v beside 40 idle machines", n.owner.wants)
+	if wants := n.rent(n.futureRoom(), nil); len(wants) != 0 {
+		t.Errorf("wants %v beside 40 idle machines", wants)
 	}
 }
 
@@ -57,9 +56,8 @@
 	if !n.neededElsewhere(&small, "rack") {
 		t.Fatal("nobody waits for racks")
 	}
-	n.rent(n.futureRoom())
-	if len(n.owner.wants) != 0 {
-		t.Errorf("wants %v beside 70 idle boxes", n.owner.wants)
+	if wants := n.rent(n.futureRoom(), nil); len(wants) != 0 {
+		t.Errorf("wants %v beside 70 idle boxes", wants)
 	}
 }
 
--- a/internal/core/jobs.go
+++ b/internal/core/jobs.go
@@ -180,19 +180,20 @@
 	return -1
 }
 
-// avoids says that none of the job's waiting tasks may go to the machine: it is
-// no room for them, and a plan that counted on it would leave them waiting
-// beside it for ever.
-func (j *job) avoids(machine string) bool {
+// avoided is the machine that none of the job's waiting tasks may go to, if there
+// is one: it is no room for them, and a plan that counted on it would leave them
+// waiting beside it for ever.
+func (j *job) avoided() string {
 	if j.fresh < len(j.tasks) || len(j.again) == 0 {
-		return false
+		return ""
 	}
+	away := j.tasks[j.again[0]].avoid
 	for _, i := range j.again {
-		if !j.tasks[i].shuns(machine) {
-			return false
+		if t := &j.tasks[i]; t.avoid != away || !t.shuns(away) {
+			return ""
 		}
 	}
-	return true
+	return away
 }
 
 // shuns says that the task is to go elsewhere: it failed there, or was too slow.
--- a/internal/core/loans.go
+++ b/internal/core/loans.go
@@ -535,10 +535,11 @@
 func loanPlan(n *Node, v *LoanView) {
 	v.Cheapest = n.cheapest()
 	images := map[string]bool{}
-	p := &plan{n: n, vs: copyRoom(n.futureRoom(), nil)}
+	r := n.futureRoom()
+	p := n.newPlan(copyRoom(r, nil), r.images, nil)
 	for _, d := range n.demands(n.horizon(), true, false) {
 		last, none := time.Time{}, d.count == 0
-		p.play(d, func(_ int, x *virtual, at time.Time) {
+		p.play(d, func(_ int, x *virtual, _, at time.Time) {
 			if none = none || x == nil; x != nil {
 				last = later(last, at)
 			}
--- a/internal/core/node.go
+++ b/internal/core/node.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/micahill/micahill/internal/ears"
+	"github.com/micahill/micahill/internal/pace"
 )
 
 // Node is one controller. All of its state belongs to the goroutine that
@@ -51,6 +52,9 @@
 	ears       ears.Own
 	strays     ears.Strays
 	toldStrays time.Time
+	// pace divides planning into slices, and sliced is the work of the last one.
+	pace   pace.Pace
+	sliced int
 	// guests are the loans this cluster has taken, as far as this node has read.
 	guests guests
 }
@@ -189,6 +193,9 @@
 	}
 	if n.owner != nil {
 		earliest(n.owner.wake)
+		if n.owner.pass != nil {
+			earliest(n.owner.passAt)
+		}
 	}
 	if n.leader != nil {
 		earliest(n.leader.wake)
--- a/internal/core/owner.go
+++ b/internal/core/owner.go
@@ -71,6 +71,11 @@
 	// are what is asked of it.
 	view    *view
 	planned time.Time
+	// pass is a look at the fleet that is under way, to be carried on at passAt,
+	// and wantsSeq the leader's news that it rests on.
+	pass     *pass
+	passAt   time.Time
+	wantsSeq uint64
 	// retired is when dear machines were last chosen to be retired.
 	retired time.Time
 	wants   map[kind]int
@@ -172,6 +177,7 @@
 		return
 	}
 	n.info("owner no more", "why", why, "epoch", n.owner.epoch)
+	n.owner.endPass()
 	n.owner = nil
 }
 
@@ -549,11 +555,14 @@
 		}
 		n.relaunch()
 		n.maybeRaise()
-		n.planFleet()
+		n.planFleet(true)
 		n.tellPeers()
 		n.writeWarm()
 		o.place = true
 	}
+	if o.pass != nil {
+		n.planFleet(false)
+	}
 	if o.place && (o.hurry || n.now.Sub(o.placed) >= placeEvery) {
 		o.place, o.hurry, o.placed = false, false, n.now
 		n.placeAll()
@@ -937,7 +946,7 @@
 	for _, p := range n.set.Peers {
 		out := news
 		if n.leader == nil && p == n.sess.lead.Host && o.view != nil {
-			out.Seq, out.Idle, out.Released = o.view.seq, o.gone, n.released()
+			out.Seq, out.Idle, out.Released = o.wantsSeq, o.gone, n.released()
 			for _, k := range sortedKinds(o.wants) {
 				out.Wants = append(out.Wants, Want{k.flavour, k.zone, k.spot, o.wants[k]})
 			}
--- a/internal/core/play.go
+++ b/internal/core/play.go
@@ -20,142 +20,66 @@
 	hopelessly = 10 * time.Minute
 )
 
-// plan is the fleet played forward: which task would start where and when.
+// plan is the fleet played forward: which task would start where and when. It
+// rests on the moment at which it was begun, also when it is carried on later.
 type plan struct {
-	n  *Node
-	vs []*virtual
+	n   *Node
+	now time.Time
+	vs  []*virtual
+	// images numbers the images, and holders are the machines that have each.
+	images  map[string]int32
+	holders [][]int32
 	// queues hold, for each kind of task that was asked for, the machines by
 	// when one could run there.
-	queues map[work]*queue
+	queues map[shape]*queue
 	wanted map[[2]string]bool
+	// blocked are the kinds that the cloud has just refused.
+	blocked map[kind]bool
+	visits  int
+	tick    tick
 }
 
-// work is what of a task decides when it could run on which machine.
-type work struct {
-	shape
-	image string
-	gb    float64
-	// yields: only on machines that no other waiting work depends on.
-	yields bool
-}
-
-// queue orders machines for alike tasks, as a heap. Entries may be out of date:
-// a machine that other tasks took room on is later than its entry says, which
-// is put right when it comes up. It is the innermost part of all planning, and
-// so a plain heap without pointers.
-type queue struct {
-	known int
-	es    []entry
-}
-
-// entry is a machine: where it stands in the plan, when a task could start to
-// fetch and how long that takes, and how many tasks it had taken by then.
-type entry struct {
-	start, fetch time.Duration
-	i, taken     int
-}
+// tick is told of work done, in units of about a tenth of a microsecond. It may
+// put the plan aside for a while, and says whether to go on.
+type tick func(units int) bool
 
-func (e *entry) at() time.Duration { return e.start + e.fetch }
+// visitUnits is what the placing of some alike tasks on one machine costs.
+const visitUnits = 8
 
-func (e *entry) before(o *entry) bool {
-	a, b := e.at(), o.at()
-	return a < b || a == b && e.i < o.i
-}
-
-func (q *queue) up(k int) {
-	for k > 0 {
-		p := (k - 1) / 2
-		if !q.es[k].before(&q.es[p]) {
-			return
+func (n *Node) newPlan(vs []*virtual, images map[string]int32, t tick) *plan {
+	p := &plan{n: n, now: n.now, vs: vs, images: images, tick: t, blocked: map[kind]bool{}}
+	if v := n.owner.view; v != nil {
+		for k, until := range v.blocked {
+			p.blocked[k] = until.After(n.now)
 		}
-		q.es[k], q.es[p] = q.es[p], q.es[k]
-		k = p
 	}
-}
-
-func (q *queue) down(k int) {
-	for {
-		c := 2*k + 1
-		if c >= len(q.es) {
-			return
-		}
-		if c+1 < len(q.es) && q.es[c+1].before(&q.es[c]) {
-			c++
-		}
-		if !q.es[c].before(&q.es[k]) {
-			return
-		}
-		q.es[k], q.es[c] = q.es[c], q.es[k]
-		k = c
+	for i, v := range vs {
+		v.i = int32(i)
 	}
+	p.index()
+	return p
 }
 
-func (q *queue) push(e entry) {
-	q.es = append(q.es, e)
-	q.up(len(q.es) - 1)
-}
+func (p *plan) spend(units int) bool { return p.tick == nil || p.tick(units) }
 
-func (q *queue) pop() entry {
-	e := q.es[0]
-	last := len(q.es) - 1
-	q.es[0] = q.es[last]
-	q.es = q.es[:last]
-	q.down(0)
-	return e
+// on counts one more visit and says whether to go on. What is played is bounded
+// by the pool, not by what waits.
+func (p *plan) on() bool {
+	p.visits++
+	return p.spend(visitUnits) && p.visits <= max(playMost, 2*len(p.vs))
 }
 
 // boot adds a machine that is not up yet.
 func (p *plan) boot(k kind, ready time.Time) *virtual {
-	v := &virtual{k: k, at: max(0, ready.Sub(p.n.now)), free: p.n.types[k.flavour].Size}
+	f := p.n.types[k.flavour]
+	v := &virtual{k: k, i: int32(len(p.vs)), at: max(0, ready.Sub(p.now)), free: f.Size}
+	if f.PullRate > 0 {
+		v.perGB = 1 / f.PullRate
+	}
 	p.vs = append(p.vs, v)
 	return v
 }
 
-// entry says when a task of j could run on the machine at place i.
-func (p *plan) entry(i int, j *job) (entry, bool) {
-	v := p.vs[i]
-	start, ok := v.earliest(j.Need, j.Gang)
-	if !ok {
-		return entry{}, false
-	}
-	return entry{start, p.fetch(v, j), i, v.taken}, true
-}
-
-// queue is that of tasks like j's, with all machines in it.
-func (p *plan) queue(j *job, yields bool) *queue {
-	like := work{j.shape(), j.Image, j.ImageGB, yields}
-	q := p.queues[like]
-	if q == nil {
-		if p.queues == nil {
-			p.queues = map[work]*queue{}
-		}
-		q = &queue{es: make([]entry, 0, len(p.vs)+8)}
-		p.queues[like] = q
-	}
-	for ; q.known < len(p.vs); q.known++ {
-		k := p.vs[q.known].k
-		if !j.allows(k.flavour, k.zone, k.spot) || yields && p.needed(j, k.flavour) {
-			continue
-		}
-		if e, ok := p.entry(q.known, j); ok {
-			q.push(e)
-		}
-	}
-	return q
-}
-
-// best is the machine on which a task could run first, its image there, and
-// when.
-func (p *plan) best(j *job, from time.Time, zones *zonePlan) (*virtual, time.Time) {
-	return p.bestOf(j, from, zones, false)
-}
-
-// bestYielding is the same among the machines that no other waiting work
-// depends on.
-func (p *plan) bestYielding(j *job, from time.Time, zones *zonePlan) (*virtual, time.Time) {
-	return p.bestOf(j, from, zones, true)
-}
-
 // needed says, once for a plan, that others wait for the flavour that fit fewer.
 func (p *plan) needed(j *job, flavour string) bool {
 	key := [2]string{j.Workload, flavour}
@@ -170,132 +94,45 @@
 	return is
 }
 
-func (p *plan) bestOf(j *job, from time.Time, zones *zonePlan, yields bool) (*virtual, time.Time) {
-	now := p.n.now
-	wait := max(0, from.Sub(now))
-	if j.Gang || j.SamePlace || j.Apart || len(j.again) > 0 {
-		v, at := p.bestOfAll(j, wait, zones, yields)
-		return v, now.Add(at)
-	}
-	q := p.queue(j, yields)
-	// Entries tell of the earliest moment; for a task that comes later the
-	// first ones may all be as good, or one behind them better by its image.
-	best, at := -1, time.Duration(0)
-	var seen [lookAhead]entry
-	k := 0
-	for len(q.es) > 0 && k < lookAhead {
-		e := &q.es[0]
-		if best >= 0 && e.at() > at {
-			break
-		}
-		if p.vs[e.i].taken != e.taken {
-			if x, ok := p.entry(e.i, j); ok {
-				*e = x
-				q.down(0)
-			} else {
-				q.pop()
+// play places a demand's tasks and tells of each lot where and when; v is nil for
+// tasks without a place.
+func (p *plan) play(d demand, tell func(count int, v *virtual, from, at time.Time)) {
+	a := p.ask(d.j)
+	for i, size := 0, d.lump(); i < d.count; i += size {
+		left := min(size, d.count-i)
+		from := d.from(p.now, i+left/2)
+		for left > 0 {
+			if !p.on() {
+				return
 			}
-			continue
-		}
-		if t := max(e.start, wait) + e.fetch; best < 0 || t < at || t == at && e.i < best {
-			best, at = e.i, t
-		}
-		if e.start >= wait {
-			break
-		}
-		seen[k] = q.pop()
-		k++
-	}
-	for _, e := range seen[:k] {
-		q.push(e)
-	}
-	if best < 0 {
-		return nil, now
-	}
-	return p.vs[best], now.Add(at)
-}
-
-// lookAhead is how many of the first machines are compared for a task that
-// comes later.
-const lookAhead = 8
-
-// bestOfAll looks at every machine, for tasks that are not all alike.
-func (p *plan) bestOfAll(j *job, wait time.Duration, zones *zonePlan, yields bool) (*virtual, time.Duration) {
-	var best *virtual
-	var at time.Duration
-	for i, v := range p.vs {
-		if !j.allows(v.k.flavour, v.k.zone, v.k.spot) || zones.room(v.k.zone) == 0 || v.m != nil && j.avoids(v.m.id) || yields && p.needed(j, v.k.flavour) {
-			continue
-		}
-		if e, ok := p.entry(i, j); ok {
-			if t := max(e.start, wait) + e.fetch; best == nil || t < at {
-				best, at = v, t
+			v, at := p.best(a, from, false)
+			k := left
+			if v != nil {
+				k, at = p.take(a, v, from, left)
 			}
+			tell(k, v, from, at)
+			left -= k
 		}
 	}
-	return best, at
-}
-
-// fetch is how long v would take to have the image.
-func (p *plan) fetch(v *virtual, j *job) time.Duration {
-	switch {
-	case slices.Contains(v.has, j.Image):
-		return 0
-	case v.m != nil:
-		return p.n.fetchTime(v.m, j)
-	}
-	f := p.n.types[v.k.flavour]
-	return pull(&f, j)
-}
-
-// take lets a task of j start on v, and says when.
-func (p *plan) take(v *virtual, j *job, from time.Time, zones *zonePlan) time.Time {
-	at, ok := v.earliest(j.Need, j.Gang)
-	if !ok {
-		return from
-	}
-	at = max(at, from.Sub(p.n.now))
-	fetch := p.fetch(v, j)
-	if !slices.Contains(v.has, j.Image) {
-		v.has = append(slices.Clip(v.has), j.Image)
-	}
-	v.take(j.Need, at, fetch+p.n.runs(j))
-	zones.take(v.k.zone, 1)
-	return p.n.now.Add(at + fetch)
-}
-
-// play places a demand's tasks and tells of each where and when; v is nil for
-// one without a place.
-func (p *plan) play(d demand, tell func(i int, v *virtual, at time.Time)) {
-	zones := newZonePlan(d.j)
-	for i := range min(d.count, playMost) {
-		from := d.from(p.n.now, i)
-		v, at := p.best(d.j, from, zones)
-		if v != nil {
-			p.take(v, d.j, from, zones)
-		}
-		tell(i, v, at)
-	}
 }
 
 // lateness sums up how much later than they must tasks would start in the room,
 // were some machines not there.
-func (n *Node) lateness(room []*virtual, demands []demand, without map[*machine]bool) time.Duration {
-	p := &plan{n: n, vs: copyRoom(room, without)}
+func (n *Node) lateness(r *room, demands []demand, without map[*machine]bool, t tick) time.Duration {
+	p := n.newPlan(copyRoom(r, without), r.images, t)
 	var late time.Duration
 	for _, d := range demands {
 		bound := n.waitBound(d.j.Workload)
 		margin := n.margin(d.j)
-		p.play(d, func(i int, v *virtual, at time.Time) {
-			if v == nil {
-				late += hopelessly
-				return
-			}
-			from := d.from(n.now, i)
-			late += min(max(0, at.Add(margin).Sub(d.last(n.now, i))), hopelessly)
-			if bound > 0 {
-				late += max(0, at.Sub(from)-bound)
+		p.play(d, func(count int, v *virtual, from, at time.Time) {
+			one := hopelessly
+			if v != nil {
+				one = min(max(0, at.Add(margin).Sub(d.last(p.now, from))), hopelessly)
+				if bound > 0 {
+					one += max(0, at.Sub(from)-bound)
+				}
 			}
+			late += time.Duration(count) * one
 		})
 	}
 	return late
@@ -326,10 +163,10 @@
 	return max(n.expects(j), time.Second)
 }
 
-// last is when the demand's task i should start at the latest: of those that
-// are expected, the later come, the later are due.
-func (d demand) last(now time.Time, i int) time.Time {
-	return d.latest.Add(d.from(now, i).Sub(now) - d.spread/2)
+// last is when a task of the demand that comes at the time from should start at
+// the latest: of those that are expected, the later come, the later are due.
+func (d demand) last(now, from time.Time) time.Time {
+	return d.latest.Add(from.Sub(now) - d.spread/2)
 }
 
 // from is when the demand's task i is there.
@@ -337,16 +174,45 @@
 	return now.Add(d.spread * time.Duration(i+1) / time.Duration(d.count+1))
 }
 
+// lumpsMost is in how many lots expected tasks are played at most.
+const lumpsMost = 32
+
+// lump is how many tasks of the demand are taken to come together: all that wait,
+// and of those that are expected so many that there are not too many lots.
+func (d demand) lump() int {
+	if d.spread == 0 {
+		return max(1, d.count)
+	}
+	return (d.count + lumpsMost - 1) / lumpsMost
+}
+
+// room is the machines there are, with what their running tasks will leave, and
+// the numbers of their images.
+type room struct {
+	vs     []*virtual
+	images map[string]int32
+}
+
+// endsSpare is the room for more ends that a copy has at once.
+const endsSpare = 2
+
 // copyRoom makes room to play in that leaves the original as it is.
-func copyRoom(room []*virtual, without map[*machine]bool) []*virtual {
-	out := make([]*virtual, 0, len(room))
-	all := make([]virtual, len(room))
-	for i, v := range room {
+func copyRoom(r *room, without map[*machine]bool) []*virtual {
+	out := make([]*virtual, 0, len(r.vs))
+	all := make([]virtual, len(r.vs))
+	total := 0
+	for _, v := range r.vs {
+		total += len(v.ends) + endsSpare
+	}
+	ends := make([]release, total)
+	for i, v := range r.vs {
 		if without[v.m] {
 			continue
 		}
 		all[i] = *v
-		all[i].ends = slices.Clone(v.ends)
+		k := copy(ends, v.ends)
+		all[i].ends = ends[: k : k+endsSpare]
+		ends = ends[k+endsSpare:]
 		out = append(out, &all[i])
 	}
 	return out
@@ -356,15 +222,19 @@
 // what running tasks will leave later.
 type virtual struct {
 	k    kind
+	i    int32
 	m    *machine
 	idle bool
-	// has are the images that tasks played onto it have fetched, and taken
-	// counts those tasks.
-	has   []string
-	taken int
-	at    time.Duration
-	free  Resources
-	ends  []release
+	// cached and coming are the images it has and fetches, and has those that
+	// tasks played onto it will have fetched; taken counts these.
+	cached, coming, has []int32
+	taken               int
+	// perGB is how long it takes for a GB of an image, in seconds, and half for
+	// one that is already on its way.
+	perGB, half float64
+	at          time.Duration
+	free        Resources
+	ends        []release
 }
 
 type release struct {
@@ -392,18 +262,21 @@
 	return 0, false
 }
 
-// take lets a task start at the time that earliest gave, or later.
-func (v *virtual) take(need Resources, at, run time.Duration) {
+// take lets up to count tasks start at the time that earliest gave, or later, and
+// says how many found room.
+func (v *virtual) take(need Resources, at, run time.Duration, count int) int {
 	for len(v.ends) > 0 && !need.Fits(v.free) {
 		v.free = v.free.Plus(v.ends[0].need, 1)
 		v.at = max(v.at, v.ends[0].at)
 		v.ends = v.ends[1:]
 	}
+	k := max(1, min(count, v.free.Times(need)))
 	v.taken++
-	v.free = v.free.Plus(need, -1)
-	end := release{at + run, need}
+	v.free = v.free.Plus(need, -float64(k))
+	end := release{at + run, Resources{}.Plus(need, float64(k))}
 	i, _ := slices.BinarySearchFunc(v.ends, end, func(a, b release) int { return cmp.Compare(a.at, b.at) })
 	v.ends = slices.Insert(v.ends, i, end)
+	return k
 }
 
 // horizon is the time until a machine rented now is of use.
@@ -418,14 +291,22 @@
 // futureRoom is each usable machine with what its running tasks will leave, as
 // far as their expected ends tell. What runs longer than expected is taken to
 // go on for a while.
-func (n *Node) futureRoom() []*virtual {
-	var vs []*virtual
+func (n *Node) futureRoom() *room {
+	r := &room{vs: make([]*virtual, 0, len(n.owner.byID)), images: map[string]int32{}}
+	all := make([]virtual, len(n.owner.byID))
+	attempts, images := 0, 0
 	for _, m := range n.owner.byID {
+		attempts += len(m.attempts) + 1
+		images += len(m.images)
+	}
+	ends, ids := make([]release, 0, attempts), make([]int32, 0, images)
+	for i, m := range n.owner.byID {
 		if !n.usable(m) {
 			continue
 		}
-		v := &virtual{k: kind{m.flavour, m.zone, m.spot}, m: m, idle: len(m.attempts) == 0, free: m.size.Plus(m.used, -1)}
-		v.ends = make([]release, 0, len(m.attempts)+1)
+		v := &all[i]
+		*v = virtual{k: kind{m.flavour, m.zone, m.spot}, m: m, idle: len(m.attempts) == 0, free: m.size.Plus(m.used, -1)}
+		lo := len(ends)
 		for k, t := range m.attempts {
 			j := n.owner.jobs[k.job]
 			if j.Standing {
@@ -436,14 +317,36 @@
 			if !t.started.IsZero() {
 				left = max(e-n.now.Sub(t.started), e/5)
 			}
-			v.ends = append(v.ends, release{left, j.Need})
+			ends = append(ends, release{left, j.Need})
 		}
+		v.ends = ends[lo:len(ends):len(ends)]
 		slices.SortFunc(v.ends, func(a, b release) int {
 			return cmp.Or(cmp.Compare(a.at, b.at), cmp.Compare(a.need.CPU, b.need.CPU), cmp.Compare(a.need.Memory, b.need.Memory))
 		})
-		vs = append(vs, v)
+		rate := n.types[m.flavour].PullRate
+		if rate <= 0 {
+			rate = 1
+		}
+		// Those it has come first, then those that are on their way.
+		lo = len(ids)
+		some := 0
+		for name, im := range m.images {
+			id, ok := r.images[name]
+			if !ok {
+				id = int32(len(r.images))
+				r.images[name] = id
+			}
+			ids = append(ids, id)
+			if im.cached {
+				ids[len(ids)-1], ids[lo+some] = ids[lo+some], id
+				some++
+			}
+		}
+		v.cached, v.coming = ids[lo:lo+some:lo+some], ids[lo+some:len(ids):len(ids)]
+		v.perGB, v.half = float64(1+len(v.coming))/rate, 1/rate/2
+		r.vs = append(r.vs, v)
 	}
-	return vs
+	return r
 }
 
 // demand is some tasks of a job: waiting now, or expected, spread over a time.
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -106,8 +106,10 @@
 			s.do(ctx, e)
 		}
 		s.healthy.Store(s.node.Healthy(now))
+		took := time.Since(now)
+		s.node.Took(took)
 		if s.out.Observe != nil {
-			s.out.Observe(time.Since(now), len(batch))
+			s.out.Observe(took, len(batch))
 		}
 		wait := idleStep
 		if d := s.node.Deadline(); !d.IsZero() {
--- a/internal/standin/scenario_test.go
+++ b/internal/standin/scenario_test.go
@@ -91,6 +91,17 @@
 	return 0
 }
 
+// owners names the controllers that run jobs.
+func (s *scenario) owners() string {
+	var b strings.Builder
+	for _, p := range s.w.nodes {
+		if p.alive && p.node.IsOwner() {
+			fmt.Fprintln(&b, p.name)
+		}
+	}
+	return b.String()
+}
+
 func (s *scenario) fault(t *testing.T, d *datadriven.TestData) string {
 	w := s.w
 	dur := seconds(t, d, "for", 20)
@@ -194,7 +205,7 @@
 			case "live":
 				return fmt.Sprintf("%d\n", s.w.live(arg(t, d, "id", "")))
 			case "owner":
-				return s.w.nodes[s.owner()].name + "\n"
+				return s.owners()
 			case "starts":
 				return fmt.Sprintf("%d\n", s.w.Started)
 			case "machines":
