Rounds of placing rate a machine once for a kind of task and image, and pace themselves

Change: alike tasks share their ratings within a round; what may be stopped is looked for twice a second for each kind of task and judged again when it is used; a round leaves half as much again as it took to others.

--- a/internal/core/machines.go
+++ b/internal/core/machines.go
@@ -440,14 +440,19 @@
 	}
 	for {
 		sum, oldest := 0.0, ""
+		for _, x := range m.images {
+			sum += x.gb
+		}
+		if sum <= m.disk {
+			return
+		}
 		for _, name := range sortedKeys(m.images) {
 			x := m.images[name]
-			sum += x.gb
 			if name != j.Image && (oldest == "" || x.last.Before(m.images[oldest].last)) {
 				oldest = name
 			}
 		}
-		if sum <= m.disk || oldest == "" {
+		if oldest == "" {
 			return
 		}
 		delete(m.images, oldest)
--- a/internal/core/node.go
+++ b/internal/core/node.go
@@ -55,6 +55,8 @@
 	// pace divides planning into slices, and sliced is the work of the last one.
 	pace   pace.Pace
 	sliced int
+	// placed: the last step had a round of placing in it.
+	placed bool
 	// guests are the loans this cluster has taken, as far as this node has read.
 	guests guests
 }
--- a/internal/core/owner.go
+++ b/internal/core/owner.go
@@ -67,6 +67,10 @@
 	// for one whose wait is bounded. placed is when that was last done.
 	place, hurry bool
 	placed       time.Time
+	// roundTook is how long the step with the last round of placing took.
+	roundTook time.Duration
+	// prey is where urgent work may take the place of other work.
+	prey map[preyKey]*prey
 	// view is the leader's knowledge of this owner's machines; wants and gone
 	// are what is asked of it.
 	view    *view
@@ -563,19 +567,30 @@
 	if o.pass != nil {
 		n.planFleet(false)
 	}
-	if o.place && (o.hurry || n.now.Sub(o.placed) >= placeEvery) {
+	if o.place && !n.now.Before(o.nextRound()) {
 		o.place, o.hurry, o.placed = false, false, n.now
+		n.placed = true
 		n.placeAll()
 	}
 	n.endJobs()
 	n.writeChunks()
 	n.directAll()
 	o.wake = o.swept.Add(ownerPeriod)
-	if next := o.placed.Add(placeEvery); o.place && next.Before(o.wake) {
+	if next := o.nextRound(); o.place && next.Before(o.wake) {
 		o.wake = next
 	}
 }
 
+// nextRound is when tasks may be placed again. A round that took long leaves as
+// much time and half of it again to others, however much work waits.
+func (o *owner) nextRound() time.Time {
+	gap := placeEvery
+	if o.hurry {
+		gap = 0
+	}
+	return o.placed.Add(max(gap, o.roundTook*5/2))
+}
+
 // unsaved are the jobs with chunks to write, in order.
 func (o *owner) unsaved() []*job {
 	var out []*job
--- a/internal/core/pass.go
+++ b/internal/core/pass.go
@@ -135,8 +135,12 @@
 }
 
 // Took tells how long the last step took here, with all that it sent off: planning
-// is divided so that steps stay short.
+// is divided so that steps stay short, and placing leaves time to the rest.
 func (n *Node) Took(d time.Duration) {
+	if n.placed && n.owner != nil {
+		n.owner.roundTook = d
+	}
+	n.placed = false
 	if n.sliced == 0 {
 		return
 	}
--- a/internal/core/place.go
+++ b/internal/core/place.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"container/heap"
 	"fmt"
 	"slices"
 	"strings"
@@ -280,78 +279,6 @@
 	return m.heard && !m.recall && !m.returning && !m.bad && !m.strays && m.size.CPU > 0 && !n.silent(m)
 }
 
-// round is what a look at the waiting jobs finds out once for all of them.
-type round struct {
-	// all are the usable machines, and open those with any room.
-	all, open []*machine
-	cheapest  float64
-	// warm are the images of workloads whose wait is bounded.
-	warm   map[string]bool
-	scarce map[string]map[string]scarcity
-	// full are the kinds of tasks for which no room was found anywhere. Of a
-	// long queue of alike jobs only the first looks at every machine.
-	full map[shape]bool
-}
-
-// shape is what of a task decides where it may go.
-type shape struct {
-	workload string
-	need     Resources
-	flavours string
-	zone     string
-	spot     bool
-}
-
-func (j *job) shape() shape {
-	s := shape{workload: j.Workload, need: j.Need, zone: j.Zone, spot: j.Spot}
-	if len(j.Flavours) > 0 {
-		s.flavours = strings.Join(j.Flavours, " ")
-	}
-	return s
-}
-
-func (n *Node) newRound() *round {
-	r := &round{cheapest: n.cheapest(), warm: map[string]bool{}, scarce: map[string]map[string]scarcity{}, full: map[shape]bool{}}
-	for _, m := range n.owner.byID {
-		if !n.usable(m) {
-			continue
-		}
-		r.all = append(r.all, m)
-		if free := m.size.Plus(m.used, -1); free.CPU > slack && free.Memory > slack {
-			r.open = append(r.open, m)
-		}
-	}
-	for _, w := range n.owner.workloads {
-		if n.waitBound(w.spec.Workload) > 0 && n.now.Sub(w.last) < workloadMemory {
-			for _, a := range n.owner.arrivals[w.spec.Workload] {
-				r.warm[a.spec.Image] = true
-			}
-		}
-	}
-	return r
-}
-
-// warmed says that m holds an image of a workload with a bounded wait.
-func (r *round) warmed(m *machine) bool {
-	for name, im := range m.images {
-		if im.cached && r.warm[name] {
-			return true
-		}
-	}
-	return false
-}
-
-func (n *Node) scarceFor(r *round, j *job) map[string]scarcity {
-	s, ok := r.scarce[j.Workload]
-	if !ok || len(j.Flavours) > 0 {
-		s = n.scarce(&j.Spec)
-		if len(j.Flavours) == 0 {
-			r.scarce[j.Workload] = s
-		}
-	}
-	return s
-}
-
 // placeAll places what waits, in order.
 func (n *Node) placeAll() {
 	o := n.owner
@@ -389,9 +316,9 @@
 		switch {
 		case j.pending() == 0:
 		case left > 0:
-			coming = n.preemptFor(j, r, left)
+			coming = n.preemptFor(j, left)
 		case n.latest(j).Sub(n.now) < bound:
-			coming = n.preemptFor(j, r, forever)
+			coming = n.preemptFor(j, forever)
 		}
 		n.placeJob(j, r, forever, j.pending()-coming)
 	}
@@ -401,10 +328,10 @@
 // through the attempts of many machines.
 const preemptEvery = 500 * time.Millisecond
 
-func (n *Node) preemptFor(j *job, r *round, fetch time.Duration) int {
+func (n *Node) preemptFor(j *job, fetch time.Duration) int {
 	if n.now.Sub(j.preempted) >= preemptEvery {
 		j.preempted = n.now
-		j.coming = n.preempt(j, r.all, fetch)
+		j.coming = n.preempt(j, fetch)
 	}
 	return min(j.coming, j.pending())
 }
@@ -423,57 +350,6 @@
 	return 0
 }
 
-// preempt stops tasks of lower urgency so that the waiting tasks of j find room
-// where the image takes no longer than fetch, the least work lost first. It says
-// for how many tasks room is coming, by these stops and by earlier ones.
-func (n *Node) preempt(j *job, ms []*machine, fetch time.Duration) int {
-	need := j.pending()
-	if !n.withinLimit(j) {
-		return 0
-	}
-	free := map[*machine]Resources{}
-	var on []*machine
-	for _, m := range ms {
-		if !j.allows(m.flavour, m.zone, m.spot) || !j.zoneOK(m.zone) || n.fetchTime(m, j) > fetch {
-			continue
-		}
-		f := m.size.Plus(m.used, -1)
-		for k, t := range m.attempts {
-			if t.stop == stopPreempt && n.now.Sub(t.stopped) < stopPatience {
-				f = f.Plus(n.owner.jobs[k.job].Need, 1)
-			}
-		}
-		on = append(on, m)
-		free[m] = f
-		need -= f.Times(j.Need)
-	}
-	if need <= 0 {
-		return j.pending()
-	}
-	type choice struct {
-		m    *machine
-		ts   []*task
-		loss time.Duration
-	}
-	var cs []choice
-	for _, m := range on {
-		if ts, loss, ok := n.victims(j, m, free[m]); ok && loss <= n.expects(j) {
-			cs = append(cs, choice{m, ts, loss})
-		}
-	}
-	slices.SortStableFunc(cs, func(a, b choice) int { return cmp.Compare(a.loss, b.loss) })
-	for _, c := range cs[:min(len(cs), need)] {
-		for _, t := range c.ts {
-			t.stop, t.stopped = stopPreempt, n.now
-			t.preempted++
-		}
-		n.mark(c.m)
-		need--
-		n.debug("preempt", "for", j.ID, "machine", c.m.id, "stopped", len(c.ts), "loss", c.loss)
-	}
-	return j.pending() - max(need, 0)
-}
-
 // victims picks the tasks on m whose stop makes room for one of j's.
 func (n *Node) victims(j *job, m *machine, free Resources) ([]*task, time.Duration, bool) {
 	type victim struct {
@@ -540,8 +416,8 @@
 	for _, z := range zones {
 		in := *r
 		if z != "" {
-			in.open = slices.DeleteFunc(slices.Clone(r.open), func(m *machine) bool { return m.zone != z })
-			in.full = map[shape]bool{}
+			in.open = slices.DeleteFunc(slices.Clone(r.open), func(s *spot) bool { return s.m.zone != z })
+			in.full, in.lots = map[shape]bool{}, map[lotKey]*lot{}
 		}
 		if n.fitsAll(j, in.open) {
 			n.placeJob(j, &in, forever, j.pending())
@@ -551,7 +427,7 @@
 }
 
 // fitsAll says whether all waiting tasks of j find room at once.
-func (n *Node) fitsAll(j *job, ms []*machine) bool {
+func (n *Node) fitsAll(j *job, open []*spot) bool {
 	if t := n.team(j.Team); t != nil {
 		u := n.owner.used[j.Team].Plus(j.Need, float64(j.pending()))
 		if t.Limit.CPU > 0 && u.CPU > t.Limit.CPU+slack || t.Limit.GPU > 0 && u.GPU > t.Limit.GPU+slack {
@@ -565,7 +441,8 @@
 	}
 	room := 0
 	zones := map[string]int{}
-	for _, m := range ms {
+	for _, s := range open {
+		m := s.m
 		if !j.allows(m.flavour, m.zone, m.spot) {
 			continue
 		}
@@ -579,136 +456,6 @@
 	return room >= j.pending()
 }
 
-// place is a machine on which a task of a job may go, and how well it suits;
-// less is better.
-type place struct {
-	m     *machine
-	i     int
-	score float64
-}
-
-type places []place
-
-func (p places) Len() int { return len(p) }
-func (p places) Less(a, b int) bool {
-	return p[a].score < p[b].score || p[a].score == p[b].score && p[a].i < p[b].i
-}
-func (p places) Swap(a, b int) { p[a], p[b] = p[b], p[a] }
-func (p *places) Push(x any)   { *p = append(*p, x.(place)) }
-func (p *places) Pop() any {
-	o := *p
-	x := o[len(o)-1]
-	*p = o[:len(o)-1]
-	return x
-}
-
-// placeJob places up to count waiting tasks on machines that need no longer than
-// fetch to have the image. All machines are rated once for the job; a placement
-// changes the rating of one of them.
-func (n *Node) placeJob(j *job, r *round, fetch time.Duration, count int) {
-	if count <= 0 || j.pending() == 0 || !n.withinLimit(j) {
-		return
-	}
-	like := j.shape()
-	if r.full[like] {
-		return
-	}
-	sc := n.scarceFor(r, j)
-	var ps places
-	for i, m := range r.open {
-		if s, ok := n.rate(j, m, r, sc, fetch); ok {
-			ps = append(ps, place{m, i, s})
-		}
-	}
-	heap.Init(&ps)
-	var g *group
-	id := n.now.UnixMilli()
-	var shunned []place
-	for ; count > 0 && j.pending() > 0 && n.withinLimit(j); count-- {
-		i := j.nextPending(n.now)
-		if i < 0 {
-			return
-		}
-		t := &j.tasks[i]
-		for len(ps) > 0 && t.shuns(ps[0].m.id) {
-			shunned = append(shunned, heap.Pop(&ps).(place))
-		}
-		if len(ps) == 0 {
-			j.again = append([]int{i}, j.again...)
-			if fetch == forever && len(shunned) == 0 && !j.SamePlace && !j.Apart {
-				r.full[like] = true
-			}
-			return
-		}
-		m := ps[0].m
-		if g == nil {
-			g = j.groups[id]
-			if g == nil {
-				g = &group{start: n.now}
-				j.groups[id] = g
-			}
-		}
-		g.tasks = append(g.tasks, i)
-		t.try++
-		t.group = id
-		t.sent, t.seen, t.inherited = false, false, false
-		n.attach(j, i, m)
-		m.image(j, n.now, false)
-		j.touch(i, n.now, true)
-		n.debug("placed", "job", j.ID, "task", i, "try", t.try, "machine", m.id)
-		if j.SamePlace || j.Apart {
-			// Where the next may go depends on the zone of this one.
-			ps = slices.DeleteFunc(ps, func(p place) bool { return !j.zoneOK(p.m.zone) })
-			heap.Init(&ps)
-		}
-		for k := range ps {
-			if ps[k].m != m {
-				continue
-			}
-			if s, ok := n.rate(j, m, r, sc, fetch); ok {
-				ps[k].score = s
-				heap.Fix(&ps, k)
-			} else {
-				heap.Remove(&ps, k)
-			}
-			break
-		}
-		for _, p := range shunned {
-			heap.Push(&ps, p)
-		}
-		shunned = shunned[:0]
-	}
-}
-
-// rate says how well a machine suits a task of j: best where the image is, then
-// where it is coming, then the fullest, so that machines go empty.
-func (n *Node) rate(j *job, m *machine, r *round, sc map[string]scarcity, fetch time.Duration) (float64, bool) {
-	free := m.size.Plus(m.used, -1)
-	if !j.Need.Fits(free) || !j.allows(m.flavour, m.zone, m.spot) || !j.zoneOK(m.zone) {
-		return 0, false
-	}
-	bounded := n.waitBound(j.Workload) > 0
-	if m.retiring && !bounded || sc[m.flavour] == scarceNow {
-		return 0, false
-	}
-	pull := n.fetchTime(m, j)
-	if pull > fetch {
-		return 0, false
-	}
-	s := pull.Seconds()
-	if !bounded && r.warmed(m) {
-		s += keepPenalty.Seconds()
-	}
-	if m.speedN >= slowSeen && m.speed > slowMachine {
-		s += n.expects(j).Seconds() * (m.speed - 1)
-	}
-	if sc[m.flavour] == scarceSoon {
-		s += scarcePenalty.Seconds()
-	}
-	s += dearPenalty.Seconds() * (n.unitPrice(m)/r.cheapest - 1)
-	return s + (free.CPU-j.Need.CPU)/max(m.size.CPU, 1), true
-}
-
 // cheapest is the lowest price of a processor among all kinds.
 func (n *Node) cheapest() float64 {
 	low := 0.0
--- /dev/null
+++ b/internal/core/round.go
@@ -0,0 +1,458 @@
+package core
+
+import (
+	"cmp"
+	"slices"
+	"strings"
+	"time"
+)
+
+// round.go places what waits. A round looks at a machine some few times for each
+// kind of task and image, not once for each job: in a large pool that has fallen
+// behind hundreds of jobs wait, and reports and renewals wait for the round.
+
+// round is what a look at the waiting jobs finds out once for all of them.
+type round struct {
+	// open are the usable machines with any room.
+	open     []*spot
+	cheapest float64
+	// warm are the images of workloads whose wait is bounded.
+	warm   map[string]bool
+	scarce map[string]map[string]scarcity
+	// full are the kinds of tasks for which no room was found anywhere. Of a
+	// long queue of alike jobs only the first looks at every machine.
+	full map[shape]bool
+	lots map[lotKey]*lot
+}
+
+// spot is a machine with room, and what of its rating is the same for all jobs.
+type spot struct {
+	m *machine
+	i int
+	// dear is what keeps work off a dear machine, warmed that it holds an image of
+	// work whose wait is bounded, pull what it fetches a second, and fetching how
+	// many images are on their way.
+	dear     float64
+	warmed   bool
+	pull     float64
+	fetching int
+}
+
+// shape is what of a task decides where it may go.
+type shape struct {
+	workload string
+	need     Resources
+	flavours string
+	zone     string
+	spot     bool
+}
+
+func (j *job) shape() shape {
+	s := shape{workload: j.Workload, need: j.Need, zone: j.Zone, spot: j.Spot}
+	if len(j.Flavours) > 0 {
+		s.flavours = strings.Join(j.Flavours, " ")
+	}
+	return s
+}
+
+func (n *Node) newRound() *round {
+	r := &round{cheapest: n.cheapest(), warm: map[string]bool{}, scarce: map[string]map[string]scarcity{}, full: map[shape]bool{}, lots: map[lotKey]*lot{}}
+	for _, w := range n.owner.workloads {
+		if n.waitBound(w.spec.Workload) > 0 && n.now.Sub(w.last) < workloadMemory {
+			for _, a := range n.owner.arrivals[w.spec.Workload] {
+				r.warm[a.spec.Image] = true
+			}
+		}
+	}
+	dear := map[kind]float64{}
+	for _, m := range n.owner.byID {
+		free := m.size.Plus(m.used, -1)
+		if free.CPU <= slack || free.Memory <= slack || !n.usable(m) {
+			continue
+		}
+		s := &spot{m: m, i: len(r.open), pull: n.types[m.flavour].PullRate}
+		if s.pull <= 0 {
+			s.pull = 1
+		}
+		k := kind{m.flavour, m.zone, m.spot}
+		d, ok := dear[k]
+		if !ok {
+			d = dearPenalty.Seconds() * (n.unitPrice(m)/r.cheapest - 1)
+			dear[k] = d
+		}
+		s.dear = d
+		s.look(r)
+		r.open = append(r.open, s)
+	}
+	return r
+}
+
+// look takes in which images the machine has.
+func (s *spot) look(r *round) {
+	s.warmed, s.fetching = false, 0
+	for name, im := range s.m.images {
+		switch {
+		case !im.cached:
+			s.fetching++
+		case r.warm[name]:
+			s.warmed = true
+		}
+	}
+}
+
+// fetch is how long the machine needs to have the job's image, in seconds.
+func (s *spot) fetch(j *job) float64 {
+	if j.Image == "" || j.ImageGB <= 0 {
+		return 0
+	}
+	im := s.m.images[j.Image]
+	switch {
+	case im == nil:
+		return float64(1+s.fetching) * j.ImageGB / s.pull
+	case im.cached:
+		return 0
+	}
+	return j.ImageGB / s.pull / 2
+}
+
+func (n *Node) scarceFor(r *round, j *job) map[string]scarcity {
+	s, ok := r.scarce[j.Workload]
+	if !ok || len(j.Flavours) > 0 {
+		s = n.scarce(&j.Spec)
+		if len(j.Flavours) == 0 {
+			r.scarce[j.Workload] = s
+		}
+	}
+	return s
+}
+
+// lotKey names tasks that may go to the same machines at the same cost.
+type lotKey struct {
+	shape
+	image string
+	gb    float64
+}
+
+// lot is the machines with room for alike tasks, those with the same time to fetch
+// in one heap, the best first. Ratings may be out of date, since other tasks take
+// room and fetch images too; the first of a heap is rated again when it comes up.
+type lot struct {
+	like    []*fetchers
+	run     float64
+	bounded bool
+	sc      map[string]scarcity
+}
+
+type fetchers struct {
+	fetch float64
+	ps    []place
+}
+
+// place is a machine on which a task of a job may go, and how well it suits;
+// less is better.
+type place struct {
+	s     *spot
+	score float64
+}
+
+func (a *place) before(b *place) bool {
+	return a.score < b.score || a.score == b.score && a.s.i < b.s.i
+}
+
+func (f *fetchers) push(p place) {
+	f.ps = append(f.ps, p)
+	for k := len(f.ps) - 1; k > 0; {
+		up := (k - 1) / 2
+		if !f.ps[k].before(&f.ps[up]) {
+			return
+		}
+		f.ps[k], f.ps[up] = f.ps[up], f.ps[k]
+		k = up
+	}
+}
+
+func (f *fetchers) down() {
+	for k := 0; ; {
+		c := 2*k + 1
+		if c >= len(f.ps) {
+			return
+		}
+		if c+1 < len(f.ps) && f.ps[c+1].before(&f.ps[c]) {
+			c++
+		}
+		if !f.ps[c].before(&f.ps[k]) {
+			return
+		}
+		f.ps[k], f.ps[c] = f.ps[c], f.ps[k]
+		k = c
+	}
+}
+
+func (f *fetchers) pop() place {
+	p := f.ps[0]
+	last := len(f.ps) - 1
+	f.ps[0] = f.ps[last]
+	f.ps = f.ps[:last]
+	f.down()
+	return p
+}
+
+func (l *lot) push(fetch float64, p place) {
+	for _, f := range l.like {
+		if f.fetch == fetch {
+			f.push(p)
+			return
+		}
+	}
+	l.like = append(l.like, &fetchers{fetch: fetch, ps: []place{p}})
+}
+
+// lotFor is the machines for a job's tasks. Where it matters in which zone its
+// other tasks are, it is the job's own.
+func (n *Node) lotFor(r *round, j *job) *lot {
+	key := lotKey{j.shape(), j.Image, j.ImageGB}
+	own := j.SamePlace || j.Apart
+	if l := r.lots[key]; l != nil && !own {
+		return l
+	}
+	l := &lot{run: n.expects(j).Seconds(), bounded: n.waitBound(j.Workload) > 0, sc: n.scarceFor(r, j)}
+	for _, s := range r.open {
+		if score, ok := l.rate(j, s); ok {
+			l.push(s.fetch(j), place{s, score})
+		}
+	}
+	if !own {
+		r.lots[key] = l
+	}
+	return l
+}
+
+// rate says how well a machine suits a task of j, the fetch apart: the fullest
+// best, so that machines go empty.
+func (l *lot) rate(j *job, s *spot) (float64, bool) {
+	m := s.m
+	free := m.size.Plus(m.used, -1)
+	if !j.Need.Fits(free) || !j.allows(m.flavour, m.zone, m.spot) || !j.zoneOK(m.zone) {
+		return 0, false
+	}
+	sc := plenty
+	if len(l.sc) > 0 {
+		sc = l.sc[m.flavour]
+	}
+	if m.retiring && !l.bounded || sc == scarceNow {
+		return 0, false
+	}
+	score := s.dear
+	if !l.bounded && s.warmed {
+		score += keepPenalty.Seconds()
+	}
+	if m.speedN >= slowSeen && m.speed > slowMachine {
+		score += l.run * (m.speed - 1)
+	}
+	if sc == scarceSoon {
+		score += scarcePenalty.Seconds()
+	}
+	return score + (free.CPU-j.Need.CPU)/max(m.size.CPU, 1), true
+}
+
+// first is the best machine that needs no longer than most seconds to fetch.
+func (l *lot) first(j *job, most float64) (*fetchers, bool) {
+	var best *fetchers
+	for k := 0; k < len(l.like); k++ {
+		f := l.like[k]
+		if f.fetch > most {
+			continue
+		}
+		for len(f.ps) > 0 {
+			p := &f.ps[0]
+			score, ok := l.rate(j, p.s)
+			if fetch := p.s.fetch(j); ok && fetch == f.fetch && score <= p.score {
+				break
+			} else if !ok {
+				f.pop()
+			} else if fetch != f.fetch {
+				f.pop()
+				l.push(fetch, place{p.s, score})
+			} else {
+				p.score = score
+				f.down()
+			}
+		}
+		if len(f.ps) > 0 && (best == nil || f.fetch+f.ps[0].score < best.fetch+best.ps[0].score ||
+			f.fetch+f.ps[0].score == best.fetch+best.ps[0].score && f.ps[0].s.i < best.ps[0].s.i) {
+			best = f
+		}
+	}
+	return best, best != nil
+}
+
+// placeJob places up to count waiting tasks on machines that need no longer than
+// fetch to have the image.
+func (n *Node) placeJob(j *job, r *round, fetch time.Duration, count int) {
+	if count <= 0 || j.pending() == 0 || !n.withinLimit(j) {
+		return
+	}
+	like := j.shape()
+	if r.full[like] {
+		return
+	}
+	l := n.lotFor(r, j)
+	most := fetch.Seconds()
+	var g *group
+	id := n.now.UnixMilli()
+	for ; count > 0 && j.pending() > 0 && n.withinLimit(j); count-- {
+		i := j.nextPending(n.now)
+		if i < 0 {
+			return
+		}
+		t := &j.tasks[i]
+		var shunned []place
+		f, ok := l.first(j, most)
+		for ok && t.shuns(f.ps[0].s.m.id) {
+			shunned = append(shunned, f.pop())
+			f, ok = l.first(j, most)
+		}
+		if !ok {
+			for _, p := range shunned {
+				l.push(p.s.fetch(j), p)
+			}
+			j.again = append([]int{i}, j.again...)
+			if fetch == forever && len(shunned) == 0 && !j.SamePlace && !j.Apart {
+				r.full[like] = true
+			}
+			return
+		}
+		s := f.ps[0].s
+		m := s.m
+		if g == nil {
+			g = j.groups[id]
+			if g == nil {
+				g = &group{start: n.now}
+				j.groups[id] = g
+			}
+		}
+		g.tasks = append(g.tasks, i)
+		t.try++
+		t.group = id
+		t.sent, t.seen, t.inherited = false, false, false
+		n.attach(j, i, m)
+		m.image(j, n.now, false)
+		s.look(r)
+		j.touch(i, n.now, true)
+		n.debug("placed", "job", j.ID, "task", i, "try", t.try, "machine", m.id)
+		for _, p := range shunned {
+			l.push(p.s.fetch(j), p)
+		}
+	}
+}
+
+// prey is where work of some kind may take the place of lower work: machines with
+// room at once, and those where something may be stopped, the least work lost
+// first. It is looked for now and then and judged again when it is used: going
+// through all that runs for each job that waits would take longer than the wait.
+type prey struct {
+	at    time.Time
+	rooms []*machine
+	stops []*machine
+}
+
+type preyKey struct {
+	shape
+	urgency Urgency
+}
+
+func (n *Node) preyFor(j *job) *prey {
+	o := n.owner
+	key := preyKey{j.shape(), j.Urgency}
+	p := o.prey[key]
+	if p != nil && n.now.Sub(p.at) < preemptEvery {
+		return p
+	}
+	p = &prey{at: n.now}
+	if o.prey == nil {
+		o.prey = map[preyKey]*prey{}
+	}
+	for k, old := range o.prey {
+		if n.now.Sub(old.at) > workloadMemory {
+			delete(o.prey, k)
+		}
+	}
+	o.prey[key] = p
+	type choice struct {
+		m    *machine
+		loss time.Duration
+	}
+	var cs []choice
+	for _, m := range o.byID {
+		if !j.allows(m.flavour, m.zone, m.spot) || !n.usable(m) {
+			continue
+		}
+		if free := n.freeSoon(m); j.Need.Fits(free) {
+			p.rooms = append(p.rooms, m)
+		} else if _, loss, ok := n.victims(j, m, free); ok {
+			cs = append(cs, choice{m, loss})
+		}
+	}
+	slices.SortStableFunc(cs, func(a, b choice) int { return cmp.Compare(a.loss, b.loss) })
+	for _, c := range cs {
+		p.stops = append(p.stops, c.m)
+	}
+	return p
+}
+
+// freeSoon is the room on m with what stopped tasks are about to leave.
+func (n *Node) freeSoon(m *machine) Resources {
+	f := m.size.Plus(m.used, -1)
+	for k, t := range m.attempts {
+		if t.stop == stopPreempt && n.now.Sub(t.stopped) < stopPatience {
+			f = f.Plus(n.owner.jobs[k.job].Need, 1)
+		}
+	}
+	return f
+}
+
+// preempt stops tasks of lower urgency so that the waiting tasks of j find room
+// where the image takes no longer than fetch, the least work lost first. It says
+// for how many tasks room is coming, by these stops and by earlier ones.
+func (n *Node) preempt(j *job, fetch time.Duration) int {
+	need := j.pending()
+	if !n.withinLimit(j) {
+		return 0
+	}
+	p := n.preyFor(j)
+	suits := func(m *machine) bool {
+		return !m.forgotten && n.usable(m) && j.zoneOK(m.zone) && n.fetchTime(m, j) <= fetch
+	}
+	for _, m := range p.rooms {
+		if need > 0 && suits(m) {
+			need -= n.freeSoon(m).Times(j.Need)
+		}
+	}
+	most := n.expects(j)
+	for _, m := range p.stops {
+		if need <= 0 {
+			break
+		}
+		if !suits(m) {
+			continue
+		}
+		free := n.freeSoon(m)
+		if k := free.Times(j.Need); k > 0 {
+			// Stopped for another job a moment ago, or something has ended.
+			need -= k
+			continue
+		}
+		ts, loss, ok := n.victims(j, m, free)
+		if !ok || loss > most {
+			continue
+		}
+		for _, t := range ts {
+			t.stop, t.stopped = stopPreempt, n.now
+			t.preempted++
+		}
+		n.mark(m)
+		need--
+		n.debug("preempt", "for", j.ID, "machine", m.id, "stopped", len(ts), "loss", loss)
+	}
+	return j.pending() - max(need, 0)
+}
