--- a/internal/api/api.go
+++ b/internal/api/api.go
@@ -18,7 +18,6 @@
 	"github.com/micahill/micahill/internal/core"
 	"github.com/micahill/micahill/internal/worker"
 	"github.com/vmihailenco/msgpack/v5"
-	"golang.org/x/net/netutil"
 )
 
 const (
@@ -31,9 +30,6 @@
 	headerTimeout = 10 * time.Second
 	idleTimeout   = 90 * time.Second
 	writeTimeout  = 10 * time.Second
-	// userSockets is the part of the sockets that incoming connections may
-	// take; the rest is for workers' orders, the state service and peers.
-	userSockets = 0.8
 	// maxAmount bounds amounts and durations in the settings of a job, so
 	// that adding them up can't overflow.
 	maxAmount = 1e8
@@ -48,7 +44,13 @@
 	Healthy() bool
 }
 
-type handlers struct{ core Core }
+type handlers struct {
+	core  Core
+	conns *conns
+}
+
+// connKey finds a request's connection in its context.
+type connKey struct{}
 
 // Observer is told of every answer.
 type Observer func(route, status string, took time.Duration)
@@ -57,7 +59,7 @@
 // status as JSON and the metrics. Users do not reach it.
 // more adds the routes of what is switched on.
 func Operators(ctx context.Context, ln net.Listener, c Core, metrics http.Handler, more ...func(*echo.Echo)) error {
-	h := &handlers{c}
+	h := &handlers{core: c}
 	e := echo.New()
 	e.HideBanner, e.HidePort = true, true
 	e.GET("/metrics", echo.WrapHandler(metrics))
@@ -65,7 +67,7 @@
 	for _, add := range more {
 		add(e)
 	}
-	return serve(ctx, ln, e)
+	return serve(ctx, ln, e, nil)
 }
 
 func (h *handlers) status(c echo.Context) error {
@@ -78,12 +80,16 @@
 	return c.JSON(http.StatusOK, e)
 }
 
-func serve(ctx context.Context, ln net.Listener, handler http.Handler) error {
+func serve(ctx context.Context, ln net.Listener, handler http.Handler, cs *conns) error {
 	srv := &http.Server{
 		Handler: handler, ReadHeaderTimeout: headerTimeout, ReadTimeout: headerTimeout,
 		WriteTimeout: writeTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: 16 << 10,
 		ErrorLog: slog.NewLogLogger(slog.Default().Handler(), slog.LevelDebug),
 	}
+	if cs != nil {
+		srv.ConnState = cs.state
+		srv.ConnContext = func(ctx context.Context, nc net.Conn) context.Context { return context.WithValue(ctx, connKey{}, nc) }
+	}
 	go func() {
 		<-ctx.Done()
 		srv.Close()
@@ -96,7 +102,7 @@
 
 // Serve listens on addr until the context ends.
 func Serve(ctx context.Context, addr string, sockets int, c Core, observe Observer) error {
-	h := &handlers{c}
+	h := &handlers{core: c, conns: newConns(sockets)}
 	e := echo.New()
 	e.HideBanner, e.HidePort = true, true
 	e.Use(func(next echo.HandlerFunc) echo.HandlerFunc {
@@ -132,7 +138,7 @@
 	if err != nil {
 		return fmt.Errorf("api: %w", err)
 	}
-	return serve(ctx, netutil.LimitListener(ln, max(8, int(float64(sockets)*userSockets))), e)
+	return serve(ctx, &listener{ln, h.conns}, e, h.conns)
 }
 
 func answer(c echo.Context, status int, v any) error {
@@ -229,6 +235,12 @@
 	if err != nil {
 		return err
 	}
+	if nc, ok := c.Request().Context().Value(connKey{}).(net.Conn); ok && h.conns != nil {
+		h.conns.report(nc)
+		if h.conns.short() {
+			c.Response().Header().Set(echo.HeaderConnection, "close")
+		}
+	}
 	var r worker.Report
 	if err := msgpack.Unmarshal(b, &r); err != nil || r.Host == "" {
 		return fail(c, http.StatusBadRequest, "not a report")
--- a/internal/core/effects.go
+++ b/internal/core/effects.go
@@ -57,11 +57,13 @@
 	Truncated bool
 }
 
-// WorkerDone answers a WorkerOp. Report is nil when no answer came.
+// WorkerDone answers a WorkerOp. Report is nil when no answer came. NotSent: it
+// surely did not leave, for want of connections.
 type WorkerDone struct {
-	ID     uint64
-	OK     bool
-	Report *Report
+	ID      uint64
+	OK      bool
+	NotSent bool
+	Report  *Report
 }
 
 // PeerNews is what controllers tell each other. All of it may be lost or late.
--- a/internal/core/machines.go
+++ b/internal/core/machines.go
@@ -616,6 +616,10 @@
 			return
 		}
 		m.inFlight = false
+		if d.NotSent {
+			n.mark(m)
+			return
+		}
 		if d.Report == nil {
 			m.noDirect = true
 			if starts {
@@ -649,6 +653,9 @@
 		m.inFlight = false
 		n.owner.contacts--
 		n.contactHeirs()
+		if d.NotSent {
+			return
+		}
 		if d.Report == nil || d.Report.Machine != m.id {
 			m.unanswered++
 			return
--- a/internal/core/owner.go
+++ b/internal/core/owner.go
@@ -36,6 +36,9 @@
 	placeEvery = 150 * time.Millisecond
 	// raiseEvery bounds how often an owner raises its epoch by itself.
 	raiseEvery = 3 * time.Second
+	// saveEvery separates two looks at what is to be written, which go through all
+	// jobs, but after a round of placing: hundreds of reports come in a second.
+	saveEvery = 20 * time.Millisecond
 )
 
 // owner runs the teams and machines of this controller's share.
@@ -69,6 +72,8 @@
 	placed       time.Time
 	// roundTook is how long the step with the last round of placing took.
 	roundTook time.Duration
+	// saved is when what is to be written was last looked at.
+	saved time.Time
 	// prey is where urgent work may take the place of other work.
 	prey map[preyKey]*prey
 	// view is the leader's knowledge of this owner's machines; wants and gone
@@ -571,11 +576,18 @@
 		o.place, o.hurry, o.placed = false, false, n.now
 		n.placed = true
 		n.placeAll()
+		o.saved = time.Time{}
+	}
+	if n.now.Sub(o.saved) >= saveEvery {
+		o.saved = n.now
+		n.endJobs()
+		n.writeChunks()
 	}
-	n.endJobs()
-	n.writeChunks()
 	n.directAll()
 	o.wake = o.swept.Add(ownerPeriod)
+	if next := o.saved.Add(saveEvery); o.saved != n.now && next.Before(o.wake) {
+		o.wake = next
+	}
 	if next := o.nextRound(); o.place && next.Before(o.wake) {
 		o.wake = next
 	}
--- a/internal/worker/worker.go
+++ b/internal/worker/worker.go
@@ -24,8 +24,11 @@
 	// maxAnswer bounds an answer; the protocol's limit is 64 KiB as JSON.
 	maxAnswer = 256 << 10
 	// idlePart of the sockets may be connections kept for later orders: a new
-	// one for each order costs more than the order.
-	idlePart = 0.2
+	// one for each order costs more than the order. busyPart may be orders under
+	// way; more of them wait for their turn, since a thousand starts may be due at
+	// once, and those to silent hosts hang.
+	idlePart = 0.12
+	busyPart = 0.1
 )
 
 // Piece is one attempt in a report.
@@ -125,7 +128,10 @@
 }
 
 // Client sends orders to workers.
-type Client struct{ http *http.Client }
+type Client struct {
+	http *http.Client
+	busy chan struct{}
+}
 
 // New makes a client that may use some of so many sockets.
 func New(sockets int) *Client {
@@ -136,7 +142,7 @@
 		IdleConnTimeout:     time.Minute,
 		DisableCompression:  true,
 	}
-	return &Client{http: &http.Client{Transport: tr}}
+	return &Client{http: &http.Client{Transport: tr}, busy: make(chan struct{}, max(8, int(float64(sockets)*busyPart)))}
 }
 
 // Do carries out op. Without an answer the orders may still be executed later.
@@ -144,6 +150,13 @@
 	out := core.WorkerDone{ID: op.ID}
 	ctx, cancel := context.WithTimeout(ctx, deadline)
 	defer cancel()
+	select {
+	case c.busy <- struct{}{}:
+		defer func() { <-c.busy }()
+	case <-ctx.Done():
+		out.NotSent = true
+		return out
+	}
 	r, status, err := c.send(ctx, op)
 	if err != nil || r.Host != op.Machine {
 		return out
