--- a/internal/core/lanes.go
+++ b/internal/core/lanes.go
@@ -321,11 +321,13 @@
 }
 
 // take lets up to count tasks start on v, as many as fit there at one time, and
-// says how many and when. Alike tasks that come together count as one.
-func (p *plan) take(a *asked, v *virtual, from time.Time, count int) (int, time.Time) {
+// says how many, when, and how long the fetch of their image is that the first of
+// them counts; for the others the image is taken to be there. Alike tasks that come
+// together count as one.
+func (p *plan) take(a *asked, v *virtual, from time.Time, count int) (int, time.Time, time.Duration) {
 	at, ok := v.earliest(a.need, a.j.Gang)
 	if !ok {
-		return count, from
+		return count, from, 0
 	}
 	at = max(at, from.Sub(p.now))
 	fetch := p.fetch(v, a)
@@ -336,7 +338,13 @@
 	if a.each {
 		count = 1
 	}
-	k := v.take(a.need, at, fetch+a.run, count)
+	k := 0
+	if fetch > 0 {
+		k = v.take(a.need, at, fetch+a.run, 1)
+	}
+	if more := min(count-k, v.free.Times(a.need)); k == 0 || more > 0 {
+		k += v.take(a.need, at, a.run, count-k)
+	}
 	a.zones.take(v.k.zone, k)
-	return k, p.now.Add(at + fetch)
+	return k, p.now.Add(at + fetch), fetch
 }
--- a/internal/core/play.go
+++ b/internal/core/play.go
@@ -108,7 +108,12 @@
 			v, at := p.best(a, from, false)
 			k := left
 			if v != nil {
-				k, at = p.take(a, v, from, left)
+				var fetch time.Duration
+				k, at, fetch = p.take(a, v, from, left)
+				if fetch > 0 && k > 1 {
+					tell(k-1, v, from, at.Add(-fetch))
+					left, k = left-(k-1), 1
+				}
 			}
 			tell(k, v, from, at)
 			left -= k
@@ -174,8 +179,9 @@
 	return now.Add(d.spread * time.Duration(i+1) / time.Duration(d.count+1))
 }
 
-// lumpsMost is in how many lots expected tasks are played at most.
-const lumpsMost = 32
+// lumpsMost is in how many lots expected tasks are played at most. Of fewer and
+// larger lots more machines look needed at a time, and too many dear ones are kept.
+const lumpsMost = 512
 
 // lump is how many tasks of the demand are taken to come together: all that wait,
 // and of those that are expected so many that there are not too many lots.
--- a/internal/core/rent.go
+++ b/internal/core/rent.go
@@ -211,7 +211,7 @@
 				}
 				k := left
 				if v != nil {
-					k, _ = p.take(a, v, from, left)
+					k, _, _ = p.take(a, v, from, left)
 				}
 				left -= k
 				unmet -= float64(k) * d.j.Need.CPU
