What is decided before a stall is judged again when it leaves; gangs want room for all

Need: a controller may stand still between deciding and sending, for longer than its grant. Rentals, returns, direct orders and answers that prolong leases now carry the moment until which the grant surely lived, and the sender looks at the clock once more. The stand-ins can stop a process before a chosen effect.

--- a/internal/api/api.go
+++ b/internal/api/api.go
@@ -186,7 +186,8 @@
 		return busy(c)
 	}
 	r, ok := e.(core.UserReply)
-	if !ok {
+	if !ok || ctx.Err() != nil {
+		// Too late, perhaps after standing still: what it says may be out of date.
 		return busy(c)
 	}
 	if r.RetryAfter > 0 {
--- a/internal/core/effects.go
+++ b/internal/core/effects.go
@@ -240,9 +240,11 @@
 	CloudReturn
 )
 
-// CloudOp asks the cloud.
+// CloudOp asks the cloud. After Until it must not leave any more: a controller may
+// have stood still since it was decided, and others lead by now.
 type CloudOp struct {
 	ID       uint64
+	Until    time.Time
 	Kind     CloudKind
 	Booking  string
 	Flavour  string
@@ -255,7 +257,9 @@
 
 // WorkerOp sends orders to a worker, or asks for its status when Ask is set.
 type WorkerOp struct {
-	ID      uint64
+	ID uint64
+	// Until: as in CloudOp.
+	Until   time.Time
 	Machine string
 	Addr    string
 	Ask     bool
@@ -280,7 +284,9 @@
 
 // ReportReply answers a worker's report.
 type ReportReply struct {
-	Reply   uint64
+	Reply uint64
+	// Until: as in CloudOp.
+	Until   time.Time
 	Status  int
 	Steward string
 	Epoch   uint64
--- a/internal/core/fleet.go
+++ b/internal/core/fleet.go
@@ -775,7 +775,7 @@
 		}
 	}
 	gen := l.gen
-	n.askCloud(CloudOp{Kind: CloudReturn, Machines: ids}, func(d CloudDone) {
+	n.askCloud(CloudOp{Kind: CloudReturn, Until: n.sess.sureUntil, Machines: ids}, func(d CloudDone) {
 		if n.leader == nil || n.leader.gen != gen {
 			return
 		}
@@ -844,7 +844,7 @@
 		l.renting[a] += count
 	}
 	gen := l.gen
-	n.askCloud(CloudOp{Kind: CloudRent, Booking: booking, Flavour: k.flavour, Zone: k.zone, Spot: k.spot, Count: count}, func(d CloudDone) {
+	n.askCloud(CloudOp{Kind: CloudRent, Until: n.sess.sureUntil, Booking: booking, Flavour: k.flavour, Zone: k.zone, Spot: k.spot, Count: count}, func(d CloudDone) {
 		l := n.leader
 		if l == nil || l.gen != gen {
 			return
--- a/internal/core/fleet_test.go
+++ b/internal/core/fleet_test.go
@@ -123,3 +123,28 @@
 		t.Error("healthy on old news")
 	}
 }
+
+// TestGangWantsRoomForAll guards against a gang of which some tasks are placed and
+// the others find only room that placing refuses: the first wait for them, are
+// stopped after a while, and it all begins again.
+func TestGangWantsRoomForAll(t *testing.T) {
+	n := largePool(0)
+	for i := range 3 {
+		r := n.poolReport(1)
+		r.Machine = fmt.Sprintf("vm-%06d", i)
+		n.hear(n.machine(r.Machine), r, true)
+	}
+	j := newJob(Spec{ID: "job-g", Workload: "batch", Team: "ops", Gang: true, Urgency: Normal, Tasks: 6, Spot: true,
+		Need: Resources{CPU: 2, Memory: 2}, Expected: 20 * time.Second}, n.now, 1, 4096)
+	n.owner.jobs[j.ID] = j
+	n.owner.byID[0].retiring = true
+	n.placeAll()
+	if j.live != 0 {
+		t.Fatalf("%d of 6 tasks are placed while a machine is being let go", j.live)
+	}
+	n.owner.byID[0].retiring = false
+	n.placeAll()
+	if j.live != 6 {
+		t.Errorf("%d of 6 tasks are placed on room for all", j.live)
+	}
+}
--- /dev/null
+++ b/internal/core/late.go
@@ -0,0 +1,24 @@
+package core
+
+import "time"
+
+// A controller may stand still between deciding and sending, for longer than its
+// grant lives, and go on in the middle. Starts are guarded by the conditions of
+// their records and by the epoch; rentals, returns and answers that prolong leases
+// are not, so each carries the moment until which the grant it rests on surely
+// lived, and whoever sends it looks at the clock once more.
+
+// Late says whether an effect must not leave any more, and what its sender hears
+// instead: an answer for the core, or another answer for the worker that waits.
+func Late(e Effect, now time.Time) (back Command, instead Effect, late bool) {
+	passed := func(t time.Time) bool { return !t.IsZero() && now.After(t) }
+	switch e := e.(type) {
+	case CloudOp:
+		return CloudDone{ID: e.ID, Status: CloudRefused}, nil, passed(e.Until)
+	case WorkerOp:
+		return WorkerDone{ID: e.ID, NotSent: true}, nil, passed(e.Until)
+	case ReportReply:
+		return nil, ReportReply{Reply: e.Reply, Status: 503}, passed(e.Until)
+	}
+	return nil, nil, false
+}
--- a/internal/core/machines.go
+++ b/internal/core/machines.go
@@ -222,7 +222,7 @@
 			m.replyTick = r.Tick
 		}
 	}
-	n.emit(ReportReply{Reply: c.Reply, Status: 200, Epoch: o.epoch, Orders: orders})
+	n.emit(ReportReply{Reply: c.Reply, Until: s.sureUntil.Add(n.grace()), Status: 200, Epoch: o.epoch, Orders: orders})
 }
 
 // hear takes in what a worker says, unless something newer was heard.
@@ -611,7 +611,7 @@
 	starts := slices.ContainsFunc(orders, func(o Order) bool { return o.Verb == Start })
 	m.inFlight = true
 	epoch, gen := o.epoch, o.gen
-	n.call(WorkerOp{Machine: m.id, Addr: m.addr, Epoch: epoch, Tenure: m.tenure, Orders: orders}, func(d WorkerDone) {
+	n.call(WorkerOp{Machine: m.id, Addr: m.addr, Until: n.sess.sureUntil, Epoch: epoch, Tenure: m.tenure, Orders: orders}, func(d WorkerDone) {
 		if n.owner == nil || n.owner.gen != gen {
 			return
 		}
--- a/internal/core/place.go
+++ b/internal/core/place.go
@@ -419,15 +419,18 @@
 			in.open = slices.DeleteFunc(slices.Clone(r.open), func(s *spot) bool { return s.m.zone != z })
 			in.full, in.lots = map[shape]bool{}, map[lotKey]*lot{}
 		}
-		if n.fitsAll(j, in.open) {
+		if n.fitsAll(j, &in) {
 			n.placeJob(j, &in, forever, j.pending())
 			return
 		}
 	}
 }
 
-// fitsAll says whether all waiting tasks of j find room at once.
-func (n *Node) fitsAll(j *job, open []*spot) bool {
+// fitsAll says whether all waiting tasks of j find room at once, where they would
+// be placed: room that placing then refuses, such as on a machine being let go,
+// would have some of them start and wait in vain for the others, in turns and
+// without end.
+func (n *Node) fitsAll(j *job, r *round) bool {
 	if t := n.team(j.Team); t != nil {
 		u := n.owner.used[j.Team].Plus(j.Need, float64(j.pending()))
 		if t.Limit.CPU > 0 && u.CPU > t.Limit.CPU+slack || t.Limit.GPU > 0 && u.GPU > t.Limit.GPU+slack {
@@ -441,9 +444,10 @@
 	}
 	room := 0
 	zones := map[string]int{}
-	for _, s := range open {
+	l := n.lotFor(r, j)
+	for _, s := range r.open {
 		m := s.m
-		if !j.allows(m.flavour, m.zone, m.spot) {
+		if _, ok := l.rate(j, s); !ok {
 			continue
 		}
 		k := m.size.Plus(m.used, -1).Times(j.Need)
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -156,6 +156,10 @@
 	case core.UserReply:
 		s.reply(e.Reply, e)
 	case core.ReportReply:
+		if _, instead, late := core.Late(e, time.Now()); late {
+			s.reply(e.Reply, instead)
+			return
+		}
 		s.reply(e.Reply, e)
 	case core.StatusReply:
 		s.reply(e.Reply, e)
@@ -166,9 +170,21 @@
 	case core.StateOp:
 		go func() { s.Post(s.out.State(ctx, e)) }()
 	case core.CloudOp:
-		go func() { s.Post(s.out.Cloud(ctx, e)) }()
+		go func() {
+			if back, _, late := core.Late(e, time.Now()); late {
+				s.Post(back)
+				return
+			}
+			s.Post(s.out.Cloud(ctx, e))
+		}()
 	case core.WorkerOp:
-		go func() { s.Post(s.out.Worker(ctx, e)) }()
+		go func() {
+			if back, _, late := core.Late(e, time.Now()); late {
+				s.Post(back)
+				return
+			}
+			s.Post(s.out.Worker(ctx, e))
+		}()
 	case core.PeerSend:
 		s.out.Peer(e.To, e.News)
 	case core.Role:
--- a/internal/standin/world.go
+++ b/internal/standin/world.go
@@ -60,6 +60,9 @@
 	// learn, when set, is where workers fetch the description of a job that nobody
 	// told them of.
 	learn func(id string) (core.Spec, time.Duration, bool)
+	// stills picks the effect before which a process stands still, for stillFor.
+	stills   func(*proc, core.Effect) bool
+	stillFor time.Duration
 	// trace names a job whose debug lines are kept as well.
 	trace string
 }
@@ -109,6 +112,10 @@
 	replies map[uint64]func(core.Effect)
 	next    uint64
 	stateNo bool
+	// stillTill: the process stands still until then; its clock runs on. held is
+	// what it had decided and not sent yet.
+	stillTill time.Time
+	held      []core.Effect
 }
 
 // NewWorld makes a world with n controllers, which start at once.
@@ -267,6 +274,7 @@
 	}
 	p.node = core.New(set, rand.New(rand.NewPCG(uint64(p.index)+7, uint64(p.life))))
 	p.queue, p.queued, p.wake = nil, false, time.Time{}
+	p.stillTill, p.held = time.Time{}, nil
 	p.replies = map[uint64]func(core.Effect){}
 	p.poke()
 }
@@ -303,7 +311,7 @@
 	}
 	p.queued = true
 	life := p.life
-	p.w.after(time.Millisecond, func() {
+	p.w.after(max(time.Millisecond, p.stillTill.Sub(p.w.now)), func() {
 		if p.life != life {
 			return
 		}
@@ -312,7 +320,54 @@
 	})
 }
 
+// Still lets a process stand still for d.
+func (w *World) Still(i int, d time.Duration) {
+	p := w.nodes[i]
+	p.stillTill = w.now.Add(d)
+	w.thaw(p)
+}
+
+// StillIn lets the first process that is about to send such an effect stand still
+// for d before it does: it has decided, and acts on that only when it goes on.
+func (w *World) StillIn(d time.Duration, is func(core.Effect) bool, who func(*proc) bool) {
+	w.stillFor = d
+	w.stills = func(p *proc, e core.Effect) bool { return who(p) && is(e) }
+}
+
+// thaw lets a process go on when its time has come.
+func (w *World) thaw(p *proc) {
+	life := p.life
+	w.after(p.stillTill.Sub(w.now), func() {
+		if p.life != life {
+			return
+		}
+		held := p.held
+		p.held = nil
+		for _, e := range held {
+			p.send(e)
+		}
+		p.poke()
+	})
+}
+
+// send carries an effect out, unless it has become late.
+func (p *proc) send(e core.Effect) {
+	if back, instead, late := core.Late(e, p.w.now); late {
+		if back != nil {
+			p.push(back)
+		} else {
+			p.do(instead)
+		}
+		return
+	}
+	p.do(e)
+}
+
 func (p *proc) step() {
+	if p.w.now.Before(p.stillTill) {
+		p.poke()
+		return
+	}
 	q := p.queue
 	p.queue = nil
 	began := time.Now()
@@ -324,7 +379,16 @@
 				continue
 			}
 		}
-		p.do(e)
+		if p.w.stills != nil && p.w.stills(p, e) {
+			p.w.stills = nil
+			p.stillTill = p.w.now.Add(p.w.stillFor)
+			p.w.thaw(p)
+		}
+		if p.w.now.Before(p.stillTill) {
+			p.held = append(p.held, e)
+			continue
+		}
+		p.send(e)
 	}
 	d := p.node.Deadline()
 	if d.IsZero() || p.queued {
