Scenarios: standing still in the middle of each kind of work; troubles on top of one another

The world now says when anybody but the leader rents or returns. Conditions of the stall, of deafness and of gangs join the list.

--- a/internal/standin/scenario_test.go
+++ b/internal/standin/scenario_test.go
@@ -70,6 +70,18 @@
 	s.w.Submit(spec, run, d.HasArg("broken"))
 }
 
+// moments are what a process may be about to send when it stands still.
+var moments = map[string]func(core.Effect) bool{
+	"renew":  func(e core.Effect) bool { op, ok := e.(core.StateOp); return ok && op.Kind == core.OpGrantRenew },
+	"submit": func(e core.Effect) bool { op, ok := e.(core.StateOp); return ok && op.Kind == core.OpTxn && op.Prio == core.PrioUser },
+	"start":  func(e core.Effect) bool { op, ok := e.(core.StateOp); return ok && op.Kind == core.OpTxn && op.Prio == core.PrioStart },
+	"rent":   func(e core.Effect) bool { op, ok := e.(core.CloudOp); return ok && op.Kind == core.CloudRent },
+	"return": func(e core.Effect) bool { op, ok := e.(core.CloudOp); return ok && op.Kind == core.CloudReturn },
+	"orders": func(e core.Effect) bool { op, ok := e.(core.WorkerOp); return ok && len(op.Orders) > 0 },
+	"report": func(e core.Effect) bool { r, ok := e.(core.ReportReply); return ok && r.Status == 200 },
+	"poll":   func(e core.Effect) bool { r, ok := e.(core.UserReply); return ok && r.Status == 200 },
+}
+
 // busiest is the nth machine with the most tasks on it.
 func (s *scenario) busiest() *Worker {
 	var best *Worker
@@ -113,6 +125,14 @@
 	}
 	switch what := d.CmdArgs[0].Key; what {
 	case "crash":
+		if d.HasArg("others") {
+			for i := range w.nodes {
+				if i != s.owner() {
+					w.Crash(i, seconds(t, d, "back", 5))
+				}
+			}
+			break
+		}
 		if d.HasArg("all") {
 			for i := range w.nodes {
 				w.Crash(i, seconds(t, d, "back", 5))
@@ -126,11 +146,26 @@
 		p := w.nodes[node()]
 		p.stateNo = true
 		w.after(dur, func() { p.stateNo = false })
+	case "still":
+		// In the middle of something, or at once; the owner, or whoever comes first.
+		who := func(p *proc) bool { return !d.HasArg("owner") || p.node.IsOwner() }
+		is, ok := moments[arg(t, d, "in", "")]
+		if !ok {
+			w.Still(node(), dur)
+			break
+		}
+		w.StillIn(dur, is, who)
 	case "outage":
 		w.Outage(dur)
 	case "cloud":
 		w.cloudOut = true
 		w.after(dur, func() { w.cloudOut = false })
+	case "half":
+		for i, id := range sorted(w.machine) {
+			if i%2 == 0 && w.machine[id].up(w.now) {
+				w.Cut(id, "*", dur, d.HasArg("hold"))
+			}
+		}
 	case "die":
 		w.kill(s.busiest())
 	case "hang":
@@ -186,6 +221,9 @@
 				s.submit(t, d)
 			case "many":
 				for i := range arg(t, d, "jobs", 10) {
+					if s.w.jobs[fmt.Sprintf("job-m%03d", i)] != nil {
+						continue
+					}
 					s.w.Submit(core.Spec{ID: fmt.Sprintf("job-m%03d", i), Workload: "batch", Team: "ops", Urgency: core.Normal, Tasks: 1 + i%4,
 						Need: core.Resources{CPU: 2, Memory: 2}, Image: "img-1", ImageGB: 1, Spot: i%2 == 0, Expected: 15 * time.Second}, 15*time.Second, false)
 				}
--- a/internal/standin/world.go
+++ b/internal/standin/world.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/micahill/micahill/internal/core"
+	"github.com/vmihailenco/msgpack/v5"
 )
 
 // tick is the step of workers, grants and checks.
@@ -257,6 +258,21 @@
 // late is how much later than usual a message comes that was held somewhere.
 func (w *World) late() time.Duration { return time.Duration(5+w.rng.IntN(100)) * time.Second }
 
+// checkLead: nobody rents or returns but the leader. What a deposed one would send
+// has no conditions that could stop it.
+func (p *proc) checkLead(e core.CloudOp) {
+	row := p.w.state.rows["ctl/lead"]
+	if row == nil || e.Kind != core.CloudRent && e.Kind != core.CloudReturn {
+		return
+	}
+	var lead struct {
+		Host string `msgpack:"host"`
+	}
+	if msgpack.Unmarshal(row.value, &lead) == nil && lead.Host != p.name {
+		p.w.broke("deposed", "%s asks the cloud for %v while %s leads", p.name, e.Kind, lead.Host)
+	}
+}
+
 // boot starts a controller's process anew.
 func (p *proc) boot() {
 	p.life++
@@ -449,6 +465,7 @@
 			})
 		}, core.StateDone{ID: e.ID, Status: core.StateUnknown})
 	case core.CloudOp:
+		p.checkLead(e)
 		p.call("cloud", false, 5*time.Second, func(answer func(core.Command)) { answer(w.cloud(e)) }, core.CloudDone{ID: e.ID, Status: core.CloudUnknown})
 	case core.WorkerOp:
 		m := w.machine[e.Machine]
