Machines that fall silent together: urgent work gets its proof first, the rest in order

Need: hundreds of machines are cut from the network at once and come back; neither to be all returned nor all waited for. Before, they were given back in the order of their names, a hundred a second, idle ones as well. Change: internal/loss picks by urgency and due time, as many as can start elsewhere, idle ones only after a lease; more than half silent are waited for until others could say that they hear them.

--- a/internal/core/fleet.go
+++ b/internal/core/fleet.go
@@ -707,22 +707,15 @@
 func (n *Node) returns(spare map[string]bool) {
 	o := n.owner
 	settled := n.now.Sub(o.since) > settleTime
-	heard, silent := 0, 0
-	for _, m := range o.machines {
-		if m.heard || len(m.attempts) > 0 {
-			heard++
-			if n.silent(m) {
-				silent++
-			}
-		}
+	lost := map[string]bool{}
+	for _, id := range lostMachines(n) {
+		lost[id] = true
 	}
-	// When all fall silent together, the fault is likely ours.
-	ours := silent > 0 && silent == heard && heard > 1
 	cheapest := n.cheapest()
 	for _, m := range o.byID {
 		// One that the leader no longer lists may be gone, or a list was late;
 		// only the answer to a return is proof.
-		if id := m.id; o.view.rentals[id] == nil && len(m.attempts) > 0 && n.silent(m) && settled && !ours && len(o.gone) < returnMost {
+		if id := m.id; o.view.rentals[id] == nil && len(m.attempts) > 0 && lost[id] && settled && len(o.gone) < returnMost {
 			n.returned[id] = true
 			m.returning = true
 			o.gone = append(o.gone, id)
@@ -745,7 +738,7 @@
 		case m == nil:
 		case !m.heard && settled && n.now.Sub(r.since) > bootPatience*n.types[r.flavour].Ready+bootSlack && len(m.attempts) == 0:
 			why = "never came up"
-		case n.silent(m) && settled && !ours:
+		case lost[id] && settled:
 			why = "silent"
 		case m.bad && len(m.attempts) == 0:
 			why = "faulty"
--- /dev/null
+++ b/internal/core/lost.go
@@ -0,0 +1,35 @@
+package core
+
+import "github.com/micahill/micahill/internal/loss"
+
+// startsAhead is for how many seconds' worth of changes tasks of lost machines are
+// set free at a time; most share a change with others.
+const startsAhead = 4
+
+// lostMachines names the silent machines that are to be given back now.
+func lostMachines(n *Node) []string {
+	p := loss.Pool{Lease: n.set.Lease, Starts: int(startsAhead * n.set.StateWrites)}
+	var silent []loss.Machine
+	for _, m := range n.owner.byID {
+		if !m.heard && len(m.attempts) == 0 || m.returning {
+			continue
+		}
+		p.Reporting++
+		if !n.silent(m) {
+			continue
+		}
+		x := loss.Machine{ID: m.id, Tasks: len(m.attempts), Over: n.quietFor(m) - n.silentAfter(m)}
+		for k := range m.attempts {
+			j := n.owner.jobs[k.job]
+			if l := n.latest(j); int(j.Urgency) > x.Urgency || x.Latest.IsZero() || int(j.Urgency) == x.Urgency && l.Before(x.Latest) {
+				x.Urgency, x.Latest = int(j.Urgency), l
+			}
+		}
+		silent = append(silent, x)
+	}
+	if p.Reporting > 1 && len(silent) == p.Reporting {
+		// When all fall silent together, the fault is likely ours.
+		return nil
+	}
+	return loss.GiveBack(p, silent)
+}
--- a/internal/core/machines.go
+++ b/internal/core/machines.go
@@ -789,10 +789,15 @@
 		// Taken, as it was announced.
 		return n.quietFor(m) > n.longestReport()
 	}
+	return n.quietFor(m) > n.silentAfter(m)
+}
+
+// silentAfter is how long nothing must have been heard of a machine.
+func (n *Node) silentAfter(m *machine) time.Duration {
 	limit := time.Duration(probeReports*float64(n.longestReport())) + probesSilent*probeEvery
 	if m.heard && m.unanswered < probesSilent {
 		// Not asked often enough, for want of connections.
 		limit *= 2
 	}
-	return n.quietFor(m) > limit
+	return limit
 }
--- /dev/null
+++ b/internal/loss/loss_test.go
@@ -0,0 +1,63 @@
+package loss
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+var t0 = time.Unix(1_750_000_000, 0)
+
+// TestGiveBack: who is given back when, by how much of the pool is silent.
+func TestGiveBack(t *testing.T) {
+	p := Pool{Reporting: 100, Lease: 30 * time.Second, Starts: 6}
+	one := []Machine{{ID: "a"}, {ID: "b", Tasks: 2}}
+	if got := GiveBack(p, one); !slices.Equal(got, []string{"b", "a"}) {
+		t.Errorf("of a few silent ones %v are given back, want all, those with work first", got)
+	}
+	var many []Machine
+	for i := range 20 {
+		many = append(many, Machine{ID: fmt.Sprint("n", i), Tasks: 2, Urgency: 1, Latest: t0.Add(time.Duration(20-i) * time.Second)})
+	}
+	many = append(many, Machine{ID: "idle"}, Machine{ID: "idle-long", Over: time.Minute}, Machine{ID: "urgent", Tasks: 2, Urgency: 2, Latest: t0.Add(time.Hour)})
+	if got := GiveBack(p, many); !slices.Equal(got, []string{"urgent", "n19", "n18", "idle-long"}) {
+		t.Errorf("of many %v are given back, want the urgent, then the most pressing, as many as can start elsewhere", got)
+	}
+	p.Reporting = 24
+	if got := GiveBack(p, many); !slices.Equal(got, []string{"idle-long"}) {
+		t.Errorf("of more than half of the pool %v are given back before others could say that they hear them", got)
+	}
+}
+
+// TestEverySilentMachineIsGivenBackInTheEnd: whatever is silent, patience ends.
+func TestEverySilentMachineIsGivenBackInTheEnd(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		p := Pool{Reporting: rapid.IntRange(1, 50).Draw(t, "reporting"), Lease: 30 * time.Second, Starts: rapid.IntRange(0, 8).Draw(t, "starts")}
+		var ms []Machine
+		for i := range rapid.IntRange(1, p.Reporting).Draw(t, "silent") {
+			ms = append(ms, Machine{
+				ID: fmt.Sprint(i), Tasks: rapid.IntRange(0, 12).Draw(t, "tasks"), Urgency: rapid.IntRange(0, 3).Draw(t, "urgency"),
+				Latest: t0.Add(time.Duration(rapid.IntRange(0, 100).Draw(t, "latest")) * time.Second),
+			})
+		}
+		for range 200 {
+			gone := GiveBack(p, ms)
+			for k := 1; k < len(gone); k++ {
+				if slices.Index(gone, gone[k-1]) != k-1 {
+					t.Fatalf("%s is given back twice", gone[k-1])
+				}
+			}
+			ms = slices.DeleteFunc(ms, func(m Machine) bool { return slices.Contains(gone, m.ID) })
+			if len(ms) == 0 {
+				return
+			}
+			for i := range ms {
+				ms[i].Over += time.Second
+			}
+		}
+		t.Fatalf("%d are never given back", len(ms))
+	})
+}
--- a/internal/standin/scenario_test.go
+++ b/internal/standin/scenario_test.go
@@ -72,9 +72,15 @@
 
 // moments are what a process may be about to send when it stands still.
 var moments = map[string]func(core.Effect) bool{
-	"renew":  func(e core.Effect) bool { op, ok := e.(core.StateOp); return ok && op.Kind == core.OpGrantRenew },
-	"submit": func(e core.Effect) bool { op, ok := e.(core.StateOp); return ok && op.Kind == core.OpTxn && op.Prio == core.PrioUser },
-	"start":  func(e core.Effect) bool { op, ok := e.(core.StateOp); return ok && op.Kind == core.OpTxn && op.Prio == core.PrioStart },
+	"renew": func(e core.Effect) bool { op, ok := e.(core.StateOp); return ok && op.Kind == core.OpGrantRenew },
+	"submit": func(e core.Effect) bool {
+		op, ok := e.(core.StateOp)
+		return ok && op.Kind == core.OpTxn && op.Prio == core.PrioUser
+	},
+	"start": func(e core.Effect) bool {
+		op, ok := e.(core.StateOp)
+		return ok && op.Kind == core.OpTxn && op.Prio == core.PrioStart
+	},
 	"rent":   func(e core.Effect) bool { op, ok := e.(core.CloudOp); return ok && op.Kind == core.CloudRent },
 	"return": func(e core.Effect) bool { op, ok := e.(core.CloudOp); return ok && op.Kind == core.CloudReturn },
 	"orders": func(e core.Effect) bool { op, ok := e.(core.WorkerOp); return ok && len(op.Orders) > 0 },
