--- a/cmd/micahill/main.go
+++ b/cmd/micahill/main.go
@@ -87,6 +87,9 @@
 			if err := checkOverflow(x.Overflow, c); err != nil {
 				return err
 			}
+			for _, w := range c.Warnings() {
+				fmt.Fprintln(cmd.ErrOrStderr(), "micahill: settings: warning:", w)
+			}
 			fmt.Fprintf(cmd.OutOrStdout(), "%s: controller %s of %d, %d team(s): ok\n", path, c.HostName, len(c.Seeds)+1, len(c.Deployment.Teams))
 			return nil
 		},
@@ -132,6 +135,9 @@
 	if err := checkOverflow(extras.Overflow, c); err != nil {
 		return err
 	}
+	for _, w := range c.Warnings() {
+		slog.Warn("settings", "tight", w)
+	}
 	// One thread at a time runs here anyway; more would only switch.
 	runtime.GOMAXPROCS(1)
 	debug.SetMemoryLimit(int64(c.Deployment.Quota.RAMMB * memoryPart * (1 << 20)))
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -130,6 +130,9 @@
 		}
 		return nil, fmt.Errorf("settings: %w", err)
 	}
+	if wrong, _ := c.limits(); len(wrong) > 0 {
+		return nil, fmt.Errorf("settings: %v", wrong[0])
+	}
 	return &c, nil
 }
 
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -22,6 +22,11 @@
 		{`state = "127.0.0.1:2379"`, `state = "nowhere"`, "outside.state"},
 		{`name = "lab"`, ``, "deployment.teams[0].name"},
 		{`txn_ops = 12`, `txn_ops = 1`, "deployment.state.txn_ops"},
+		{`rps = 100.0`, `rps = 0.0`, "deployment.state.rps"},
+		{`rps = 100.0`, `rps = 2.0`, "deployment.state.rps: 2 is used up by 2 controllers"},
+		{`lease_s = 24.0`, `lease_s = 3.5`, "deployment.workers.lease_s: 3.5 is not longer than the longest pause"},
+		{`value_kb = 4.0`, `value_kb = 0.5`, "deployment.state.value_kb: 0.5 does not hold"},
+		{`sockets = 2000`, `sockets = 4`, "deployment.quota.sockets"},
 	} {
 		bad := strings.Replace(string(good), c.old, c.new, 1)
 		_, err := Parse([]byte(bad))
@@ -30,3 +35,33 @@
 		}
 	}
 }
+
+// TestTightSettingsStart: what is merely tight starts, with a warning that names the
+// field, its value and what would do.
+func TestTightSettingsStart(t *testing.T) {
+	good, err := os.ReadFile("testdata/settings.toml")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if c, err := Parse(good); err != nil || len(c.Warnings()) != 0 {
+		t.Errorf("the example: %v, warnings %v", err, c.Warnings())
+	}
+	for _, c := range []struct{ old, new, says string }{
+		{`lease_s = 24.0`, `lease_s = 5.0`, "deployment.workers.lease_s: 5 leaves no time for a lost report; more than 7.75 would do"},
+		{`cancel_s = 54.0`, `cancel_s = 10.0`, "deployment.workers.cancel_s: 10"},
+		{`rps = 100.0`, `rps = 8.0`, "deployment.state.rps: 8"},
+		{`write_rps = 30.0`, `write_rps = 1.0`, "deployment.state.write_rps: 1"},
+		{`cpu = 0.2`, `cpu = 0.01`, "deployment.quota.cpu: 0.01"},
+		{`ram_mb = 256.0`, `ram_mb = 40.0`, "deployment.quota.ram_mb: 40"},
+		{`sockets = 2000`, `sockets = 20`, "deployment.quota.sockets: 20"},
+	} {
+		tight, err := Parse([]byte(strings.Replace(string(good), c.old, c.new, 1)))
+		if err != nil {
+			t.Errorf("%s: %v, want it to start", c.new, err)
+			continue
+		}
+		if w := tight.Warnings(); len(w) != 1 || !strings.Contains(w[0], c.says) || !strings.Contains(w[0], "would do") {
+			t.Errorf("%s: warnings %q, want one with %q", c.new, w, c.says)
+		}
+	}
+}
--- /dev/null
+++ b/internal/config/limits.go
@@ -0,0 +1,89 @@
+package config
+
+import "fmt"
+
+const (
+	// pauses is how many of the workers' report intervals may pass between two
+	// reports: give or take a quarter, as the protocol has it.
+	pauses = 1.25
+	// answerS is how long a worker waits for the answer to a report, in seconds.
+	answerS = 4
+	// renewals is what every controller asks of the state service in a second just
+	// to stay alive, and useful what serving users and workers takes at least.
+	renewals, useful = 1, 5
+	// leastKB holds the description of a job, and leastWrites is a change a second
+	// for starts and one for submissions.
+	leastKB, leastWrites = 1, 2
+	// tightCPU, tightMB and tightSockets are what a controller of a small site
+	// takes; docs/operations/sizing.md has what a large one does.
+	tightCPU, tightMB, tightSockets = 0.02, 64, 64
+)
+
+// finding is what is wrong or tight about a field.
+type finding struct {
+	field string
+	value any
+	why   string
+	do    string
+}
+
+func (f finding) String() string {
+	return fmt.Sprintf("field %s: %v %s; %s", f.field, f.value, f.why, f.do)
+}
+
+// limits judges fields against one another. What can't work is wrong; what is
+// merely tight starts, with a warning.
+func (c *Config) limits() (wrong, tight []finding) {
+	d := &c.Deployment
+	nodes := float64(len(c.Seeds) + 1)
+	if least := pauses*d.Workers.ReportS + answerS; d.Workers.LeaseS <= pauses*d.Workers.ReportS {
+		wrong = append(wrong, finding{"deployment.workers.lease_s", d.Workers.LeaseS,
+			fmt.Sprintf("is not longer than the longest pause between two reports (report_s %g and a quarter), so every worker would lose its tasks", d.Workers.ReportS),
+			fmt.Sprintf("more than %g would do", least)})
+	} else if d.Workers.LeaseS < least {
+		tight = append(tight, finding{"deployment.workers.lease_s", d.Workers.LeaseS,
+			"leaves no time for a lost report", fmt.Sprintf("more than %g would do", least)})
+	}
+	if d.Workers.CancelS < d.Workers.LeaseS {
+		tight = append(tight, finding{"deployment.workers.cancel_s", d.Workers.CancelS,
+			fmt.Sprintf("is less than lease_s (%g): a cancelled task on a machine out of reach is gone only after its lease", d.Workers.LeaseS),
+			fmt.Sprintf("%g would do", d.Workers.LeaseS+answerS)})
+	}
+	if least := renewals * nodes; d.State.RPS <= least {
+		wrong = append(wrong, finding{"deployment.state.rps", d.State.RPS,
+			fmt.Sprintf("is used up by %g controllers that each renew a grant once a second", nodes),
+			fmt.Sprintf("%g would do", least+useful*nodes)})
+	} else if d.State.RPS < least+useful*nodes {
+		tight = append(tight, finding{"deployment.state.rps", d.State.RPS,
+			fmt.Sprintf("leaves little beside the renewals of %g controllers", nodes), fmt.Sprintf("%g would do", least+useful*nodes)})
+	}
+	if d.State.ValueKB < leastKB {
+		wrong = append(wrong, finding{"deployment.state.value_kb", d.State.ValueKB,
+			"does not hold the description of a job", fmt.Sprintf("%d would do", leastKB)})
+	}
+	if d.State.WriteRPS < leastWrites {
+		tight = append(tight, finding{"deployment.state.write_rps", d.State.WriteRPS,
+			"lets jobs wait for one another's records", fmt.Sprintf("%d would do", leastWrites)})
+	}
+	if d.Quota.CPU < tightCPU {
+		tight = append(tight, finding{"deployment.quota.cpu", d.Quota.CPU, "is little even for some dozen machines", fmt.Sprintf("%g would do", tightCPU)})
+	}
+	if d.Quota.RAMMB < tightMB {
+		tight = append(tight, finding{"deployment.quota.ram_mb", d.Quota.RAMMB, "is little even for some dozen machines", fmt.Sprintf("%d would do", tightMB)})
+	}
+	if d.Quota.Sockets < tightSockets {
+		tight = append(tight, finding{"deployment.quota.sockets", d.Quota.Sockets,
+			"makes workers open a connection for each report", fmt.Sprintf("%d would do", tightSockets)})
+	}
+	return wrong, tight
+}
+
+// Warnings says, a line each, what of the settings is merely tight.
+func (c *Config) Warnings() []string {
+	_, tight := c.limits()
+	var out []string
+	for _, f := range tight {
+		out = append(out, f.String())
+	}
+	return out
+}
--- a/internal/core/node.go
+++ b/internal/core/node.go
@@ -261,5 +261,10 @@
 	return time.Duration(float64(d) * (0.75 + n.rng.Float64()/2))
 }
 
+// spread is d, give or take a half.
+func (n *Node) spread(d time.Duration) time.Duration {
+	return time.Duration(float64(d) * (0.5 + n.rng.Float64()))
+}
+
 // IsOwner says whether this node runs jobs now.
 func (n *Node) IsOwner() bool { return n.owner != nil && n.owner.ready }
--- a/internal/core/users.go
+++ b/internal/core/users.go
@@ -16,8 +16,11 @@
 	// userPatience is how long a request may wait for the state service
 	// before it is refused. Less than the 2 s a user waits for a poll.
 	userPatience = 1500 * time.Millisecond
-	// comeBack is the Retry-After while the service is only briefly behind.
-	comeBack = time.Second
+	// comeBack is the Retry-After while the service is only briefly behind, and
+	// comeBackLate while the state service is away. The latter is spread by a half
+	// either way, so that hundreds who were refused do not return together.
+	comeBack     = time.Second
+	comeBackLate = 2 * time.Second
 )
 
 type users struct {
@@ -109,9 +112,9 @@
 	case !n.sess.ready:
 		n.emit(UserReply{Reply: reply, ID: id, Status: 503, Message: "starting", RetryAfter: comeBack})
 	case n.stateDown(n.now):
-		n.emit(UserReply{Reply: reply, ID: id, Status: 503, Message: "the state service is away", RetryAfter: 2 * comeBack})
+		n.emit(UserReply{Reply: reply, ID: id, Status: 503, Message: "the state service is away", RetryAfter: n.spread(comeBackLate)})
 	case n.users.waiting >= maxWaiting:
-		n.emit(UserReply{Reply: reply, ID: id, Status: 503, Message: "too many requests are waiting", RetryAfter: comeBack})
+		n.emit(UserReply{Reply: reply, ID: id, Status: 503, Message: "too many requests are waiting", RetryAfter: n.spread(comeBackLate)})
 	default:
 		return false
 	}
