--- a/internal/core/bench_test.go
+++ b/internal/core/bench_test.go
@@ -61,7 +61,7 @@
 	return r
 }
 
-var poolSizes = []int{100, 400, 1600}
+var poolSizes = []int{300, 1300, 5000, 10000}
 
 // BenchmarkReport is the ordinary report, which changes nothing. It must not
 // grow with the pool.
