--- a/cmd/micahill/status.go
+++ b/cmd/micahill/status.go
@@ -6,7 +6,9 @@
 	"errors"
 	"fmt"
 	"io"
+	"maps"
 	"net/http"
+	"slices"
 	"strings"
 	"text/tabwriter"
 	"time"
@@ -81,6 +83,16 @@
 		}
 	}
 	if len(s.Machines) > 0 {
+		// Of a thousand lines nobody sees how much of the pool is silent.
+		by := map[string]int{}
+		for _, m := range s.Machines {
+			by[m.State]++
+		}
+		var states []string
+		for _, st := range slices.Sorted(maps.Keys(by)) {
+			states = append(states, fmt.Sprintf("%d %s", by[st], st))
+		}
+		fmt.Fprintf(w, "\nmachines: %s\n", strings.Join(states, ", "))
 		fmt.Fprintln(w, "\nMACHINE\tFLAVOUR\tZONE\tSPOT\tSTATE\tTASKS\tCPU\tHEARD")
 		for _, m := range s.Machines {
 			fmt.Fprintf(w, "%s\t%s\t%s\t%v\t%s\t%d\t%.0f/%.0f\t%s\n", m.ID, m.Flavour, m.Zone, m.Spot, m.State, m.Tasks, m.UsedCPU, m.CPU, m.Heard)
--- a/internal/core/lost.go
+++ b/internal/core/lost.go
@@ -1,11 +1,18 @@
 package core
 
-import "github.com/micahill/micahill/internal/loss"
+import (
+	"time"
+
+	"github.com/micahill/micahill/internal/loss"
+)
 
 // startsAhead is for how many seconds' worth of changes tasks of lost machines are
 // set free at a time; most share a change with others.
 const startsAhead = 4
 
+// lostLog separates two lines in the log on machines that are silent together.
+const lostLog = 5 * time.Second
+
 // lostMachines names the silent machines that are to be given back now.
 func lostMachines(n *Node) []string {
 	p := loss.Pool{Lease: n.set.Lease, Starts: int(startsAhead * n.set.StateWrites)}
@@ -31,5 +38,10 @@
 		// When all fall silent together, the fault is likely ours.
 		return nil
 	}
-	return loss.GiveBack(p, silent)
+	back := loss.GiveBack(p, silent)
+	if loss.Many(p, len(silent)) && n.now.Sub(n.owner.toldLost) >= lostLog {
+		n.owner.toldLost = n.now
+		n.info("machines are silent together", "silent", len(silent), "of", p.Reporting, "given back", len(back))
+	}
+	return back
 }
--- a/internal/core/owner.go
+++ b/internal/core/owner.go
@@ -93,6 +93,8 @@
 	frozen   map[string]bool
 	frozenBy uint64
 	raised   time.Time
+	// toldLost is when the log last told of machines that are silent together.
+	toldLost time.Time
 	// orphans are task/ records whose job is over.
 	orphans []string
 	// arrivals remember when work of each workload came, for warm room.
--- a/internal/loss/loss.go
+++ b/internal/loss/loss.go
@@ -44,6 +44,11 @@
 	Starts int
 }
 
+// Many says that so many silent machines are one event.
+func Many(p Pool, silent int) bool {
+	return silent >= manyLeast && float64(silent) >= manyPart*float64(p.Reporting)
+}
+
 // GiveBack picks the machines to give back now, the most pressing first.
 func GiveBack(p Pool, silent []Machine) []string {
 	ms := slices.Clone(silent)
@@ -52,7 +57,7 @@
 			cmp.Compare(min(b.Tasks, 1), min(a.Tasks, 1)), cmp.Compare(b.Urgency, a.Urgency),
 			a.Latest.Compare(b.Latest), cmp.Compare(a.ID, b.ID))
 	})
-	many := len(ms) >= manyLeast && float64(len(ms)) >= manyPart*float64(p.Reporting)
+	many := Many(p, len(ms))
 	half := 2*len(ms) > p.Reporting && p.Reporting > 1
 	var out []string
 	freed := 0
