A successor counts the machines that run and were not heard yet, and when tasks were placed

Change: what the cloud lists as running counts as room for two report pauses after a takeover, and an inherited task's time runs from when it was placed.

--- a/internal/core/fleet_test.go
+++ b/internal/core/fleet_test.go
@@ -148,3 +148,30 @@
 		t.Errorf("%d of 6 tasks are placed on room for all", j.live)
 	}
 }
+
+// TestSuccessorCountsMachinesNotHeardYet guards against renting beside a pool that
+// is there: a successor hears its machines within some seconds, and until then the
+// cloud's list says that they run.
+func TestSuccessorCountsMachinesNotHeardYet(t *testing.T) {
+	open, tasks := inheritance(200)
+	n := heir()
+	n.loaded(open, tasks)
+	n.owner.view = &view{at: n.now, rentals: map[string]*rental{}, blocked: map[kind]time.Time{}, renting: map[kind]int{}}
+	for i := range 200 {
+		r := n.poolReport(i)
+		n.machine(r.Machine)
+		n.owner.view.rentals[r.Machine] = &rental{id: r.Machine, kind: kind{r.Flavour, r.Zone, r.Spot}, addr: "x", status: "running", since: n.now.Add(-time.Hour)}
+		n.adopt(n.owner.view.rentals[r.Machine])
+	}
+	spec := Spec{ID: "job-w", Workload: "wide", Team: "ops", Urgency: Normal, Tasks: 60, Spot: true,
+		Need: Resources{CPU: 4, Memory: 4}, Image: "w", ImageGB: 1, Expected: 25 * time.Second, Due: 3 * time.Minute}
+	n.owner.jobs[spec.ID] = newJob(spec, n.now, 1, 4096)
+	if wants := n.rent(n.futureRoom(), nil); len(wants) != 0 {
+		t.Errorf("wants %v beside 200 machines that run", wants)
+	}
+	n.now = n.now.Add(time.Minute)
+	n.owner.view.at = n.now
+	if wants := n.rent(n.futureRoom(), nil); len(wants) == 0 {
+		t.Error("wants nothing though no machine was ever heard of")
+	}
+}
--- a/internal/core/play.go
+++ b/internal/core/play.go
@@ -294,6 +294,19 @@
 	return sum / time.Duration(max(1, len(n.types)))
 }
 
+// awaited says that a machine has not been heard of since a takeover, but most
+// likely will be: the cloud lists it as running, and it reports in its turn. For
+// planning it counts as there. A successor that counted only those it had heard
+// would rent hundreds beside it, which then stand idle.
+func (n *Node) awaited(m *machine) bool {
+	o := n.owner
+	if m.heard || m.returning || m.bad || m.size.CPU <= 0 || n.now.Sub(o.readyAt) > 2*n.longestReport() || o.view == nil {
+		return false
+	}
+	r := o.view.rentals[m.id]
+	return r != nil && r.status == "running" && !r.returning
+}
+
 // futureRoom is each usable machine with what its running tasks will leave, as
 // far as their expected ends tell. What runs longer than expected is taken to
 // go on for a while.
@@ -307,7 +320,7 @@
 	}
 	ends, ids := make([]release, 0, attempts), make([]int32, 0, images)
 	for i, m := range n.owner.byID {
-		if !n.usable(m) {
+		if !n.usable(m) && !n.awaited(m) {
 			continue
 		}
 		v := &all[i]
@@ -320,7 +333,11 @@
 			}
 			e := n.expects(j)
 			left := e
-			if !t.started.IsZero() {
+			switch {
+			case t.inherited:
+				// When it began is not known here, but when it was placed.
+				left = max(e-n.now.Sub(time.UnixMilli(t.group)), e/5)
+			case !t.started.IsZero():
 				left = max(e-n.now.Sub(t.started), e/5)
 			}
 			ends = append(ends, release{left, j.Need})
--- a/internal/core/rent.go
+++ b/internal/core/rent.go
@@ -169,7 +169,7 @@
 	for _, id := range sortedKeys(o.view.rentals) {
 		r := o.view.rentals[id]
 		m := o.machines[id]
-		if r.returning || r.status == "returned" || r.status == "failed" || m != nil && m.heard {
+		if r.returning || r.status == "returned" || r.status == "failed" || m != nil && (m.heard || n.awaited(m)) {
 			continue
 		}
 		if f := n.types[r.flavour]; n.boots(r) {
