--- a/internal/core/fleet_test.go
+++ b/internal/core/fleet_test.go
@@ -175,3 +175,16 @@
 		t.Error("wants nothing though no machine was ever heard of")
 	}
 }
+
+// TestFirstArrivalsAreNoRate guards against renting for what gathered during an
+// outage, or before the start, as if it went on coming like that.
+func TestFirstArrivalsAreNoRate(t *testing.T) {
+	n := largePool(0)
+	n.owner.readyAt = n.now.Add(-settleTime)
+	for range 20 {
+		n.owner.arrivals["wide"] = append(n.owner.arrivals["wide"], arrival{n.now.Add(-settleTime + time.Second), 30, Resources{}, &Spec{}})
+	}
+	if r := n.arrivalRate("wide", warmWindow); r > 20 {
+		t.Errorf("600 tasks that came at once make %.0f a second, want no more than if they had come in %v", r, lately)
+	}
+}
--- a/internal/core/play.go
+++ b/internal/core/play.go
@@ -466,7 +466,10 @@
 		if span < settleTime {
 			return 0
 		}
-		return float64(sum) / span.Seconds()
+		// At the start, and after an outage or the end of all, what has gathered
+		// meanwhile comes at once. Over the few seconds since, it looks like many
+		// times what will come, and hundreds of machines would be rented for it.
+		return float64(sum) / min(window, span+lately).Seconds()
 	}
 	return (float64(sum) + old.Rate*(window-span).Seconds()) / window.Seconds()
 }
