--- a/internal/core/lost.go
+++ b/internal/core/lost.go
@@ -34,6 +34,7 @@
 		}
 		silent = append(silent, x)
 	}
+	p.Deaf = n.ears.Deaf(n.now, n.owner.readyAt, p.Reporting, n.longestReport())
 	if p.Reporting > 1 && len(silent) == p.Reporting {
 		// When all fall silent together, the fault is likely ours.
 		return nil
--- a/internal/loss/loss.go
+++ b/internal/loss/loss.go
@@ -17,9 +17,10 @@
 	// so large a part of the pool.
 	manyLeast = 4
 	manyPart  = 0.1
-	// halfPatience is how much longer more than half of the pool is waited for.
-	// The fault is then likely the controller's, and the others, to whom the
-	// machines turn, say so within this time.
+	// halfPatience is how much longer machines are waited for when more than half
+	// of the pool is silent, or nothing is heard of any. The fault is then likely
+	// the controller's, and the others, to whom the machines turn, say so within
+	// this time.
 	halfPatience = 10 * time.Second
 )
 
@@ -42,6 +43,8 @@
 	Lease     time.Duration
 	// Starts is how many tasks may be set free at a time.
 	Starts int
+	// Deaf: no report of any machine has come for longer than chance explains.
+	Deaf bool
 }
 
 // Many says that so many silent machines are one event.
@@ -58,7 +61,7 @@
 			a.Latest.Compare(b.Latest), cmp.Compare(a.ID, b.ID))
 	})
 	many := Many(p, len(ms))
-	half := 2*len(ms) > p.Reporting && p.Reporting > 1
+	half := p.Reporting > 1 && (p.Deaf || 2*len(ms) > p.Reporting)
 	var out []string
 	freed := 0
 	for _, m := range ms {
--- a/internal/loss/loss_test.go
+++ b/internal/loss/loss_test.go
@@ -26,7 +26,11 @@
 	if got := GiveBack(p, many); !slices.Equal(got, []string{"urgent", "n19", "n18", "idle-long"}) {
 		t.Errorf("of many %v are given back, want the urgent, then the most pressing, as many as can start elsewhere", got)
 	}
-	p.Reporting = 24
+	p.Deaf = true
+	if got := GiveBack(p, one); len(got) != 0 {
+		t.Errorf("%v are given back by a controller that hears nobody", got)
+	}
+	p.Deaf, p.Reporting = false, 24
 	if got := GiveBack(p, many); !slices.Equal(got, []string{"idle-long"}) {
 		t.Errorf("of more than half of the pool %v are given back before others could say that they hear them", got)
 	}
