Read once more: one heap, one time of a fetch, lots in one place, no dead state

What the change had written twice now stands once: the heap of lanes and of a round's machines (pile), how long a fetch takes (machine.fetch), how tasks are taken to come together (lots), whether a machine should be heard of (reports), the check that an effect is late (server.send). The lock of the connections is taken once a report instead of twice; round.cheapest and a second writing of passAt are gone.

--- a/internal/api/api.go
+++ b/internal/api/api.go
@@ -236,11 +236,8 @@
 	if err != nil {
 		return err
 	}
-	if nc, ok := c.Request().Context().Value(connKey{}).(net.Conn); ok && h.conns != nil {
-		h.conns.report(nc)
-		if h.conns.short() {
-			c.Response().Header().Set(echo.HeaderConnection, "close")
-		}
+	if nc, ok := c.Request().Context().Value(connKey{}).(net.Conn); ok && h.conns.report(nc) {
+		c.Response().Header().Set(echo.HeaderConnection, "close")
 	}
 	var r worker.Report
 	if err := msgpack.Unmarshal(b, &r); err != nil || r.Host == "" {
--- a/internal/api/conns.go
+++ b/internal/api/conns.go
@@ -50,14 +50,6 @@
 	}
 }
 
-// short says that connections run short, so that one that needs not stay is to
-// be closed.
-func (c *conns) short() bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return len(c.open) > c.soft
-}
-
 // state follows a connection's life, as net/http tells it.
 func (c *conns) state(nc net.Conn, s http.ConnState) {
 	c.mu.Lock()
@@ -94,13 +86,15 @@
 	}
 }
 
-// report notes that a connection carries a worker's reports.
-func (c *conns) report(nc net.Conn) {
+// report notes that a connection carries a worker's reports, and says whether
+// connections run short, so that it is to be closed.
+func (c *conns) report(nc net.Conn) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if x := c.open[nc]; x != nil {
 		x.worker = true
 	}
+	return len(c.open) > c.soft
 }
 
 // room says whether there is room for one more connection, and closes an idle one
--- a/internal/api/conns_test.go
+++ b/internal/api/conns_test.go
@@ -137,7 +137,7 @@
 	for range leastConns - 2 {
 		open(true, false)
 	}
-	if !c.short() {
+	if !c.report(worker) {
 		t.Error("connections are not short though all are taken")
 	}
 	if !c.room() {
--- a/internal/core/deaf.go
+++ b/internal/core/deaf.go
@@ -91,7 +91,7 @@
 	}
 	reporting := 0
 	for _, m := range o.byID {
-		if (m.heard || len(m.attempts) > 0) && !m.returning {
+		if m.reports() && !m.returning {
 			reporting++
 		}
 	}
--- a/internal/core/lanes.go
+++ b/internal/core/lanes.go
@@ -33,49 +33,7 @@
 
 type lane struct {
 	laneKey
-	es []entry
-}
-
-func (l *lane) up(k int) {
-	for k > 0 {
-		p := (k - 1) / 2
-		if !l.es[k].before(&l.es[p]) {
-			return
-		}
-		l.es[k], l.es[p] = l.es[p], l.es[k]
-		k = p
-	}
-}
-
-func (l *lane) down(k int) {
-	for {
-		c := 2*k + 1
-		if c >= len(l.es) {
-			return
-		}
-		if c+1 < len(l.es) && l.es[c+1].before(&l.es[c]) {
-			c++
-		}
-		if !l.es[c].before(&l.es[k]) {
-			return
-		}
-		l.es[k], l.es[c] = l.es[c], l.es[k]
-		k = c
-	}
-}
-
-func (l *lane) push(e entry) {
-	l.es = append(l.es, e)
-	l.up(len(l.es) - 1)
-}
-
-func (l *lane) pop() entry {
-	e := l.es[0]
-	last := len(l.es) - 1
-	l.es[0] = l.es[last]
-	l.es = l.es[:last]
-	l.down(0)
-	return e
+	pile[entry, *entry]
 }
 
 // lanes are some machines of a plan, up to the one known last.
@@ -260,7 +218,7 @@
 		if int32(v.taken) != e.taken {
 			if start, ok := v.earliest(a.need, false); ok {
 				e.start, e.taken = start, int32(v.taken)
-				l.down(0)
+				l.sink()
 			} else {
 				l.pop()
 			}
--- a/internal/core/lost.go
+++ b/internal/core/lost.go
@@ -18,7 +18,7 @@
 	p := loss.Pool{Lease: n.set.Lease, Starts: int(startsAhead * n.set.StateWrites)}
 	var silent []loss.Machine
 	for _, m := range n.owner.byID {
-		if !m.heard && len(m.attempts) == 0 || m.returning {
+		if !m.reports() || m.returning {
 			continue
 		}
 		p.Reporting++
--- a/internal/core/machines.go
+++ b/internal/core/machines.go
@@ -720,7 +720,7 @@
 		}
 	}()
 	for _, m := range slices.Clone(o.byID) {
-		if (m.heard || len(m.attempts) > 0) && n.quietFor(m) > time.Duration(probeReports*float64(n.longestReport())) {
+		if m.reports() && n.quietFor(m) > time.Duration(probeReports*float64(n.longestReport())) {
 			n.contact(m)
 		}
 		if len(m.attempts) > 0 && !m.leaseEnd.IsZero() && n.now.After(m.leaseEnd) {
@@ -772,6 +772,10 @@
 // longestReport is the longest pause between two reports of a living worker.
 func (n *Node) longestReport() time.Duration { return n.set.ReportEvery * 5 / 4 }
 
+// reports says that a machine should be heard of: it has been, or a former owner
+// had work on it.
+func (m *machine) reports() bool { return m.heard || len(m.attempts) > 0 }
+
 // quietFor is how long nothing has been heard of a machine; after a takeover
 // the count begins when this owner was ready to hear.
 func (n *Node) quietFor(m *machine) time.Duration {
@@ -782,7 +786,7 @@
 // a former owner had work on counts as well, though it was never heard of here:
 // it may have been lost before the takeover.
 func (n *Node) silent(m *machine) bool {
-	if !m.heard && len(m.attempts) == 0 {
+	if !m.reports() {
 		return false
 	}
 	if m.recall && n.now.After(m.recallAt) {
--- a/internal/core/pass.go
+++ b/internal/core/pass.go
@@ -75,7 +75,6 @@
 		o.pass, o.planned = nil, n.now
 	}
 	n.sliced = ps.used
-	o.passAt = n.now
 }
 
 func (o *owner) endPass() {
--- a/internal/core/place.go
+++ b/internal/core/place.go
@@ -529,28 +529,37 @@
 
 // fetchTime is how long m needs to have the image of j.
 func (n *Node) fetchTime(m *machine, j *job) time.Duration {
+	fetching := 0
+	for _, im := range m.images {
+		if !im.cached {
+			fetching++
+		}
+	}
+	return Seconds(m.fetch(j, fetching, n.pulls(m)))
+}
+
+// fetch is how long the machine needs to have the image of j, in seconds, when it
+// is fetching so many and pulls so much a second.
+func (m *machine) fetch(j *job, fetching int, pulls float64) float64 {
 	if j.Image == "" || j.ImageGB <= 0 {
 		return 0
 	}
-	im := m.images[j.Image]
-	if im != nil && im.cached {
+	switch im := m.images[j.Image]; {
+	case im == nil:
+		return float64(1+fetching) * j.ImageGB / pulls
+	case im.cached:
 		return 0
 	}
-	rate := n.types[m.flavour].PullRate
-	if rate <= 0 {
-		rate = 1
-	}
-	if im != nil {
-		// Already coming.
-		return time.Duration(j.ImageGB / rate / 2 * float64(time.Second))
-	}
-	others := 1.0
-	for _, o := range m.images {
-		if !o.cached {
-			others++
-		}
+	// Already coming.
+	return j.ImageGB / pulls / 2
+}
+
+// pulls is how many GB a machine fetches in a second, as far as is known.
+func (n *Node) pulls(m *machine) float64 {
+	if rate := n.types[m.flavour].PullRate; rate > 0 {
+		return rate
 	}
-	return time.Duration(others * j.ImageGB / rate * float64(time.Second))
+	return 1
 }
 
 // relaunch is the paper's: when a group's timer of w times the median of the
--- a/internal/core/play.go
+++ b/internal/core/play.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"iter"
 	"math"
 	"slices"
 	"time"
@@ -98,9 +99,7 @@
 // tasks without a place.
 func (p *plan) play(d demand, tell func(count int, v *virtual, from, at time.Time)) {
 	a := p.ask(d.j)
-	for i, size := 0, d.lump(); i < d.count; i += size {
-		left := min(size, d.count-i)
-		from := d.from(p.now, i+left/2)
+	for from, left := range d.lots(p.now) {
 		for left > 0 {
 			if !p.on() {
 				return
@@ -179,17 +178,26 @@
 	return now.Add(d.spread * time.Duration(i+1) / time.Duration(d.count+1))
 }
 
-// lumpsMost is in how many lots expected tasks are played at most. Of fewer and
+// lotsMost is in how many lots expected tasks are played at most. Of fewer and
 // larger lots more machines look needed at a time, and too many dear ones are kept.
-const lumpsMost = 512
-
-// lump is how many tasks of the demand are taken to come together: all that wait,
-// and of those that are expected so many that there are not too many lots.
-func (d demand) lump() int {
-	if d.spread == 0 {
-		return max(1, d.count)
+const lotsMost = 512
+
+// lots are the tasks of the demand that are taken to come together, when and how
+// many: all that wait, and of those that are expected so many that there are not too
+// many lots.
+func (d demand) lots(now time.Time) iter.Seq2[time.Time, int] {
+	size := max(1, d.count)
+	if d.spread > 0 {
+		size = (d.count + lotsMost - 1) / lotsMost
+	}
+	return func(yield func(time.Time, int) bool) {
+		for i := 0; i < d.count; i += size {
+			k := min(size, d.count-i)
+			if !yield(d.from(now, i+k/2), k) {
+				return
+			}
+		}
 	}
-	return (d.count + lumpsMost - 1) / lumpsMost
 }
 
 // room is the machines there are, with what their running tasks will leave, and
@@ -346,10 +354,7 @@
 		slices.SortFunc(v.ends, func(a, b release) int {
 			return cmp.Or(cmp.Compare(a.at, b.at), cmp.Compare(a.need.CPU, b.need.CPU), cmp.Compare(a.need.Memory, b.need.Memory))
 		})
-		rate := n.types[m.flavour].PullRate
-		if rate <= 0 {
-			rate = 1
-		}
+		rate := n.pulls(m)
 		// Those it has come first, then those that are on their way.
 		lo = len(ids)
 		some := 0
--- a/internal/core/rent.go
+++ b/internal/core/rent.go
@@ -190,9 +190,7 @@
 	for _, d := range demands {
 		a := p.ask(d.j)
 		rented, first, reliefs := 0, time.Duration(0), 0
-		for i, size := 0, d.lump(); i < d.count; i += size {
-			left := min(size, d.count-i)
-			from := d.from(p.now, i+left/2)
+		for from, left := range d.lots(p.now) {
 			for left > 0 && p.on() {
 				count := max(1, int(unmet/max(d.j.Need.CPU, 0.1)))
 				v, at := p.best(a, from, false)
--- a/internal/core/round.go
+++ b/internal/core/round.go
@@ -14,8 +14,7 @@
 // round is what a look at the waiting jobs finds out once for all of them.
 type round struct {
 	// open are the usable machines with any room.
-	open     []*spot
-	cheapest float64
+	open []*spot
 	// warm are the images of workloads whose wait is bounded.
 	warm   map[string]bool
 	scarce map[string]map[string]scarcity
@@ -56,7 +55,7 @@
 }
 
 func (n *Node) newRound() *round {
-	r := &round{cheapest: n.cheapest(), warm: map[string]bool{}, scarce: map[string]map[string]scarcity{}, full: map[shape]bool{}, lots: map[lotKey]*lot{}}
+	r := &round{warm: map[string]bool{}, scarce: map[string]map[string]scarcity{}, full: map[shape]bool{}, lots: map[lotKey]*lot{}}
 	for _, w := range n.owner.workloads {
 		if n.waitBound(w.spec.Workload) > 0 && n.now.Sub(w.last) < workloadMemory {
 			for _, a := range n.owner.arrivals[w.spec.Workload] {
@@ -64,20 +63,17 @@
 			}
 		}
 	}
-	dear := map[kind]float64{}
+	cheapest, dear := n.cheapest(), map[kind]float64{}
 	for _, m := range n.owner.byID {
 		free := m.size.Plus(m.used, -1)
 		if free.CPU <= slack || free.Memory <= slack || !n.usable(m) {
 			continue
 		}
-		s := &spot{m: m, i: len(r.open), pull: n.types[m.flavour].PullRate}
-		if s.pull <= 0 {
-			s.pull = 1
-		}
+		s := &spot{m: m, i: len(r.open), pull: n.pulls(m)}
 		k := kind{m.flavour, m.zone, m.spot}
 		d, ok := dear[k]
 		if !ok {
-			d = dearPenalty.Seconds() * (n.unitPrice(m)/r.cheapest - 1)
+			d = dearPenalty.Seconds() * (n.unitPrice(m)/cheapest - 1)
 			dear[k] = d
 		}
 		s.dear = d
@@ -101,19 +97,7 @@
 }
 
 // fetch is how long the machine needs to have the job's image, in seconds.
-func (s *spot) fetch(j *job) float64 {
-	if j.Image == "" || j.ImageGB <= 0 {
-		return 0
-	}
-	im := s.m.images[j.Image]
-	switch {
-	case im == nil:
-		return float64(1+s.fetching) * j.ImageGB / s.pull
-	case im.cached:
-		return 0
-	}
-	return j.ImageGB / s.pull / 2
-}
+func (s *spot) fetch(j *job) float64 { return s.m.fetch(j, s.fetching, s.pull) }
 
 func (n *Node) scarceFor(r *round, j *job) map[string]scarcity {
 	s, ok := r.scarce[j.Workload]
@@ -145,7 +129,7 @@
 
 type fetchers struct {
 	fetch float64
-	ps    []place
+	pile[place, *place]
 }
 
 // place is a machine on which a task of a job may go, and how well it suits;
@@ -159,44 +143,6 @@
 	return a.score < b.score || a.score == b.score && a.s.i < b.s.i
 }
 
-func (f *fetchers) push(p place) {
-	f.ps = append(f.ps, p)
-	for k := len(f.ps) - 1; k > 0; {
-		up := (k - 1) / 2
-		if !f.ps[k].before(&f.ps[up]) {
-			return
-		}
-		f.ps[k], f.ps[up] = f.ps[up], f.ps[k]
-		k = up
-	}
-}
-
-func (f *fetchers) down() {
-	for k := 0; ; {
-		c := 2*k + 1
-		if c >= len(f.ps) {
-			return
-		}
-		if c+1 < len(f.ps) && f.ps[c+1].before(&f.ps[c]) {
-			c++
-		}
-		if !f.ps[c].before(&f.ps[k]) {
-			return
-		}
-		f.ps[k], f.ps[c] = f.ps[c], f.ps[k]
-		k = c
-	}
-}
-
-func (f *fetchers) pop() place {
-	p := f.ps[0]
-	last := len(f.ps) - 1
-	f.ps[0] = f.ps[last]
-	f.ps = f.ps[:last]
-	f.down()
-	return p
-}
-
 func (l *lot) push(fetch float64, p place) {
 	for _, f := range l.like {
 		if f.fetch == fetch {
@@ -204,7 +150,9 @@
 			return
 		}
 	}
-	l.like = append(l.like, &fetchers{fetch: fetch, ps: []place{p}})
+	f := &fetchers{fetch: fetch}
+	f.push(p)
+	l.like = append(l.like, f)
 }
 
 // lotFor is the machines for a job's tasks. Where it matters in which zone its
@@ -263,8 +211,8 @@
 		if f.fetch > most {
 			continue
 		}
-		for len(f.ps) > 0 {
-			p := &f.ps[0]
+		for len(f.es) > 0 {
+			p := &f.es[0]
 			score, ok := l.rate(j, p.s)
 			if fetch := p.s.fetch(j); ok && fetch == f.fetch && score <= p.score {
 				break
@@ -275,11 +223,11 @@
 				l.push(fetch, place{p.s, score})
 			} else {
 				p.score = score
-				f.down()
+				f.sink()
 			}
 		}
-		if len(f.ps) > 0 && (best == nil || f.fetch+f.ps[0].score < best.fetch+best.ps[0].score ||
-			f.fetch+f.ps[0].score == best.fetch+best.ps[0].score && f.ps[0].s.i < best.ps[0].s.i) {
+		if len(f.es) > 0 && (best == nil || f.fetch+f.es[0].score < best.fetch+best.es[0].score ||
+			f.fetch+f.es[0].score == best.fetch+best.es[0].score && f.es[0].s.i < best.es[0].s.i) {
 			best = f
 		}
 	}
@@ -308,7 +256,7 @@
 		t := &j.tasks[i]
 		var shunned []place
 		f, ok := l.first(j, most)
-		for ok && t.shuns(f.ps[0].s.m.id) {
+		for ok && t.shuns(f.es[0].s.m.id) {
 			shunned = append(shunned, f.pop())
 			f, ok = l.first(j, most)
 		}
@@ -322,7 +270,7 @@
 			}
 			return
 		}
-		s := f.ps[0].s
+		s := f.es[0].s
 		m := s.m
 		if g == nil {
 			g = j.groups[id]
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -151,6 +151,15 @@
 	}
 }
 
+// send carries an effect out and brings the answer back, unless it has become late.
+func (s *Server) send(e core.Effect, out func() core.Command) {
+	back, _, late := core.Late(e, time.Now())
+	if !late {
+		back = out()
+	}
+	s.Post(back)
+}
+
 func (s *Server) do(ctx context.Context, e core.Effect) {
 	switch e := e.(type) {
 	case core.UserReply:
@@ -168,23 +177,11 @@
 	case core.LoanDone:
 		s.reply(e.Reply, e)
 	case core.StateOp:
-		go func() { s.Post(s.out.State(ctx, e)) }()
+		go s.send(e, func() core.Command { return s.out.State(ctx, e) })
 	case core.CloudOp:
-		go func() {
-			if back, _, late := core.Late(e, time.Now()); late {
-				s.Post(back)
-				return
-			}
-			s.Post(s.out.Cloud(ctx, e))
-		}()
+		go s.send(e, func() core.Command { return s.out.Cloud(ctx, e) })
 	case core.WorkerOp:
-		go func() {
-			if back, _, late := core.Late(e, time.Now()); late {
-				s.Post(back)
-				return
-			}
-			s.Post(s.out.Worker(ctx, e))
-		}()
+		go s.send(e, func() core.Command { return s.out.Worker(ctx, e) })
 	case core.PeerSend:
 		s.out.Peer(e.To, e.News)
 	case core.Role:
