--- /dev/null
+++ b/internal/bounds/bounds_test.go
@@ -0,0 +1,108 @@
+package bounds
+
+import (
+	"encoding/json"
+	"math"
+	"strings"
+	"testing"
+	"unicode/utf16"
+	"unicode/utf8"
+
+	"github.com/vmihailenco/msgpack/v5"
+	"pgregory.net/rapid"
+)
+
+// anyValue draws what a record may hold.
+func anyValue(depth int) *rapid.Generator[any] {
+	leaf := rapid.OneOf(
+		rapid.Just[any](nil), rapid.Bool().AsAny(), rapid.Int64().AsAny(), rapid.Uint64().AsAny(), rapid.Int8().AsAny(),
+		rapid.Float64Range(-1e18, 1e18).AsAny(), rapid.String().AsAny(), rapid.StringN(0, 40, 80).AsAny(),
+	)
+	if depth == 0 {
+		return leaf
+	}
+	return rapid.OneOf(leaf,
+		rapid.SliceOfN(anyValue(depth-1), 0, 20).AsAny(),
+		rapid.MapOfN(rapid.StringN(0, 12, 24), anyValue(depth-1), 0, 20).AsAny())
+}
+
+// TestJSONIsAnUpperBound: nothing that passes here is longer on the other side,
+// whichever way that side writes JSON.
+func TestJSONIsAnUpperBound(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		v := anyValue(3).Draw(t, "value")
+		b, err := msgpack.Marshal(v)
+		if err != nil {
+			t.Fatal(err)
+		}
+		n, err := JSON(b)
+		if err != nil {
+			t.Fatalf("%v: %v", v, err)
+		}
+		plain, err := json.Marshal(v)
+		if err != nil {
+			t.Fatal(err)
+		}
+		spaced, _ := json.MarshalIndent(v, "", "")
+		// Indented, each comma and bracket has a line's end with it; an ASCII form
+		// writes every other character as an escape.
+		escaped := len(plain)
+		for _, r := range string(plain) {
+			if r > 0x7f {
+				escaped += 6*len(utf16.Encode([]rune{r})) - utf8.RuneLen(r)
+			}
+		}
+		want := max(len(plain), escaped, len(strings.ReplaceAll(string(spaced), "\n", " "))-strings.Count(string(spaced), "[")-strings.Count(string(spaced), "{"))
+		// Go escapes <, > and & as no other does.
+		want -= 5 * (strings.Count(string(plain), `\u003c`) + strings.Count(string(plain), `\u003e`) + strings.Count(string(plain), `\u0026`))
+		if n < want {
+			t.Fatalf("%d bytes are reckoned, JSON takes %d: %s", n, want, plain)
+		}
+	})
+}
+
+// TestJSONOfAnything: what is not a value is an error, never a panic.
+func TestJSONOfAnything(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		n, err := JSON(rapid.SliceOf(rapid.Byte()).Draw(t, "bytes"))
+		if err == nil && n <= 0 {
+			t.Fatal("a value without length")
+		}
+	})
+}
+
+// TestTxn: each limit is named when it is passed.
+func TestTxn(t *testing.T) {
+	l := Limits{ValueBytes: 100, Ops: 2}
+	val := func(n int) []byte {
+		b, err := msgpack.Marshal(map[string]any{"v": strings.Repeat("x", n)})
+		if err != nil {
+			t.Fatal(err)
+		}
+		return b
+	}
+	put := func(k string, n int) []Change { return []Change{{k, val(n)}} }
+	for _, c := range []struct {
+		what  string
+		when  []string
+		apply []Change
+		says  string
+	}{
+		{"fits", []string{"a/b"}, put("a/b", 80), ""},
+		{"value", nil, put("a/b", 100), "key a/b: a value of"},
+		{"changes", nil, []Change{{"a", nil}, {"b", nil}, {"c", nil}}, "3 changes"},
+		{"conditions", make([]string, 9), nil, "9 conditions"},
+		{"key", nil, put(strings.Repeat("k", KeyMost+1), 1), "a key of 201 bytes"},
+		{"space", nil, put("a b", 1), "has a space"},
+		{"binary", nil, []Change{{"a", []byte{0xc4, 1, 0}}}, "not a value"},
+	} {
+		err := l.Txn(c.when, c.apply)
+		if c.says == "" != (err == nil) || err != nil && !strings.Contains(err.Error(), c.says) {
+			t.Errorf("%s: %v, want %q", c.what, err, c.says)
+		}
+	}
+	big := Limits{ValueBytes: math.MaxInt32, Ops: 100}
+	if err := big.Txn(nil, put("a", TxnMost)); err == nil || !strings.Contains(err.Error(), "a transaction of") {
+		t.Errorf("a large transaction: %v", err)
+	}
+}
