--- a/cmd/micahill/status.go
+++ b/cmd/micahill/status.go
@@ -69,13 +69,34 @@
 		roles = append(roles, "leader")
 	}
 	if s.IsOwner {
-		roles = append(roles, fmt.Sprintf("owner of %s (epoch %d)", strings.Join(s.Teams, ", "), s.Epoch))
+		var teams []string
+		for _, t := range s.Teams {
+			if t.Here {
+				teams = append(teams, t.Name)
+			}
+		}
+		roles = append(roles, "owner of "+strings.Join(teams, ", "))
 	}
 	if len(roles) == 0 {
 		roles = append(roles, "standing by")
 	}
 	fmt.Fprintf(out, "%s: %s; healthy: %v; leader: %s; controllers: %s\n", s.Host, strings.Join(roles, ", "), s.Healthy, s.Leader, strings.Join(s.Nodes, ", "))
 	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
+	if len(s.Teams) > 1 {
+		fmt.Fprintln(w, "\nTEAM\tOWNER\tCPU HERE")
+		for _, t := range s.Teams {
+			fmt.Fprintf(w, "%s\t%s\t%.0f\n", t.Name, t.Owner, t.CPU)
+		}
+	}
+	if len(s.Shares) > 1 {
+		fmt.Fprintln(w, "\nSHARE\tHOLDER\tALIVE\tTEAMS\tREST\tLOTS")
+		for _, x := range s.Shares {
+			fmt.Fprintf(w, "%s\t%s\t%v\t%d\t%v\t%d\n", x.Name, x.Holder, x.Alive, x.Teams, x.Rest, x.Lots)
+		}
+	}
+	if s.Wards.Afar+s.Wards.Here > 0 {
+		fmt.Fprintf(w, "\nruns elsewhere for teams here: %d; runs here for teams elsewhere: %d\n", s.Wards.Afar, s.Wards.Here)
+	}
 	if len(s.Workloads) > 0 {
 		fmt.Fprintln(w, "\nWORKLOAD\tJOBS\tWAITING\tLIVE\tDONE\tTASKS/S\tRUN/ESTIMATE")
 		for _, l := range s.Workloads {
--- a/internal/core/bench_test.go
+++ b/internal/core/bench_test.go
@@ -5,6 +5,8 @@
 	"math/rand/v2"
 	"testing"
 	"time"
+
+	"github.com/micahill/micahill/internal/division"
 )
 
 // largePool is an owner with some machines, three quarters of them with work,
@@ -18,15 +20,17 @@
 	n.now = time.Unix(1_750_000_000, 0)
 	n.sess.started, n.sess.ready = true, true
 	n.sess.sureUntil = n.now.Add(24 * time.Hour)
-	n.sess.shares = map[string]shareRecord{"a": {Teams: []string{"ops"}, Rest: true}}
+	n.holdAll()
 	n.types = map[string]Flavour{
 		"box":  {Name: "box", Size: Resources{CPU: 4, Memory: 32}, DiskGB: 50, PullRate: 0.3, Price: 0.2, SpotPrice: 0.07, Ready: 50 * time.Second, Zones: []string{"z"}},
 		"rack": {Name: "rack", Size: Resources{CPU: 32, Memory: 128}, DiskGB: 70, PullRate: 0.4, Price: 1.45, SpotPrice: 0.53, Ready: 20 * time.Second, Zones: []string{"z"}},
 	}
 	n.owner = &owner{
-		epoch: 1, ready: true, readyAt: n.now.Add(-time.Hour), since: n.now.Add(-time.Hour),
-		share: n.sess.shares["a"], frozen: map[string]bool{}, jobs: map[string]*job{}, machines: map[string]*machine{},
-		used: map[string]Resources{}, arrivals: map[string][]arrival{}, workloads: map[string]*workload{},
+		ready: true, readyAt: n.now.Add(-time.Hour), since: n.now.Add(-time.Hour),
+		teams:  map[string]*teamHeld{"ops": {ready: true, readyAt: n.now.Add(-time.Hour)}},
+		shares: map[string]bool{"a": true}, higher: map[string]time.Time{}, afar: map[string]*machine{},
+		jobs: map[string]*job{}, machines: map[string]*machine{},
+		used: map[string]Resources{}, arrivals: map[loadKey][]arrival{}, workloads: map[string]*workload{},
 		view: &view{at: n.now, rentals: map[string]*rental{}, blocked: map[kind]time.Time{}, renting: map[kind]int{}},
 	}
 	for i := range machines {
@@ -43,7 +47,8 @@
 		n.owner.jobs[j.ID] = j
 		n.owner.workloads[name] = &workload{&j.Spec, n.now}
 		for range 3 {
-			n.owner.arrivals[name] = append(n.owner.arrivals[name], arrival{n.now, j.Tasks, j.Need, &j.Spec})
+			k := loadKey{"ops", name}
+			n.owner.arrivals[k] = append(n.owner.arrivals[k], arrival{n.now, j.Tasks, j.Need, &j.Spec})
 		}
 	}
 	full := n.newRound()
@@ -53,6 +58,17 @@
 	return n
 }
 
+// holdAll makes the node the holder of one share with all teams and machines.
+func (n *Node) holdAll() {
+	s := &n.sess
+	s.grant, s.loaded, s.book = 1, true, division.NewBook()
+	s.nodes = map[string]nodeRecord{n.set.Host: {Nonce: n.life()}}
+	b := encode(map[string]any{"host": n.set.Host, "nonce": n.life(), "teams": []string{"ops"}, "rest": true})
+	if err := s.book.Share(n.set.Host, b, 1); err != nil {
+		panic(err)
+	}
+}
+
 func (n *Node) poolReport(i int) *Report {
 	r := &Report{Machine: fmt.Sprintf("vm-%06d", i), Addr: "x", Flavour: "box", Zone: "z", Spot: true, Tenure: 1, Tick: 1, Epoch: 1, Recall: -1}
 	if i%8 == 0 {
--- a/internal/core/deaf.go
+++ b/internal/core/deaf.go
@@ -57,7 +57,7 @@
 // when its machines keep coming here.
 func strayed(n *Node, machine, steward string) {
 	s := &n.sess
-	share, ok := s.shares[steward]
+	node, ok := s.nodes[steward]
 	if !ok || steward == n.set.Host {
 		return
 	}
@@ -71,14 +71,14 @@
 	}
 	n.toldStrays = n.now
 	n.info("machines come back from their steward", "steward", steward, "machines", k)
-	rec := encode(hearsRecord{Of: steward, Nonce: share.Nonce, Machines: k})
+	rec := encode(hearsRecord{Of: steward, Nonce: node.Nonce, Machines: k})
 	n.ask(StateOp{Kind: OpTxn, Prio: PrioStart, Apply: []Change{{Key: hearsPrefix + n.set.Host, Value: rec, Grant: s.grant}}}, func(StateDone) {})
 }
 
 // hearsItem takes in what another controller says of this one's machines.
 func hearsItem(n *Node, it Item) {
 	var r hearsRecord
-	if !it.Removed && decode(it.Value, &r) && r.Of == n.set.Host && r.Nonce == n.set.Nonce {
+	if !it.Removed && decode(it.Value, &r) && r.Of == n.set.Host && r.Nonce == n.life() {
 		n.sess.othersHear = n.now
 	}
 }
@@ -100,14 +100,13 @@
 	}
 	n.info("hears no worker, and others do: the share is given up", "machines", reporting)
 	grant := s.grant
-	s.grant, s.othersHear, s.deafUntil = 0, time.Time{}, n.now.Add(deafLong)
+	s.othersHear, s.deafUntil = time.Time{}, n.now.Add(deafLong)
 	n.after(deafLong, func() {
 		if !s.deaf(n.now) {
 			hearsAgain(n)
 		}
 	})
-	n.dropLead()
-	n.dropOwner("hears no worker")
+	n.endTerm("hears no worker")
 	// Ended, the grant takes the lead and the node's record with it at once. A new
 	// one is asked for only then: this node is not to look alive in between.
 	n.ask(StateOp{Kind: OpGrantDrop, Prio: PrioSession, Grant: grant}, func(StateDone) {
@@ -116,19 +115,3 @@
 		}
 	})
 }
-
-// hearing leaves out the controllers that hear no worker, unless all of them do.
-func hearing(n *Node, out map[string]shareRecord) {
-	deaf := map[string]bool{}
-	for h := range out {
-		if h == n.set.Host && n.sess.deaf(n.now) || h != n.set.Host && n.sess.nodes[h].Deaf {
-			deaf[h] = true
-		}
-	}
-	if len(deaf) == len(out) {
-		return
-	}
-	for h := range deaf {
-		delete(out, h)
-	}
-}
--- a/internal/core/effects.go
+++ b/internal/core/effects.go
@@ -1,6 +1,11 @@
 package core
 
-import "time"
+import (
+	"time"
+
+	"github.com/micahill/micahill/internal/custody"
+	"github.com/micahill/micahill/internal/division"
+)
 
 // Command is an input to the core. Effect is an output.
 type (
@@ -74,23 +79,35 @@
 	// Hosts are the owner's machines, for a successor.
 	Hosts []HostNews
 	// Asks: an owner asks the leader for machines it wants, and to return
-	// those that are idle; Seq is the newest news it has of the leader.
-	// Released are teams it has given up.
-	Asks     bool
-	Seq      uint64
-	Wants    []Want
-	Idle     []string
-	Released []string
-	// Tells: the leader tells an owner of its machines, and which team to give
-	// up.
+	// those that are idle; Seq is the newest news it has of the leader. Teams are
+	// what its teams keep busy, and Offers which machines it would give along with
+	// a team that is to move.
+	Asks   bool
+	Seq    uint64
+	Wants  []Want
+	Idle   []string
+	Teams  []TeamLoad
+	Offers []division.Offer
+	// Tells: the leader tells an owner of its machines: of some of them, and of all
+	// that the owner does not know of by Seq; and which team is to move.
 	Tells   bool
 	Rentals []RentalNews
 	Blocked []Want
-	Release []string
+	Release []division.Ask
+	// Wards are attempts of the sender's jobs on the receiver's machines, and Told
+	// what the sender knows of those of the receiver's jobs on its own.
+	Wards []custody.Ask
+	Told  []custody.Tell
 	// StateAway: the state service does not answer here.
 	StateAway bool
 }
 
+// TeamLoad is the CPUs that a team's tasks take and wait for.
+type TeamLoad struct {
+	Team string
+	CPU  float64
+}
+
 // RentalNews is a machine as the leader knows it.
 type RentalNews struct {
 	ID      string
@@ -113,10 +130,11 @@
 	heard   time.Time
 }
 
-// Load is what an owner has seen of a workload: its tasks a second, and how
-// its run times compare with their estimates, over so many samples. A
-// successor goes on with it.
+// Load is what an owner has seen of a team's jobs of a workload: tasks a second, and
+// how their run times compare with their estimates, over so many samples. A successor
+// goes on with it.
 type Load struct {
+	Team     string
 	Workload string
 	Rate     float64
 	Ratio    float64
@@ -308,6 +326,7 @@
 // Log is a line for the operator.
 type Log struct {
 	Debug bool
+	Error bool
 	Text  string
 	Args  []any
 }
--- a/internal/core/fleet.go
+++ b/internal/core/fleet.go
@@ -5,6 +5,8 @@
 	"fmt"
 	"slices"
 	"time"
+
+	"github.com/micahill/micahill/internal/division"
 )
 
 const (
@@ -56,6 +58,7 @@
 
 // view is what an owner knows of its machines from the leader.
 type view struct {
+	from    string
 	seq     uint64
 	at      time.Time
 	rentals map[string]*rental
@@ -72,8 +75,11 @@
 	status    string
 	returning bool
 	listed    time.Time
-	// owner is whom it was rented for, as long as no share says so.
-	owner string
+	// toldTo, toldAs and toldSeq are which owner was last told what of it, and by
+	// which news; told is when an owner was told of it.
+	toldTo, toldAs string
+	toldSeq        uint64
+	told           time.Time
 	// gone is when its return was answered; kept a while for its owner to hear.
 	gone time.Time
 }
@@ -101,12 +107,15 @@
 	// it knows of what was rented for it last, which is needSeq.
 	seq     uint64
 	needSeq map[string]uint64
-	// moved is when a team was moved last, release what is asked for.
-	moved   time.Time
-	release map[string]string
 	booked  uint64
-	sharing bool
 	news    map[string]peerWants
+	divide  dividing
+	// turn says which machines the owners are told of next, and acked up to which
+	// of its news each has them all.
+	turn  int
+	acked map[string]uint64
+	// unlisted are machines that records name and lists do not show, since when.
+	unlisted map[string]time.Time
 }
 
 func (n *Node) loadTypes() {
@@ -132,16 +141,16 @@
 
 func (n *Node) becomeLeader() {
 	if n.leader != nil && n.leader.stamp == n.sess.leadStamp {
-		n.share()
+		divide(n)
 		return
 	}
 	n.leader = &leader{
 		stamp: n.sess.leadStamp, gen: int(n.id()), since: n.now,
-		rentals: map[string]*rental{}, blocked: map[kind]time.Time{}, renting: map[ask]int{}, booking: map[string]bool{}, needSeq: map[string]uint64{}, release: map[string]string{}, moved: n.now,
-		news: map[string]peerWants{}, answered: map[string]bool{},
+		rentals: map[string]*rental{}, blocked: map[kind]time.Time{}, renting: map[ask]int{}, booking: map[string]bool{}, needSeq: map[string]uint64{},
+		news: map[string]peerWants{}, answered: map[string]bool{}, acked: map[string]uint64{}, unlisted: map[string]time.Time{}, divide: newDividing(n),
 	}
 	n.info("leader", "stamp", n.sess.leadStamp)
-	n.share()
+	divide(n)
 }
 
 func (n *Node) dropLead() {
@@ -151,243 +160,6 @@
 	}
 }
 
-// share writes the shares when they are not as they should be.
-func (n *Node) share() {
-	l := n.leader
-	s := &n.sess
-	if l.sharing {
-		return
-	}
-	want := n.division()
-	op := StateOp{Kind: OpTxn, Prio: PrioSession, When: []Cond{{leadKey, l.stamp}}}
-	hosts := map[string]bool{}
-	for h := range want {
-		hosts[h] = true
-	}
-	for h := range s.shares {
-		hosts[h] = true
-	}
-	type write struct {
-		key string
-		rec []byte
-	}
-	var writes []write
-	// A fresh leader leaves alone what stays as it is: a share names the life
-	// of its controller, and whatever an earlier leader may still have sent
-	// names that leader's record.
-	for _, h := range sortedKeys(hosts) {
-		w, ok := want[h]
-		have, had := s.shares[h]
-		// A machine that a share no longer names falls to the one that has the
-		// rest, whose epoch must then be above all that the machine has seen.
-		falls := ok && w.Rest && slices.ContainsFunc(sortedKeys(s.shares), func(x string) bool {
-			return slices.ContainsFunc(s.shares[x].Machines, func(id string) bool { return !slices.Contains(want[x].Machines, id) })
-		})
-		same := !falls && ok == had && w.Nonce == have.Nonce && slices.Equal(w.Teams, have.Teams) && w.Rest == have.Rest && slices.Equal(w.Machines, have.Machines)
-		if same {
-			continue
-		}
-		key := sharePrefix + h
-		op.When = append(op.When, Cond{key, s.shareStamp(h)})
-		var rec []byte
-		if ok {
-			rec = encode(w)
-		}
-		op.Apply = append(op.Apply, Change{Key: key, Value: rec})
-		writes = append(writes, write{key, rec})
-	}
-	if len(writes) == 0 {
-		return
-	}
-	l.sharing = true
-	gen := l.gen
-	n.ask(op, func(d StateDone) {
-		if n.leader == nil || n.leader.gen != gen {
-			return
-		}
-		n.leader.sharing = false
-		switch d.Status {
-		case StateOK:
-			for _, w := range writes {
-				n.ctlItem(Item{Key: w.key, Value: w.rec, Stamp: d.Rev, Removed: w.rec == nil})
-			}
-			n.ownerCheck()
-		case StateConflict:
-			// The watch is behind; look again.
-			n.after(n.jitter(retryPause), func() {
-				if n.leader != nil && n.leader.gen == gen {
-					n.loadCtl()
-				}
-			})
-		default:
-			n.after(n.jitter(retryPause), func() {
-				if n.leader != nil && n.leader.gen == gen {
-					n.share()
-				}
-			})
-		}
-	})
-}
-
-// division says which controller runs which teams and machines. A share stays
-// where it is while its controller lives; the share of a dead one goes to one
-// other as a whole, since its teams' tasks are mixed on its machines. A team
-// moves to a controller that has less only when its owner has given it up.
-func (n *Node) division() map[string]shareRecord {
-	s := &n.sess
-	out := map[string]shareRecord{n.set.Host: {Nonce: n.set.Nonce}}
-	for host, r := range s.nodes {
-		if host != n.set.Host {
-			out[host] = shareRecord{Nonce: r.Nonce}
-		}
-	}
-	hearing(n, out)
-	known := map[string]bool{}
-	for _, t := range n.set.Teams {
-		known[t.Name] = true
-	}
-	give := func(host string, teams, machines []string, rest bool) {
-		r := out[host]
-		for _, t := range teams {
-			if known[t] {
-				known[t] = false
-				r.Teams = append(r.Teams, t)
-			}
-		}
-		r.Machines = append(r.Machines, machines...)
-		r.Rest = r.Rest || rest
-		out[host] = r
-	}
-	least := func() string {
-		best := n.set.Host
-		for _, h := range sortedKeys(out) {
-			if _, ok := out[best]; !ok {
-				best = h
-			}
-			if len(out[h].Teams) < len(out[best].Teams) {
-				best = h
-			}
-		}
-		return best
-	}
-	for _, pass := range [...]bool{true, false} {
-		for _, host := range sortedKeys(s.shares) {
-			r := s.shares[host]
-			now, live := out[host]
-			if live = live && now.Nonce == r.Nonce; live != pass {
-				continue
-			}
-			if !live {
-				host = least()
-			}
-			give(host, r.Teams, r.Machines, r.Rest)
-		}
-	}
-	for _, t := range n.set.Teams {
-		if known[t.Name] {
-			give(least(), []string{t.Name}, nil, false)
-		}
-	}
-	n.balance(out)
-	rest := ""
-	for _, h := range sortedKeys(out) {
-		if r := out[h]; r.Rest && len(r.Teams) > 0 && rest == "" {
-			rest = h
-		}
-	}
-	if rest == "" {
-		rest = n.set.Host
-		if len(out[rest].Teams) == 0 {
-			for _, h := range sortedKeys(out) {
-				if len(out[h].Teams) > 0 {
-					rest = h
-					break
-				}
-			}
-		}
-	}
-	for h, r := range out {
-		r.Rest = h == rest
-		r.Machines = n.listedFor(h, r)
-		slices.Sort(r.Teams)
-		if len(r.Teams) == 0 {
-			delete(out, h)
-			continue
-		}
-		out[h] = r
-	}
-	return out
-}
-
-// listPatience is how long after a change of leader the shares name machines
-// that the lists, which lag, have not shown yet.
-const listPatience = time.Minute
-
-// listedFor is the machines that a share names: those of before that are not
-// gone, and those rented for it. The share that has the rest names none.
-func (n *Node) listedFor(host string, r shareRecord) []string {
-	if r.Rest {
-		return nil
-	}
-	var out []string
-	for _, id := range r.Machines {
-		m := n.leader.rentals[id]
-		if m != nil && m.gone.IsZero() || m == nil && n.now.Sub(n.leader.since) < listPatience {
-			out = append(out, id)
-		}
-	}
-	for _, id := range sortedKeys(n.leader.rentals) {
-		if m := n.leader.rentals[id]; m.owner == host && m.gone.IsZero() && !slices.Contains(out, id) {
-			out = append(out, id)
-		}
-	}
-	slices.Sort(out)
-	return slices.Compact(out)
-}
-
-// balance moves a team from the controller with most to the one with least,
-// now and then, once it has been given up there.
-func (n *Node) balance(out map[string]shareRecord) {
-	l := n.leader
-	var most, least string
-	for _, h := range sortedKeys(out) {
-		if most == "" || len(out[h].Teams) > len(out[most].Teams) {
-			most = h
-		}
-		if least == "" || len(out[h].Teams) < len(out[least].Teams) {
-			least = h
-		}
-	}
-	clear(l.release)
-	if len(out[most].Teams) < len(out[least].Teams)+2 || n.now.Sub(l.moved) < n.set.Policy.ShareInterval {
-		return
-	}
-	from := out[most]
-	slices.Sort(from.Teams)
-	team := from.Teams[len(from.Teams)-1]
-	l.release[most] = team
-	var free []string
-	if most == n.set.Host {
-		if n.owner == nil || !n.owner.ready {
-			return
-		}
-		n.freeze(team)
-		free = n.released()
-	} else if w, ok := l.news[most]; ok && n.now.Sub(w.at) < newsFresh {
-		free = w.news.Released
-	}
-	if !slices.Contains(free, team) {
-		return
-	}
-	l.moved = n.now
-	n.info("team moves", "team", team, "from", most, "to", least)
-	from.Teams = slices.Clone(from.Teams[:len(from.Teams)-1])
-	out[most] = from
-	to := out[least]
-	to.Teams = append(to.Teams, team)
-	out[least] = to
-}
-
 func (n *Node) leaderTick() {
 	l := n.leader
 	if n.now.Sub(l.looked) < leaderPeriod {
@@ -411,7 +183,21 @@
 	if !l.listedOK || n.now.After(n.sess.sureUntil) {
 		return
 	}
-	n.share()
+	for _, host := range sortedKeys(l.news) {
+		if w := l.news[host]; n.now.Sub(w.at) <= newsFresh {
+			l.acked[host] = max(l.acked[host], w.news.Seq)
+			for _, x := range w.news.Offers {
+				l.divide.offers[x.Team] = x
+			}
+			if w.at.After(l.looked.Add(-leaderPeriod)) {
+				loadsOf(n, w.news.Teams)
+			}
+		}
+	}
+	if o := n.owner; o != nil && o.ready {
+		ownNews(n)
+	}
+	divide(n)
 	if o := n.owner; o != nil && o.ready {
 		// What could not be booked at once stays wanted until the next look.
 		n.execute(n.set.Host, o.wants, o.gone)
@@ -453,6 +239,10 @@
 	l := n.leader
 	var back []string
 	for _, id := range gone {
+		if l.answered[id] && n.ownerOf(id) == host {
+			n.goneAlready(id, host)
+			continue
+		}
 		if r := l.rentals[id]; len(back) < returnMost && n.ownerOf(id) == host && (r == nil || !r.returning) {
 			back = append(back, id)
 		}
@@ -480,50 +270,100 @@
 	}
 }
 
-// ownerOf is whose machine it is: whose share names it, or whom it was rented
-// for, or whoever has the rest.
+// ownerOf is whose machine it is, by the records.
 func (n *Node) ownerOf(id string) string {
-	named, rest := n.holder(id)
-	if named != "" {
-		return named
+	if o, ok := n.sess.book.Owner(id); ok {
+		return o.Host
 	}
-	if r := n.leader.rentals[id]; r != nil && r.owner != "" {
-		if _, ok := n.sess.shares[r.owner]; ok {
-			return r.owner
+	return ""
+}
+
+// goneAlready tells the owner of a machine that its return was answered before it
+// came to this owner.
+func (n *Node) goneAlready(id, host string) {
+	l := n.leader
+	if host == n.set.Host {
+		if m := n.owner.machines[id]; m != nil {
+			n.dropMachine(m, "returned")
 		}
+		return
+	}
+	r := l.rentals[id]
+	if r == nil {
+		r = &rental{id: id}
+		l.rentals[id] = r
+	}
+	r.gone = n.now
+}
+
+// promised says that a machine was rented for another controller, whose record is
+// being written: it is not to be given work before.
+func (n *Node) promised(id string) bool {
+	if n.leader == nil {
+		return false
+	}
+	r, ok := n.leader.divide.rented[id]
+	return ok && r.Host != n.set.Host
+}
+
+// rentedFor is whose machine it is or is about to be.
+func (n *Node) rentedFor(id string) string {
+	if r, ok := n.leader.divide.rented[id]; ok {
+		return r.Host
 	}
-	return rest
+	return n.ownerOf(id)
 }
 
+// tellTurns is in how many turns, a second each, an owner is told of all its machines;
+// of what has changed it is told at once, and until it has shown that it knows.
+const tellTurns = 5
+
 // tellOwners tells the other owners of their machines.
 func (n *Node) tellOwners() {
 	l := n.leader
-	for _, host := range sortedKeys(n.sess.shares) {
-		if host == n.set.Host || !slices.Contains(n.set.Peers, host) {
+	news := map[string]*PeerNews{}
+	for _, x := range n.sess.book.Shares() {
+		if x.Host != n.set.Host && slices.Contains(n.set.Peers, x.Host) && news[x.Host] == nil {
+			news[x.Host] = &PeerNews{From: n.set.Host, Tells: true}
+		}
+	}
+	if len(news) == 0 {
+		return
+	}
+	l.seq++
+	l.turn = (l.turn + 1) % tellTurns
+	for i, id := range sortedKeys(l.rentals) {
+		r := l.rentals[id]
+		host := n.rentedFor(id)
+		m := news[host]
+		if m == nil {
 			continue
 		}
-		l.seq++
-		news := PeerNews{From: n.set.Host, Tells: true, Seq: l.seq}
-		if t, ok := l.release[host]; ok {
-			news.Release = []string{t}
+		status := r.status
+		if !r.gone.IsZero() {
+			status = "returned"
 		}
-		for _, id := range sortedKeys(l.rentals) {
-			r := l.rentals[id]
-			if n.ownerOf(id) != host {
-				continue
-			}
-			status := r.status
-			if !r.gone.IsZero() {
-				status = "returned"
-			}
-			news.Rentals = append(news.Rentals, RentalNews{r.id, r.addr, r.flavour, r.zone, r.spot, status, n.now.Sub(r.since)})
+		if r.toldTo != host || r.toldAs != status {
+			r.toldTo, r.toldAs, r.toldSeq = host, status, l.seq
 		}
-		for _, k := range sortedKinds(l.blocked) {
-			if l.blocked[k].After(n.now) {
-				news.Blocked = append(news.Blocked, Want{k.flavour, k.zone, k.spot, 1})
-			}
+		if r.toldSeq > l.acked[host] || i%tellTurns == l.turn {
+			m.Rentals = append(m.Rentals, RentalNews{r.id, r.addr, r.flavour, r.zone, r.spot, status, n.now.Sub(r.since)})
+		}
+	}
+	var blocked []Want
+	for _, k := range sortedKinds(l.blocked) {
+		if l.blocked[k].After(n.now) {
+			blocked = append(blocked, Want{k.flavour, k.zone, k.spot, 1})
+		}
+	}
+	asked, moves := l.divide.div.Asked()
+	for _, host := range sortedKeys(news) {
+		m := news[host]
+		m.Seq, m.Blocked = l.seq, blocked
+		if moves && asked.From == host {
+			m.Release = []division.Ask{asked}
 		}
-		n.emit(PeerSend{To: host, News: news})
+		n.emit(PeerSend{To: host, News: *m})
 	}
 }
 
@@ -532,12 +372,28 @@
 // proof that the machine is gone.
 func (n *Node) viewNews(c PeerNews) {
 	o := n.owner
-	if o.view != nil && o.view.seq > c.Seq && n.now.Sub(o.view.at) < newsFresh {
+	v := &view{rentals: map[string]*rental{}}
+	switch old := o.view; {
+	case old == nil || old.from != c.From:
+	case old.seq > c.Seq && n.now.Sub(old.at) < newsFresh:
 		return
+	default:
+		// It tells of some at a time. What it names no more is gone.
+		v.rentals = old.rentals
+		for id, r := range v.rentals {
+			if _, mine := n.mine(id); !mine && r.status != "booting" || n.now.Sub(r.told) > 2*tellTurns*leaderPeriod+newsFresh {
+				delete(v.rentals, id)
+			}
+		}
 	}
-	v := &view{seq: c.Seq, at: n.now, rentals: map[string]*rental{}, blocked: map[kind]time.Time{}, renting: map[kind]int{}}
+	v.from, v.seq, v.at, v.blocked, v.renting = c.From, c.Seq, n.now, map[kind]time.Time{}, map[kind]int{}
 	for _, x := range c.Rentals {
-		r := &rental{id: x.ID, addr: x.Addr, kind: kind{x.Flavour, x.Zone, x.Spot}, since: n.now.Add(-x.Age), status: x.Status, returning: n.returned[x.ID]}
+		// News says where to look, never what is owned: one that boots is counted on
+		// before any record names it, and used only then.
+		if _, mine := n.mine(x.ID); !mine && x.Status != "booting" {
+			continue
+		}
+		r := &rental{told: n.now, id: x.ID, addr: x.Addr, kind: kind{x.Flavour, x.Zone, x.Spot}, since: n.now.Add(-x.Age), status: x.Status, returning: n.returned[x.ID]}
 		v.rentals[x.ID] = r
 		if !o.ready {
 			continue
@@ -553,10 +409,8 @@
 		v.blocked[kind{w.Flavour, w.Zone, w.Spot}] = n.now.Add(newsFresh)
 	}
 	o.view = v
-	for _, t := range c.Release {
-		if o.ready {
-			n.freeze(t)
-		}
+	for _, a := range c.Release {
+		o.release, o.releaseAt = a, n.now
 	}
 }
 
@@ -577,7 +431,7 @@
 		switch {
 		case m == nil || !m.heard:
 			s.booting++
-		case len(m.attempts) == 0:
+		case m.empty():
 			s.up++
 			s.idle++
 		default:
@@ -671,7 +525,7 @@
 		}
 		if !r.listed.IsZero() && n.now.Sub(r.listed) > patience {
 			if n.owner != nil {
-				if m := n.owner.machines[id]; m != nil && (len(m.attempts) > 0 || !n.silent(m)) {
+				if m := n.owner.machines[id]; m != nil && (!m.empty() || !n.silent(m)) {
 					continue
 				}
 				if m := n.owner.machines[id]; m != nil {
@@ -681,6 +535,7 @@
 			delete(l.rentals, id)
 		}
 	}
+	missed(n)
 }
 
 // adopt makes a rental known to the owner of the pool.
@@ -689,10 +544,15 @@
 	if o == nil || r.status == "failed" || r.returning || !o.ready {
 		return
 	}
-	if n.leader != nil && n.ownerOf(r.id) != n.set.Host {
+	if _, mine := n.mine(r.id); !mine || n.leader != nil && n.leader.divide.rented[r.id].Host != "" {
+		// Another's, or about to be.
 		return
 	}
 	m := n.machine(r.id)
+	if !n.sess.book.Named(r.id) && !o.restSince.IsZero() && r.since.After(o.restSince) {
+		// Rented since, and named by nobody: it never was another's.
+		m.former = time.Time{}
+	}
 	if m.flavour == "" || m.addr == "" {
 		n.describe(m, r.addr, r.flavour, r.zone, r.spot)
 	}
@@ -714,8 +574,9 @@
 	cheapest := n.cheapest()
 	for _, m := range o.byID {
 		// One that the leader no longer lists may be gone, or a list was late;
-		// only the answer to a return is proof.
-		if id := m.id; o.view.rentals[id] == nil && len(m.attempts) > 0 && lost[id] && settled && len(o.gone) < returnMost {
+		// only the answer to a return is proof. If one was asked for already, the
+		// wish may have been lost, or answered to another owner.
+		if id := m.id; o.view.rentals[id] == nil && !m.empty() && (lost[id] || m.returning || n.returned[id]) && settled && len(o.gone) < returnMost {
 			n.returned[id] = true
 			m.returning = true
 			o.gone = append(o.gone, id)
@@ -736,11 +597,11 @@
 		case r.status == "failed":
 			why = "failed"
 		case m == nil:
-		case !m.heard && settled && n.now.Sub(r.since) > bootPatience*n.types[r.flavour].Ready+bootSlack && len(m.attempts) == 0:
+		case !m.heard && settled && n.now.Sub(r.since) > bootPatience*n.types[r.flavour].Ready+bootSlack && m.empty():
 			why = "never came up"
 		case lost[id] && settled:
 			why = "silent"
-		case m.bad && len(m.attempts) == 0:
+		case m.bad && m.empty():
 			why = "faulty"
 		case settled && spare[id] && n.idle(m, cheapest):
 			why = "idle"
@@ -846,8 +707,11 @@
 		case CloudOK:
 			n.booked(a, booking, count)
 			for _, id := range d.Rented {
-				r := &rental{id: id, kind: k, since: n.now, status: "booting", owner: host}
+				r := &rental{id: id, kind: k, since: n.now, status: "booting"}
 				l.rentals[id] = r
+				if n.ownerOf(id) != host {
+					l.divide.rented[id] = division.Rented{ID: id, Host: host, At: n.now}
+				}
 				n.adopt(r)
 			}
 			// Its wishes count again when it knows of these.
@@ -855,7 +719,7 @@
 			if len(d.Rented) < count {
 				l.blocked[k] = n.now.Add(n.jitter(refusedPause))
 			}
-			n.share()
+			divide(n)
 		case CloudNoCapacity:
 			n.booked(a, booking, count)
 			l.blocked[k] = n.now.Add(n.jitter(refusedPause))
--- a/internal/core/fleet_test.go
+++ b/internal/core/fleet_test.go
@@ -20,7 +20,7 @@
 		Need: Resources{CPU: 8, Memory: 22}, Image: "wide-1", ImageGB: 6, Expected: 40 * time.Second, Due: 3 * time.Minute}
 	n.owner.workloads["wide"] = &workload{&spec, n.now}
 	for range 10 {
-		n.owner.arrivals["wide"] = append(n.owner.arrivals["wide"], arrival{n.now, spec.Tasks, spec.Need, &spec})
+		n.owner.arrivals[loadKey{"ops", "wide"}] = append(n.owner.arrivals[loadKey{"ops", "wide"}], arrival{n.now, spec.Tasks, spec.Need, &spec})
 	}
 	if d := n.demands(n.horizon(), false, false); len(d) != 1 || d[0].count < 50 {
 		t.Fatalf("%d demands; more tasks were to be expected", len(d))
@@ -51,7 +51,7 @@
 		}
 	}
 	for range 10 {
-		n.owner.arrivals["small"] = append(n.owner.arrivals["small"], arrival{n.now, 12, small.Need, &small})
+		n.owner.arrivals[loadKey{"ops", "small"}] = append(n.owner.arrivals[loadKey{"ops", "small"}], arrival{n.now, 12, small.Need, &small})
 	}
 	if !n.neededElsewhere(&small, "rack") {
 		t.Fatal("nobody waits for racks")
@@ -155,7 +155,7 @@
 func TestSuccessorCountsMachinesNotHeardYet(t *testing.T) {
 	open, tasks := inheritance(200)
 	n := heir()
-	n.loaded(open, tasks)
+	n.inherits(open, tasks)
 	n.owner.view = &view{at: n.now, rentals: map[string]*rental{}, blocked: map[kind]time.Time{}, renting: map[kind]int{}}
 	for i := range 200 {
 		r := n.poolReport(i)
@@ -182,7 +182,7 @@
 	n := largePool(0)
 	n.owner.readyAt = n.now.Add(-settleTime)
 	for range 20 {
-		n.owner.arrivals["wide"] = append(n.owner.arrivals["wide"], arrival{n.now.Add(-settleTime + time.Second), 30, Resources{}, &Spec{}})
+		n.owner.arrivals[loadKey{"ops", "wide"}] = append(n.owner.arrivals[loadKey{"ops", "wide"}], arrival{n.now.Add(-settleTime + time.Second), 30, Resources{}, &Spec{}})
 	}
 	if r := n.arrivalRate("wide", warmWindow); r > 20 {
 		t.Errorf("600 tasks that came at once make %.0f a second, want no more than if they had come in %v", r, lately)
--- a/internal/core/jobs.go
+++ b/internal/core/jobs.go
@@ -59,6 +59,8 @@
 	saved   uint64
 	writing uint64
 	busy    bool
+	// refused is the version that the state service called malformed.
+	refused uint64
 	// urgent: a start waits for the write; otherwise it may wait and share.
 	urgent bool
 	since  time.Time
@@ -234,6 +236,7 @@
 		}
 	}
 	slices.Sort(r.Marks)
+	r.shorten()
 	for _, d := range j.times[max(0, len(j.times)-keptTimes):] {
 		r.Times = append(r.Times, d.Milliseconds())
 	}
--- a/internal/core/loans.go
+++ b/internal/core/loans.go
@@ -104,7 +104,7 @@
 // LoanView answers a LoanQuery, as of a moment after it was asked. OK is false while
 // nothing can be read. Leads: this controller leads, and answers peers; Leader says
 // which one does. Guests: it runs the guests' team, and speaks for the cluster as a
-// borrower; Frozen: not for long, the team is being given up.
+// borrower.
 type LoanView struct {
 	Reply     uint64
 	OK        bool
@@ -113,7 +113,6 @@
 	Epoch     uint64
 	SureUntil time.Time
 	Guests    bool
-	Frozen    bool
 	// GuestEpoch is the stamp of the share with the guests' team, and GuestTerm
 	// changes whenever the team is taken up anew.
 	GuestEpoch uint64
@@ -212,8 +211,9 @@
 const renewedPrefix = guestPrefix + "0/"
 
 // guests is the picture that the owner of the guests' team has of guest/, in the
-// given term as owner.
+// given term as its owner.
 type guests struct {
+	team    string
 	term    int
 	loaded  bool
 	loading bool
@@ -230,7 +230,7 @@
 	op := StateOp{Kind: OpTxn, Prio: PrioStart}
 	switch borrows := c.Kind >= LoanAccept; {
 	case borrows && owns && guestsKnown(n):
-		op.When = append(op.When, Cond{sharePrefix + n.set.Host, n.owner.epoch})
+		op.When = append(op.When, n.shareConds(n.guests.team)...)
 	case !borrows && n.leader != nil:
 		op.When = append(op.When, Cond{leadKey, n.leader.stamp})
 	default:
@@ -253,7 +253,7 @@
 		rec := j.record0()
 		rec.Lent, rec.LentN, rec.LentStop = c.Peer, c.N, c.Stop.Milliseconds()
 		j.lending = true
-		op.When = append(op.When, Cond{sharePrefix + n.set.Host, n.owner.epoch}, Cond{open, j.stamp})
+		op.When = append(append(op.When, n.shareConds(j.Team)...), Cond{open, j.stamp})
 		item = Item{Key: open, Value: encode(rec)}
 	case LoanBack:
 		if !there || l.rec.Lent == "" || l.rec.LentN != c.N {
@@ -377,21 +377,24 @@
 const cancelLook = 250 * time.Millisecond
 
 // guestsKnown says that guest/ has been read in this term as owner.
-func guestsKnown(n *Node) bool { return n.guests.loaded && n.guests.term == n.owner.gen }
+func guestsKnown(n *Node) bool {
+	held := n.owner.teams[n.guests.team]
+	return n.guests.loaded && held != nil && held.term == n.guests.term
+}
 
 // loadGuests reads guest/ for a new owner of the guests' team.
-func loadGuests(n *Node) {
+func loadGuests(n *Node, team string) {
 	g := &n.guests
 	if g.loading {
 		return
 	}
 	g.loading = true
-	term := n.owner.gen
+	term := n.owner.teams[team].term
 	by, renewed := map[string]guestRecord{}, map[string]time.Time{}
 	var list func(from string)
 	list = func(from string) {
 		n.ask(StateOp{Kind: OpList, Prio: PrioSession, Key: guestPrefix, From: from}, func(d StateDone) {
-			if d.Status != StateOK || n.owner == nil || n.owner.gen != term {
+			if held := n.owner; d.Status != StateOK || held == nil || held.teams[team] == nil || held.teams[team].term != term {
 				g.loading = false
 				return
 			}
@@ -410,7 +413,7 @@
 				list(d.Items[len(d.Items)-1].Key)
 				return
 			}
-			*g = guests{term: term, loaded: true, by: by, renewed: renewed}
+			*g = guests{team: team, term: term, loaded: true, by: by, renewed: renewed}
 		})
 	}
 	list("")
@@ -426,7 +429,7 @@
 	if n.owner == nil || !guestsKnown(n) {
 		return
 	}
-	op := StateOp{Kind: OpTxn, Prio: PrioLazy, When: []Cond{{sharePrefix + n.set.Host, n.owner.epoch}}}
+	op := StateOp{Kind: OpTxn, Prio: PrioLazy, When: n.shareConds(n.guests.team)}
 	for _, home := range sortedKeys(c.Renewed) {
 		if len(op.Apply) < n.set.TxnOps {
 			op.Apply = append(op.Apply, Change{Key: renewedPrefix + home, Value: encode(guestRecord{Renewed: c.Renewed[home].UnixMilli()})})
@@ -455,10 +458,10 @@
 	}
 	no := func() { n.emit(LoanView{Reply: c.Reply, Leader: n.sess.lead.Host}) }
 	here := func() bool {
-		return n.owner != nil && n.owner.ready && slices.Contains(n.owner.share.Teams, c.Team)
+		return n.owner != nil && n.owner.teams[c.Team] != nil && n.owner.teams[c.Team].ready
 	}
 	if here() && !guestsKnown(n) {
-		loadGuests(n)
+		loadGuests(n, c.Team)
 		no()
 		return
 	}
@@ -485,7 +488,7 @@
 		v.Leads, v.Epoch = true, n.leader.stamp
 	}
 	if guests {
-		v.GuestEpoch, v.GuestTerm, v.Frozen = n.owner.epoch, n.owner.gen, n.owner.frozen[c.Team]
+		v.GuestEpoch, v.GuestTerm = n.sess.book.Team(c.Team).Since(), n.guests.term
 	}
 	if n.sess.drain.By > 0 {
 		v.DrainBy = time.UnixMilli(n.sess.drain.By)
@@ -577,7 +580,7 @@
 		if x.m == nil || x.taken > 0 || !n.usable(x.m) || x.m.retiring {
 			continue
 		}
-		count[like{x.k, x.m.size.Plus(x.m.used, -1)}]++
+		count[like{x.k, x.m.free()}]++
 		for name, im := range x.m.images {
 			images[name] = images[name] || im.cached
 		}
--- a/internal/core/lost.go
+++ b/internal/core/lost.go
@@ -25,7 +25,7 @@
 		if !n.silent(m) {
 			continue
 		}
-		x := loss.Machine{ID: m.id, Tasks: len(m.attempts), Over: n.quietFor(m) - n.silentAfter(m)}
+		x := loss.Machine{ID: m.id, Tasks: len(m.attempts) + n.owner.desk.Count(m.id), Over: n.quietFor(m) - n.silentAfter(m)}
 		for k := range m.attempts {
 			j := n.owner.jobs[k.job]
 			if l := n.latest(j); int(j.Urgency) > x.Urgency || x.Latest.IsZero() || int(j.Urgency) == x.Urgency && l.Before(x.Latest) {
--- a/internal/core/machines.go
+++ b/internal/core/machines.go
@@ -5,6 +5,8 @@
 	"slices"
 	"strings"
 	"time"
+
+	"github.com/micahill/micahill/internal/custody"
 )
 
 const (
@@ -45,8 +47,21 @@
 	size    Resources
 	disk    float64
 
+	// afar: it is another controller's; only what this one's jobs have on it is kept.
+	// epoch is that under which it is owned, and former until when somebody who owned
+	// it before may go on answering it.
+	afar   bool
+	epoch  uint64
+	former time.Time
+
 	attempts map[taskKey]*task
 	used     Resources
+	// foreign is the room that attempts of others' jobs take, and warded says that
+	// there are any.
+	foreign Resources
+	warded  bool
+	// asking: open/ is being read to tell what becomes of a piece.
+	asking bool
 	// pieces is the newest report's list, and last the same as it came.
 	pieces map[taskKey]TaskReport
 	last   []TaskReport
@@ -84,6 +99,9 @@
 	// unanswered how many since it was last heard got no answer.
 	probed     time.Time
 	unanswered int
+	// checking: its lease is over by the clock, and the division is being read to
+	// tell whether it was this owner's all the time.
+	checking time.Time
 	// noDirect: the last direct order got no answer; wait for a report.
 	noDirect bool
 	// speed is how its finished tasks compared with what was expected.
@@ -101,7 +119,10 @@
 	o := n.owner
 	m := o.machines[id]
 	if m == nil {
-		m = &machine{id: id, attempts: map[taskKey]*task{}, images: map[string]*image{}, badJobs: map[string]bool{}, idleSince: n.now}
+		m = &machine{id: id, attempts: map[taskKey]*task{}, images: map[string]*image{}, badJobs: map[string]bool{}, idleSince: n.now, former: n.now.Add(n.former())}
+		if x, ok := n.mine(id); ok {
+			m.epoch = x.Epoch
+		}
 		o.machines[id] = m
 		i, _ := slices.BinarySearchFunc(o.byID, id, machineID)
 		o.byID = slices.Insert(o.byID, i, m)
@@ -109,6 +130,12 @@
 	return m
 }
 
+// free is the room on a machine for one more task.
+func (m *machine) free() Resources { return m.size.Plus(m.used, -1).Plus(m.foreign, -1) }
+
+// empty says that no task is on a machine or may yet begin there.
+func (m *machine) empty() bool { return len(m.attempts) == 0 && !m.warded }
+
 func machineID(m *machine, id string) int { return strings.Compare(m.id, id) }
 
 // forget drops a machine on which nothing is left.
@@ -153,12 +180,7 @@
 
 func (n *Node) describe(m *machine, addr, flavour, zone string, spot bool) {
 	if m.flavour == "" {
-		for k := range m.attempts {
-			j := n.owner.jobs[k.job]
-			j.zoneLive[m.zone]--
-			j.zoneLive[zone]++
-		}
-		m.zone = zone
+		n.zoneKnown(m, zone)
 	}
 	m.addr, m.flavour, m.spot = addr, flavour, spot
 	if f, ok := n.types[flavour]; ok {
@@ -166,6 +188,21 @@
 	}
 }
 
+// zoneKnown notes in which zone a machine with tasks on it is.
+func (n *Node) zoneKnown(m *machine, zone string) {
+	for k := range m.attempts {
+		j := n.owner.jobs[k.job]
+		j.zoneLive[m.zone]--
+		j.zoneLive[zone]++
+	}
+	m.zone = zone
+}
+
+// former is for how long a former owner may go on answering a machine after it has
+// become another's. One that lives knows of that with its watch, or loses its grant,
+// and then answers for its grace.
+func (n *Node) former() time.Duration { return sessionTTL + n.grace() }
+
 func (n *Node) leaseAfter(t time.Time) time.Time {
 	return t.Add(time.Duration(float64(n.set.Lease)*(1+clockDrift)) + leaseMargin)
 }
@@ -174,45 +211,43 @@
 func (n *Node) workerReport(c WorkerReport) {
 	o := n.owner
 	s := &n.sess
+	r := &c.Report
 	reportCame(n)
+	x, mine := n.mine(r.Machine)
 	switch {
-	case o == nil:
-		st := ""
-		if s.leadStamp != 0 {
-			st = n.steward(c.Report.Machine)
-			strayed(n, c.Report.Machine, st)
+	case o == nil || !mine:
+		st := n.steward(r.Machine)
+		if st == n.set.Host {
+			st = ""
+		}
+		if st != "" {
+			strayed(n, r.Machine, st)
 		}
 		n.emit(ReportReply{Reply: c.Reply, Status: 421, Steward: st})
 		return
-	case c.Report.Epoch > o.epoch:
+	case r.Epoch > x.Epoch:
 		// Somebody has a higher epoch: this node was deposed or its watch is
 		// late. A worker drops a lower epoch and would sit here while its
-		// lease runs out, so send it on.
-		st := n.steward(c.Report.Machine)
-		if st == n.set.Host {
-			st = ""
+		// lease runs out, so send it on. If it is ours all the same, it needs a
+		// higher epoch; see maybeRaise.
+		if o.higher[r.Machine].IsZero() {
+			o.higher[r.Machine] = n.now
 		}
-		n.emit(ReportReply{Reply: c.Reply, Status: 421, Steward: st})
+		n.emit(ReportReply{Reply: c.Reply, Status: 421})
 		return
 	case n.now.After(s.sureUntil.Add(n.grace())):
 		n.emit(ReportReply{Reply: c.Reply, Status: 503})
 		return
 	case !o.ready:
 		// Renew the lease, order nothing: what runs there is not known yet.
-		n.emit(ReportReply{Reply: c.Reply, Status: 200, Epoch: o.epoch})
+		n.emit(ReportReply{Reply: c.Reply, Until: s.sureUntil.Add(n.grace()), Status: 200, Epoch: x.Epoch})
 		return
-	}
-	if st := n.steward(c.Report.Machine); st != n.set.Host {
-		strayed(n, c.Report.Machine, st)
-		n.emit(ReportReply{Reply: c.Reply, Status: 421, Steward: st})
-		return
-	}
-	r := &c.Report
-	if n.returned[r.Machine] {
+	case n.returned[r.Machine]:
 		// Never given work again, and about to go.
 		n.emit(ReportReply{Reply: c.Reply, Status: 503})
 		return
 	}
+	delete(o.higher, r.Machine)
 	m := n.machine(r.Machine)
 	n.hear(m, r, true)
 	m.leaseEnd = later(m.leaseEnd, n.leaseAfter(n.now))
@@ -222,7 +257,7 @@
 			m.replyTick = r.Tick
 		}
 	}
-	n.emit(ReportReply{Reply: c.Reply, Until: s.sureUntil.Add(n.grace()), Status: 200, Epoch: o.epoch, Orders: orders})
+	n.emit(ReportReply{Reply: c.Reply, Until: s.sureUntil.Add(n.grace()), Status: 200, Epoch: m.epoch, Orders: orders})
 }
 
 // hear takes in what a worker says, unless something newer was heard.
@@ -244,9 +279,8 @@
 		m.replyTick, m.unacked = 0, 0
 		// A lease that has begun by now; what was known of an earlier one says
 		// nothing of it. Heard by an answer, it may get work before we answer any
-		// of its reports, and a former owner may go on prolonging it for the
-		// grace, which began when this one took over at the latest.
-		m.leaseEnd = later(m.leaseEnd, n.leaseAfter(later(n.now, n.owner.since.Add(n.grace()))))
+		// of its reports, and a former owner may go on prolonging it for a while.
+		m.leaseEnd = later(m.leaseEnd, n.leaseAfter(later(n.now, m.former)))
 	}
 	m.heard, m.tenure, m.tick = true, r.Tenure, r.Tick
 	m.seenEpoch = max(m.seenEpoch, r.Epoch)
@@ -277,10 +311,7 @@
 		}
 		n.piece(m, k, p)
 	}
-	m.strays = false
-	for k, p := range m.pieces {
-		m.strays = m.strays || p.Status != Ended && m.attempts[k] == nil
-	}
+	deskSees(n, m)
 	for _, k := range m.attemptsIf(func(t *task) bool { return t.stop != stopNone }) {
 		if _, ok := m.pieces[k]; !ok && n.quiet(m) {
 			// To be stopped, and not there: the proof that it is gone.
@@ -346,11 +377,14 @@
 
 // quiet says that no start for m is on its way anywhere.
 func (n *Node) quiet(m *machine) bool {
-	return m.seenEpoch >= n.owner.epoch && m.unacked == 0 && m.replyTick == 0 && !m.inFlight
+	return m.seenEpoch >= m.epoch && m.unacked == 0 && m.replyTick == 0 && !m.inFlight
 }
 
 // stuck says that a start without an answer keeps m from being settled.
-func (m *machine) stuck() bool {
+func (m *machine) stuck(d *custody.Desk) bool {
+	if d.Unseen(m.id) {
+		return true
+	}
 	for _, t := range m.attempts {
 		if t.stop != stopNone {
 			return true
@@ -511,7 +545,13 @@
 		}
 		n.gone(n.owner.jobs[k.job], k.index, false)
 	}
-	m.pieces, m.last, m.strays = nil, nil, false
+	n.owner.desk.Lost(n.now, m.id, func(a custody.Attempt) bool {
+		return r != nil && slices.ContainsFunc(r.Tasks, func(p TaskReport) bool {
+			return p.Job == a.Job && p.Index == a.Index && p.Try == a.Try
+		})
+	})
+	m.pieces, m.last = nil, nil
+	n.countWards(m)
 	m.images = map[string]*image{}
 }
 
@@ -533,6 +573,12 @@
 		if j != nil && k.index < len(j.tasks) {
 			t = &j.tasks[k.index]
 		}
+		if j == nil {
+			if x, some := n.others(m, p, quiet); some {
+				orders = append(orders, x)
+			}
+			continue
+		}
 		ours := t != nil && t.m == m && t.try == p.Try
 		switch {
 		case ours && t.stop != stopNone && p.Status == Flushing && n.windDown(m, j, t) > 0:
@@ -593,6 +639,12 @@
 // direct sends orders to the worker at once, without waiting for its report.
 func (n *Node) direct(m *machine) {
 	o := n.owner
+	if m.afar {
+		// Its owner is asked.
+		m.dirty = false
+		o.wards.soon = true
+		return
+	}
 	if m.inFlight || m.noDirect || m.returning || m.addr == "" || !m.heard {
 		return
 	}
@@ -610,9 +662,9 @@
 	}
 	starts := slices.ContainsFunc(orders, func(o Order) bool { return o.Verb == Start })
 	m.inFlight = true
-	epoch, gen := o.epoch, o.gen
+	epoch, gen := m.epoch, o.gen
 	n.call(WorkerOp{Machine: m.id, Addr: m.addr, Until: n.sess.sureUntil, Epoch: epoch, Tenure: m.tenure, Orders: orders}, func(d WorkerDone) {
-		if n.owner == nil || n.owner.gen != gen {
+		if n.owner == nil || n.owner.gen != gen || m.forgotten {
 			return
 		}
 		m.inFlight = false
@@ -653,7 +705,7 @@
 		m.inFlight = false
 		n.owner.contacts--
 		n.contactHeirs()
-		if d.NotSent {
+		if d.NotSent || m.forgotten {
 			return
 		}
 		if d.Report == nil || d.Report.Machine != m.id {
@@ -661,7 +713,7 @@
 			return
 		}
 		n.hear(m, d.Report, false)
-		if m.seenEpoch < n.owner.epoch {
+		if m.seenEpoch < m.epoch {
 			n.claimMachine(m)
 		}
 	})
@@ -674,7 +726,7 @@
 	for len(o.heirs) > 0 && o.contacts < contactMost {
 		m := o.heirs[0]
 		o.heirs = o.heirs[1:]
-		if !m.forgotten && m.seenEpoch < o.epoch {
+		if !m.forgotten && m.seenEpoch < m.epoch {
 			n.contact(m)
 		}
 	}
@@ -682,10 +734,10 @@
 
 // claimMachine shows the worker the current epoch with an empty order.
 func (n *Node) claimMachine(m *machine) {
-	gen, epoch := n.owner.gen, n.owner.epoch
+	gen, epoch := n.owner.gen, m.epoch
 	m.inFlight = true
-	n.call(WorkerOp{Machine: m.id, Addr: m.addr, Epoch: epoch, Tenure: m.tenure}, func(d WorkerDone) {
-		if n.owner == nil || n.owner.gen != gen {
+	n.call(WorkerOp{Machine: m.id, Addr: m.addr, Until: n.sess.sureUntil, Epoch: epoch, Tenure: m.tenure}, func(d WorkerDone) {
+		if n.owner == nil || n.owner.gen != gen || m.forgotten {
 			return
 		}
 		m.inFlight = false
@@ -713,22 +765,20 @@
 func (n *Node) sweep() {
 	o := n.owner
 	n.contactHeirs()
-	over := 0
-	defer func() {
-		if over > 0 && !n.now.After(n.sess.sureUntil) {
-			n.info("leases surely over", "machines", over)
+	for _, id := range sortedKeys(o.afar) {
+		if m := o.afar[id]; m.recall {
+			n.drain(m)
 		}
-	}()
+	}
 	for _, m := range slices.Clone(o.byID) {
 		if m.reports() && n.quietFor(m) > time.Duration(probeReports*float64(n.longestReport())) {
 			n.contact(m)
 		}
-		if len(m.attempts) > 0 && !m.leaseEnd.IsZero() && n.now.After(m.leaseEnd) {
-			over++
-			n.debug("lease surely over", "machine", m.id, "attempts", len(m.attempts))
-			n.loseAll(m, nil)
-		}
-		if len(m.attempts) == 0 && !m.leaseEnd.IsZero() && n.now.After(m.leaseEnd) {
+		if !m.leaseEnd.IsZero() && n.now.After(m.leaseEnd) {
+			if !m.empty() {
+				n.leaseOver(m)
+				continue
+			}
 			// If it is ever heard of again, it is in a later tenure and empty.
 			o.forget(m)
 			continue
@@ -743,6 +793,28 @@
 	}
 }
 
+// leaseOver counts a lease that has run out, with all that the machine had on it, once
+// it is sure that the machine was this owner's until then: another one would have
+// prolonged it.
+func (n *Node) leaseOver(m *machine) {
+	if n.now.Sub(m.checking) < checkEvery {
+		return
+	}
+	m.checking = n.now
+	gen := n.owner.gen
+	n.ctlSure(func() {
+		if n.owner == nil || n.owner.gen != gen || m.forgotten || !n.now.After(m.leaseEnd) {
+			return
+		}
+		n.info("lease surely over", "machine", m.id, "attempts", len(m.attempts))
+		n.loseAll(m, nil)
+	})
+}
+
+// checkEvery separates two looks at the division for a lease that is over, when the
+// first got no answer.
+const checkEvery = 2 * time.Second
+
 // noticeError is how much longer than announced a machine may stay.
 const noticeError = 1.5
 
@@ -774,7 +846,7 @@
 
 // reports says that a machine should be heard of: it has been, or a former owner
 // had work on it.
-func (m *machine) reports() bool { return m.heard || len(m.attempts) > 0 }
+func (m *machine) reports() bool { return m.heard || !m.empty() }
 
 // quietFor is how long nothing has been heard of a machine; after a takeover
 // the count begins when this owner was ready to hear.
--- a/internal/core/mirror.go
+++ b/internal/core/mirror.go
@@ -17,9 +17,13 @@
 type mirror struct {
 	loaded  bool
 	loading bool
-	// rev: the picture is exact as of this revision.
+	// rev: the picture is exact as of this revision, and at least as new as a moment
+	// asOf.
 	rev  uint64
+	asOf time.Time
 	open map[string]living
+	// watching: a watch is open, as long as this node is an owner.
+	watching bool
 	// asking wait for the read under way, next for one that has not begun.
 	asking, next []func(ok bool)
 	busy         bool
@@ -75,12 +79,52 @@
 			// Later pages tell of later changes, which the next read, from the
 			// revision of the first, brings again in order.
 			m.open, m.rev, m.loaded, m.loading = open, rev, true, false
+			ownerReads(n)
 			n.freshNext()
+			n.mirrorWatch()
 		})
 	}
 	list("")
 }
 
+// mirrorNews takes in what a read or a watch has brought, all changes after a revision
+// that was known. Two may be under way; of what both bring each change counts once.
+func (n *Node) mirrorNews(d StateDone) {
+	m := &n.users.mirror
+	for _, it := range d.Items {
+		if it.Stamp > m.rev {
+			mirrorItem(m.open, it)
+			if n.owner != nil {
+				n.openItem(it)
+			}
+		}
+	}
+	m.rev = max(m.rev, d.Rev)
+}
+
+// mirrorWatch lets an owner hear of new jobs at once.
+func (n *Node) mirrorWatch() {
+	m := &n.users.mirror
+	if m.watching || !m.loaded || n.owner == nil {
+		return
+	}
+	m.watching = true
+	n.ask(StateOp{Kind: OpFollow, Prio: PrioSession, Key: openPrefix, Rev: m.rev, Hold: watchHold}, func(d StateDone) {
+		m.watching = false
+		switch {
+		case !m.loaded:
+			// Being read again.
+		case d.Status == StateOK:
+			n.mirrorNews(d)
+			n.mirrorWatch()
+		case d.Status == StateGone:
+			n.mirrorLoad()
+		default:
+			n.after(n.jitter(retryPause), n.mirrorWatch)
+		}
+	})
+}
+
 func mirrorItem(open map[string]living, it Item) {
 	id := jobID(it.Key, openPrefix)
 	if it.Removed {
@@ -115,21 +159,22 @@
 		return
 	}
 	m.asking, m.next, m.busy, m.readAt = m.next, nil, true, n.now
+	began := n.now
 	n.ask(StateOp{Kind: OpFollow, Prio: PrioUser, Key: openPrefix, Rev: m.rev}, func(d StateDone) {
 		m.busy = false
 		fns := m.asking
 		m.asking = nil
 		ok := d.Status == StateOK
-		if ok {
-			for _, it := range d.Items {
-				mirrorItem(m.open, it)
-			}
-			m.rev = max(m.rev, d.Rev)
+		if ok && m.loaded {
+			n.mirrorNews(d)
+			m.asOf = began
 		}
-		if d.Status == StateGone {
+		if d.Status == StateGone || ok && !m.loaded {
 			// Too far behind: read it all again. Who asked waits for that.
 			m.next = append(fns, m.next...)
-			n.mirrorLoad()
+			if !m.loading {
+				n.mirrorLoad()
+			}
 			return
 		}
 		for _, fn := range fns {
--- a/internal/core/node.go
+++ b/internal/core/node.go
@@ -4,6 +4,7 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/micahill/micahill/internal/bounds"
 	"github.com/micahill/micahill/internal/ears"
 	"github.com/micahill/micahill/internal/pace"
 )
@@ -31,15 +32,13 @@
 	// accuracy of the workloads' estimates outlives a loss of the owner role.
 	errs map[string]*estimate
 	role Role
-	// held is the epoch under which this life was last an owner.
-	held uint64
-	// raising: the share is being rewritten for a higher epoch.
+	// raising: machines are being named once more for a higher epoch.
 	raising bool
 	// returned remembers machines whose return was asked for: neither an old
 	// list nor a late report may bring them back.
 	returned map[string]bool
 	// inherited is what the owner before told of the workloads.
-	inherited map[string]Load
+	inherited map[loadKey]Load
 	// heirloom is what other owners last told of their machines.
 	heirloom map[string]HostNews
 	pruned   time.Time
@@ -57,6 +56,8 @@
 	sliced int
 	// placed: the last step had a round of placing in it.
 	placed bool
+	// defects counts requests that were malformed.
+	defects int
 	// guests are the loans this cluster has taken, as far as this node has read.
 	guests guests
 }
@@ -75,7 +76,7 @@
 		calls:    map[uint64]func(WorkerDone){},
 		display:  map[string]Progress{},
 		errs:     map[string]*estimate{},
-		returned: map[string]bool{}, inherited: map[string]Load{}, heirloom: map[string]HostNews{}, away: map[string]time.Time{},
+		returned: map[string]bool{}, inherited: map[loadKey]Load{}, heirloom: map[string]HostNews{}, away: map[string]time.Time{},
 	}
 	n.users.init()
 	return n
@@ -119,6 +120,10 @@
 	case WorkerReport:
 		n.workerReport(c)
 	case StateDone:
+		if c.Status == StateBad {
+			n.defects++
+			n.emit(Log{Error: true, Text: "the state service calls a request malformed", Args: []any{"request", c.ID}})
+		}
 		if c.Status != StateUnknown && c.Status != StateRefused {
 			n.sess.stateOK = n.now
 			n.sess.stateBad = time.Time{}
@@ -156,8 +161,10 @@
 		for _, p := range c.Progress {
 			n.display[p.ID] = p
 		}
-		if n.owner == nil {
-			n.inherit(c.Loads)
+		n.inherit(c.Loads)
+		if n.owner != nil {
+			takeAsks(n, c.From, c.Wards)
+			takeTold(n, c.From, c.Told)
 		}
 		for _, h := range c.Hosts {
 			h.heard = n.now
@@ -234,8 +241,26 @@
 
 func (n *Node) id() uint64 { n.next++; return n.next }
 
+// ask sends a request to the state service. One that passes its limits does not
+// leave: it would be refused as malformed, as often as it is sent, and count against
+// the limit of requests. It is a defect, told of as an error, and answered as such.
 func (n *Node) ask(op StateOp, fn func(StateDone)) {
 	op.ID = n.id()
+	if op.Kind == OpTxn {
+		when, apply := make([]string, len(op.When)), make([]bounds.Change, len(op.Apply))
+		for i, c := range op.When {
+			when[i] = c.Key
+		}
+		for i, c := range op.Apply {
+			apply[i] = bounds.Change{Key: c.Key, Value: c.Value}
+		}
+		if err := n.bounds().Txn(when, apply); err != nil {
+			n.emit(Log{Error: true, Text: "a request passes the state service's limits", Args: []any{"err", err}})
+			n.defects++
+			n.after(0, func() { fn(StateDone{ID: op.ID, Status: StateBad, Sent: n.now}) })
+			return
+		}
+	}
 	n.state[op.ID] = fn
 	n.emit(op)
 }
@@ -265,6 +290,3 @@
 func (n *Node) spread(d time.Duration) time.Duration {
 	return time.Duration(float64(d) * (0.5 + n.rng.Float64()))
 }
-
-// IsOwner says whether this node runs jobs now.
-func (n *Node) IsOwner() bool { return n.owner != nil && n.owner.ready }
--- a/internal/core/owner.go
+++ b/internal/core/owner.go
@@ -2,9 +2,14 @@
 
 import (
 	"cmp"
+	"fmt"
 	"slices"
 	"strings"
 	"time"
+
+	"github.com/micahill/micahill/internal/bounds"
+	"github.com/micahill/micahill/internal/custody"
+	"github.com/micahill/micahill/internal/division"
 )
 
 const (
@@ -18,6 +23,9 @@
 	// lazyMost bounds the changes of a write for which no start waits, so that
 	// a start that comes next is soon let through.
 	lazyMost = 4
+	// txnFull is how full a transaction is made, in bytes of JSON, with room for what
+	// every one has.
+	txnFull = bounds.TxnMost * 3 / 4
 	// slowWrite is how long a write takes that the log tells of, at debug.
 	slowWrite = 500 * time.Millisecond
 	// chunkTxns bounds the owner's transactions in flight.
@@ -41,16 +49,30 @@
 	saveEvery = 20 * time.Millisecond
 )
 
-// owner runs the teams and machines of this controller's share.
+// owner runs the teams and machines of the shares that this controller holds.
 type owner struct {
-	epoch    uint64
-	share    shareRecord
-	since    time.Time
-	ready    bool
-	readyAt  time.Time
-	gen      int
+	since   time.Time
+	ready   bool
+	readyAt time.Time
+	gen     int
+	// teams are those of the shares that are held; see tenure.go.
+	teams  map[string]*teamHeld
+	shares map[string]bool
+	// restSince is since when one of the shares has the machines that no lot names.
+	restSince time.Time
+	// loading: records of teams are being read.
+	loading  bool
 	jobs     map[string]*job
 	machines map[string]*machine
+	// afar are machines of other owners on which attempts of these jobs are, and
+	// desk the account of others' attempts on the machines here; see wards.go.
+	afar  map[string]*machine
+	desk  custody.Desk
+	wards wardTimes
+	// higher are machines that have seen an epoch above the one they are owned
+	// under, and raises counts the lots written to raise epochs.
+	higher map[string]time.Time
+	raises int
 	// byID are the machines in the order of their names, and dirty those for
 	// which orders may be due.
 	byID  []*machine
@@ -60,7 +82,6 @@
 	heirs    []*machine
 	contacts int
 	used     map[string]Resources
-	rev      uint64
 	inFlight int
 	// lazy counts the writes under way for which no start waits.
 	lazy  int
@@ -89,16 +110,16 @@
 	retired time.Time
 	wants   map[kind]int
 	gone    []string
-	// frozen teams are being given up: nothing more is started for them.
-	frozen   map[string]bool
-	frozenBy uint64
-	raised   time.Time
+	// release is a team that the leader wants to move, and when it last said so.
+	release   division.Ask
+	releaseAt time.Time
+	raised    time.Time
 	// toldLost is when the log last told of machines that are silent together.
 	toldLost time.Time
 	// orphans are task/ records whose job is over.
 	orphans []string
-	// arrivals remember when work of each workload came, for warm room.
-	arrivals map[string][]arrival
+	// arrivals remember when work of each team and workload came, for warm room.
+	arrivals map[loadKey][]arrival
 	// workloads holds the newest job of each workload.
 	workloads map[string]*workload
 	// waiting is, for each workload with tasks that wait for a place, when the
@@ -135,182 +156,15 @@
 // because the higher epoch reaches them at once.
 func (n *Node) grace() time.Duration { return n.set.Lease }
 
-// ownerCheck takes up, updates or drops the owner role as ctl/ says.
-func (n *Node) ownerCheck() {
-	s := &n.sess
-	share, ok := s.shares[n.set.Host]
-	if !ok || share.Nonce != n.set.Nonce || len(share.Teams) == 0 || s.grant == 0 || s.leadStamp == 0 {
-		if s.leadStamp != 0 || s.grant == 0 {
-			n.dropOwner("no share")
-		}
-		return
-	}
-	stamp := s.stamps[sharePrefix+n.set.Host]
-	if o := n.owner; o != nil {
-		if o.frozenBy != s.leadStamp {
-			// The leader that asked for a team has gone, and with it the
-			// condition of whatever move it may have sent.
-			o.frozenBy, o.frozen = s.leadStamp, map[string]bool{}
-		}
-		if o.epoch == stamp {
-			return
-		}
-		if slices.Equal(o.share.Teams, share.Teams) {
-			o.epoch, o.share, n.held = stamp, share, stamp
-			o.place = true
-			for _, m := range o.byID {
-				n.mark(m)
-			}
-			return
-		}
-		n.dropOwner("teams changed")
-	}
-	if stamp == n.held {
-		// This life has run the share before and dropped the role: which of its
-		// starts are still on their way is not known any more. Under a higher
-		// epoch they can no longer be executed.
-		n.raiseShare()
-		return
-	}
-	n.held = stamp
-	n.owner = &owner{
-		epoch: stamp, share: share, since: n.now, gen: int(n.id()),
-		frozen: map[string]bool{}, frozenBy: s.leadStamp,
-		jobs: map[string]*job{}, machines: map[string]*machine{}, used: map[string]Resources{},
-		arrivals: map[string][]arrival{}, workloads: map[string]*workload{}, warm: map[string]map[string]float64{},
-	}
-	n.info("owner", "epoch", stamp, "teams", share.Teams)
-	n.load()
-}
-
 func (n *Node) dropOwner(why string) {
 	if n.owner == nil {
 		return
 	}
-	n.info("owner no more", "why", why, "epoch", n.owner.epoch)
+	n.info("owner no more", "why", why)
 	n.owner.endPass()
 	n.owner = nil
 }
 
-// load reads all that is alive: open/, then task/. Chunks are written only by
-// the owner, so none changes in between but those of a deposed owner, whose
-// writes fail by the stamp of its share.
-func (n *Node) load() {
-	o := n.owner
-	gen := o.gen
-	var tasks []Item
-	var open []Item
-	var listTasks, listOpen, listWarm func(from string)
-	again := func(fn func(string), from string) {
-		n.after(n.jitter(retryPause), func() {
-			if n.owner != nil && n.owner.gen == gen {
-				fn(from)
-			}
-		})
-	}
-	listOpen = func(from string) {
-		n.ask(StateOp{Kind: OpList, Prio: PrioSession, Key: openPrefix, From: from}, func(d StateDone) {
-			if n.owner == nil || n.owner.gen != gen {
-				return
-			}
-			if d.Status != StateOK {
-				again(listOpen, from)
-				return
-			}
-			if from == "" {
-				o.rev = d.Rev
-			}
-			open = append(open, d.Items...)
-			if d.Truncated && len(d.Items) > 0 {
-				listOpen(d.Items[len(d.Items)-1].Key)
-				return
-			}
-			listTasks("")
-		})
-	}
-	listTasks = func(from string) {
-		n.ask(StateOp{Kind: OpList, Prio: PrioSession, Key: taskPrefix, From: from}, func(d StateDone) {
-			if n.owner == nil || n.owner.gen != gen {
-				return
-			}
-			if d.Status != StateOK {
-				again(listTasks, from)
-				return
-			}
-			tasks = append(tasks, d.Items...)
-			if d.Truncated && len(d.Items) > 0 {
-				listTasks(d.Items[len(d.Items)-1].Key)
-				return
-			}
-			listWarm("")
-		})
-	}
-	// Images are no more than a help: without them it goes on as well.
-	listWarm = func(from string) {
-		n.ask(StateOp{Kind: OpList, Prio: PrioSession, Key: warmPrefix, From: from}, func(d StateDone) {
-			if n.owner == nil || n.owner.gen != gen {
-				return
-			}
-			for _, it := range d.Items {
-				n.warmItem(it)
-			}
-			if d.Status == StateOK && d.Truncated && len(d.Items) > 0 {
-				listWarm(d.Items[len(d.Items)-1].Key)
-				return
-			}
-			n.loaded(open, tasks)
-		})
-	}
-	listOpen("")
-}
-
-func (n *Node) loaded(open, tasks []Item) {
-	o := n.owner
-	for _, it := range open {
-		n.openItem(it)
-	}
-	for _, it := range tasks {
-		id := jobID(it.Key, taskPrefix)
-		j := o.jobs[id]
-		if j == nil {
-			if !n.otherTeams(open, id) {
-				o.orphans = append(o.orphans, it.Key)
-			}
-			continue
-		}
-		var r chunkRecord
-		if !decode(it.Value, &r) {
-			n.info("unreadable record", "key", it.Key)
-			continue
-		}
-		n.restore(j, it, &r)
-	}
-	for _, j := range o.jobs {
-		n.settleRestored(j)
-	}
-	o.ready, o.place, o.readyAt = true, true, n.now
-	n.info("owner ready", "jobs", len(o.jobs), "machines", len(o.machines), "after", n.now.Sub(o.since))
-	n.ownerFollow(o.gen)
-	// Reach the machines with living attempts at once: the higher epoch ends
-	// what a former owner may still order, and their reports are the proof.
-	// Those without are contacted as well, or they would stay with a former
-	// owner that has lost the state service alone, for the whole of its grace.
-	for _, id := range sortedKeys(n.heirloom) {
-		if h := n.heirloom[id]; n.now.Sub(h.heard) < hostMemory && n.steward(id) == n.set.Host && !n.returned[id] {
-			m := n.machine(id)
-			n.describe(m, h.Addr, h.Flavour, h.Zone, h.Spot)
-			for name, gb := range h.Images {
-				m.images[name] = &image{gb: gb, last: n.now, cached: true}
-			}
-		}
-	}
-	o.heirs = slices.Clone(o.byID)
-	slices.SortStableFunc(o.heirs, func(a, b *machine) int {
-		return cmp.Compare(b2f(len(a.attempts) == 0), b2f(len(b.attempts) == 0))
-	})
-	n.contactHeirs()
-}
-
 // hosts is what a successor has to know of the machines: of some of them at a
 // time, so that news of a large pool is spread over the seconds.
 func (n *Node) hosts() []HostNews {
@@ -335,106 +189,9 @@
 	return out
 }
 
-func (n *Node) otherTeams(open []Item, id string) bool {
-	for _, it := range open {
-		if it.Key == openPrefix+id {
-			return true
-		}
-	}
-	return false
-}
-
-func (n *Node) restore(j *job, it Item, r *chunkRecord) {
-	var k int
-	for _, ch := range strings.TrimPrefix(it.Key, taskPrefix+j.ID+"/") {
-		k = k*10 + int(ch-'0')
-	}
-	c := &chunk{n: k, stamp: it.Stamp, ver: 1, saved: 1, writing: 1}
-	if j.cancelled && len(j.tasks) < (k+1)*j.per {
-		j.tasks = append(j.tasks, make([]task, (k+1)*j.per-len(j.tasks))...)
-	}
-	j.chunks[k] = c
-	for i := 0; i+1 < len(r.Runs); i += 2 {
-		for x := r.Runs[i]; x <= r.Runs[i+1] && x < len(j.tasks); x++ {
-			t := &j.tasks[x]
-			t.done, t.ver, t.try = true, 1, 1
-			j.done++
-			j.fresh = max(j.fresh, x+1)
-		}
-	}
-	marks := map[int64]bool{}
-	for _, g := range r.Marks {
-		marks[g] = true
-	}
-	for _, row := range r.Rows {
-		if row.Index >= len(j.tasks) {
-			continue
-		}
-		t := &j.tasks[row.Index]
-		t.try, t.group, t.relaunched, t.ver = row.Try, row.Group, row.Relaunched, 1
-		j.fresh = max(j.fresh, row.Index+1)
-		if row.Machine != "" {
-			m := n.machine(row.Machine)
-			// A former owner may have gone on answering for its grace.
-			m.leaseEnd = later(m.leaseEnd, n.leaseAfter(n.now.Add(n.grace())))
-			n.attach(j, row.Index, m)
-			t.sent, t.inherited = true, true
-			g := j.groups[row.Group]
-			if g == nil {
-				g = &group{start: time.UnixMilli(row.Group), marked: marks[row.Group]}
-				j.groups[row.Group] = g
-			}
-			g.tasks = append(g.tasks, row.Index)
-		}
-	}
-	if len(j.sorted) == 0 {
-		for _, ms := range r.Times {
-			j.ran(time.Duration(ms) * time.Millisecond)
-		}
-	}
-}
-
-// settleRestored queues what is neither done nor live.
-func (n *Node) settleRestored(j *job) {
-	for i := range j.tasks[:j.fresh] {
-		if t := &j.tasks[i]; !t.done && t.m == nil {
-			j.again = append(j.again, i)
-		}
-		if t := &j.tasks[i]; j.cancelled && t.m != nil {
-			t.stop = stopCancel
-		}
-	}
-}
-
-func (n *Node) ownerFollow(gen int) {
-	if n.owner == nil || n.owner.gen != gen {
-		return
-	}
-	n.ask(StateOp{Kind: OpFollow, Prio: PrioSession, Key: openPrefix, Rev: n.owner.rev, Hold: watchHold}, func(d StateDone) {
-		o := n.owner
-		if o == nil || o.gen != gen {
-			return
-		}
-		switch d.Status {
-		case StateOK:
-			o.rev = max(o.rev, d.Rev)
-			for _, it := range d.Items {
-				n.openItem(it)
-			}
-			n.ownerFollow(gen)
-		case StateGone:
-			// Too old: read everything again, as after a takeover.
-			n.dropOwner("watch too old")
-			n.ownerCheck()
-		default:
-			n.after(n.jitter(retryPause), func() { n.ownerFollow(gen) })
-		}
-	})
-}
-
 // ownerSees tells the owner at once of a change this node wrote itself.
 func (n *Node) ownerSees(it Item) {
-	if n.owner != nil && n.owner.ready {
+	if n.owner != nil {
 		n.openItem(it)
 	}
 }
@@ -463,33 +220,45 @@
 	}
 	if j == nil {
 		// An earlier form kept nothing of a cancelled job but that it is one.
-		if (!r.Cancelled || r.Team != "") && !slices.Contains(o.share.Teams, r.Team) {
+		held := o.teams[r.Team]
+		if (!r.Cancelled || r.Team != "") && (held == nil || !held.ready) || !o.ready {
+			// Another's, or it comes when the team's records have been read.
 			return
 		}
 		spec := r.spec(id)
 		if r.Cancelled {
 			spec.Tasks = r.Tasks
 		}
-		at := time.UnixMilli(r.At)
-		if o.ready {
-			// It has just come, and this clock is the one that its waits are
-			// judged by here; another controller's may be a second off.
-			at = n.now
-		}
-		j = newJob(spec, at, it.Stamp, n.set.ValueBytes)
-		o.jobs[id] = j
+		// It has just come, and this clock is the one that its waits are judged by
+		// here; another controller's may be a second off.
+		j = n.newJob(spec, n.now, it.Stamp)
 		if !r.Cancelled {
-			n.debug("job", "job", id, "workload", j.Workload, "tasks", j.Tasks, "due", j.Due, "image", j.Image, "age", n.now.Sub(j.at))
-			o.workloads[j.Workload] = &workload{&j.Spec, n.now}
-			o.hurry = o.hurry || n.waitBound(j.Workload) > 0
-			if o.ready {
-				// What is there at a takeover came before.
-				o.arrivals[j.Workload] = append(o.arrivals[j.Workload], arrival{n.now, j.Tasks, j.Need, &j.Spec})
-			}
+			k := loadKey{j.Team, j.Workload}
+			o.arrivals[k] = append(o.arrivals[k], arrival{n.now, j.Tasks, j.Need, &j.Spec})
 		}
 	}
-	j.stamp = it.Stamp
-	j.loaned(&r)
+	n.jobRecord(j, it.Stamp, &r)
+	o.place = true
+}
+
+// newJob takes a job into the owner's books.
+func (n *Node) newJob(spec Spec, at time.Time, stamp uint64) *job {
+	o := n.owner
+	j := newJob(spec, at, stamp, n.set.ValueBytes)
+	o.jobs[j.ID] = j
+	if j.Workload != "" {
+		n.debug("job", "job", j.ID, "workload", j.Workload, "tasks", j.Tasks, "due", j.Due, "image", j.Image, "age", n.now.Sub(j.at))
+		o.workloads[j.Workload] = &workload{&j.Spec, n.now}
+		o.hurry = o.hurry || n.waitBound(j.Workload) > 0
+	}
+	return j
+}
+
+// jobRecord takes in a job's record in open/ as it stands now.
+func (n *Node) jobRecord(j *job, stamp uint64, r *openRecord) {
+	id := j.ID
+	j.stamp = stamp
+	j.loaned(r)
 	if r.Cancelled && !j.cancelled {
 		j.cancelled = true
 		n.setFinal(id, Cancelled)
@@ -500,7 +269,6 @@
 			}
 		}
 	}
-	o.place = true
 }
 
 // attach makes the attempt of task i live on m.
@@ -531,6 +299,9 @@
 	if len(m.attempts) == 0 {
 		m.idleSince = n.now
 		m.used = Resources{}
+		if m.afar {
+			o.dropAfar(m)
+		}
 	}
 	if t.isRunning() {
 		j.running--
@@ -568,6 +339,7 @@
 		n.maybeRaise()
 		n.planFleet(true)
 		n.tellPeers()
+		askWards(n)
 		n.writeWarm()
 		o.place = true
 	}
@@ -586,6 +358,10 @@
 		n.writeChunks()
 	}
 	n.directAll()
+	tellWards(n)
+	if o.wards.soon {
+		askWards(n)
+	}
 	o.wake = o.swept.Add(ownerPeriod)
 	if next := o.saved.Add(saveEvery); o.saved != n.now && next.Before(o.wake) {
 		o.wake = next
@@ -638,7 +414,7 @@
 	patience = min(max(patience, lazyWrite), lazyLongest)
 	crowded := patience > lazyWrite
 	for len(unsaved) > 0 && o.inFlight < chunkTxns {
-		op := StateOp{Kind: OpTxn, Prio: PrioLazy, When: []Cond{{sharePrefix + n.set.Host, o.epoch}}}
+		op := StateOp{Kind: OpTxn, Prio: PrioLazy}
 		type part struct {
 			j   *job
 			c   *chunk
@@ -646,6 +422,7 @@
 		}
 		var parts []part
 		size := 0
+		shares := map[string]bool{}
 		based := map[string]bool{}
 		add := func(most int, due func(*chunk) bool) {
 			for _, j := range unsaved {
@@ -656,18 +433,30 @@
 				}
 				for _, k := range sortedKeys(j.chunks) {
 					c := j.chunks[k]
-					if c.busy || c.ver == c.saved || len(op.Apply) >= most || !due(c) {
+					if c.busy || c.ver == c.saved || c.ver == c.refused || len(op.Apply) >= most || !due(c) {
 						continue
 					}
 					val := encode(j.record(c))
-					// The limit counts JSON; that is at most about three times
-					// the length of these short rows.
-					if size += 3 * len(val); size > 48<<10 && len(op.Apply) > 0 {
-						return
+					conds := 1
+					var fence []Cond
+					if !based[id] {
+						if fence = n.shareConds(j.Team); shares[fence[0].Key] {
+							fence = nil
+						}
+						conds += 1 + len(fence)
+					}
+					// What does not fit goes with the next write.
+					if size += bounds.ChangeBytes(bounds.Change{Key: c.key(id), Value: val}) + conds*bounds.CondBytes(openPrefix+id); size > txnFull || len(op.When)+conds > bounds.CondTimes*n.set.TxnOps {
+						if len(op.Apply) > 0 {
+							return
+						}
 					}
 					if !based[id] {
 						based[id] = true
-						op.When = append(op.When, Cond{openPrefix + id, j.stamp})
+						for _, f := range fence {
+							shares[f.Key] = true
+						}
+						op.When = append(append(op.When, fence...), Cond{openPrefix + id, j.stamp})
 					}
 					op.When = append(op.When, Cond{c.key(id), c.stamp})
 					op.Apply = append(op.Apply, Change{Key: c.key(id), Value: val})
@@ -711,6 +500,10 @@
 				n.debug("slow write", "took", took, "chunks", len(parts), "status", d.Status, "lazy", lazy)
 			}
 			for _, p := range parts {
+				if o.jobs[p.j.ID] != p.j {
+					// Its team is another's now, who reads what stands there.
+					continue
+				}
 				switch d.Status {
 				case StateOK:
 					p.c.busy = false
@@ -724,14 +517,33 @@
 					// Perhaps applied, perhaps later: read what stands there.
 					n.reread(p.j, p.c)
 				default:
+					// As it is it would be refused again. What was to start with it
+					// does not, and the rest goes on.
 					n.info("write refused as malformed", "job", p.j.ID, "chunk", p.c.n)
-					n.retryChunk(p.j, p.c)
+					n.defect(p.j, p.c, p.ver)
 				}
 			}
 		})
 	}
 }
 
+// defect deals with a record that the state service calls malformed. It is not sent
+// again as it is: tasks in it that were not begun are taken off their machines, and
+// only when something of it changes is it written once more.
+func (n *Node) defect(j *job, c *chunk, ver uint64) {
+	c.busy, c.urgent = false, false
+	c.refused = c.ver
+	for i := c.n * j.per; i < min((c.n+1)*j.per, j.fresh); i++ {
+		if t := &j.tasks[i]; t.m != nil && !t.sent && t.ver <= ver {
+			t.notBefore = n.now.Add(defectPause)
+			n.gone(j, i, false)
+		}
+	}
+}
+
+// defectPause is how long tasks wait whose record was malformed.
+const defectPause = 30 * time.Second
+
 func (n *Node) retryChunk(j *job, c *chunk) {
 	c.urgent = true
 	n.after(n.jitter(retryPause), func() { c.busy = false })
@@ -742,7 +554,7 @@
 // write of our own, applied late, and all it holds is still meant.
 func (n *Node) settle(j *job, c *chunk, failed []string) {
 	switch {
-	case slices.Contains(failed, sharePrefix+n.set.Host), slices.Contains(failed, openPrefix+j.ID):
+	case slices.ContainsFunc(failed, func(k string) bool { return strings.HasPrefix(k, sharePrefix) }), slices.Contains(failed, openPrefix+j.ID):
 		n.retryChunk(j, c)
 	case slices.Contains(failed, c.key(j.ID)):
 		n.reread(j, c)
@@ -755,7 +567,7 @@
 func (n *Node) reread(j *job, c *chunk) {
 	gen := n.owner.gen
 	n.ask(StateOp{Kind: OpGet, Prio: PrioStart, Key: c.key(j.ID)}, func(d StateDone) {
-		if n.owner == nil || n.owner.gen != gen {
+		if n.owner == nil || n.owner.gen != gen || n.owner.jobs[j.ID] != j {
 			return
 		}
 		switch d.Status {
@@ -810,7 +622,7 @@
 func (n *Node) endJob(j *job) {
 	o := n.owner
 	j.ending = true
-	op := StateOp{Kind: OpTxn, Prio: PrioStart, When: []Cond{{sharePrefix + n.set.Host, o.epoch}, {openPrefix + j.ID, j.stamp}}}
+	op := StateOp{Kind: OpTxn, Prio: PrioStart, When: append(n.shareConds(j.Team), Cond{openPrefix + j.ID, j.stamp})}
 	if !j.cancelled {
 		op.Apply = append(op.Apply, Change{Key: jobPrefix + j.ID, Value: encode(jobRecord{Status: Done, Tasks: len(j.tasks)})})
 	}
@@ -869,7 +681,9 @@
 
 func (n *Node) jobOver(j *job, rest []string) {
 	o := n.owner
-	delete(o.jobs, j.ID)
+	if o.jobs[j.ID] == j {
+		delete(o.jobs, j.ID)
+	}
 	o.orphans = append(o.orphans, rest...)
 }
 
@@ -881,7 +695,7 @@
 	k := min(len(o.orphans), lazyMost, n.set.TxnOps)
 	keys := o.orphans[:k]
 	o.orphans = slices.Clone(o.orphans[k:])
-	op := StateOp{Kind: OpTxn, Prio: PrioLazy, When: []Cond{{sharePrefix + n.set.Host, o.epoch}}}
+	op := StateOp{Kind: OpTxn, Prio: PrioLazy, When: n.shareConds("")}
 	for _, key := range keys {
 		if open := (Cond{openPrefix + jobID(key, taskPrefix), 0}); !slices.Contains(op.When, open) {
 			op.When = append(op.When, open)
@@ -909,44 +723,54 @@
 	})
 }
 
-// maybeRaise rewrites the share when a start without an answer stands in the
-// way: under a higher epoch it can no longer be executed.
+// maybeRaise names machines once more, for a higher epoch: where a start without an
+// answer stands in the way, which can no longer be executed then, and where a machine
+// has seen a higher epoch than that under which it is this owner's.
 func (n *Node) maybeRaise() {
 	o := n.owner
 	if n.raising || n.now.Sub(o.raised) < raiseEvery {
 		return
 	}
-	need := false
-	for _, m := range o.machines {
-		if m.unacked == o.epoch && m.stuck() {
-			need = true
+	by := map[string][]string{}
+	add := func(id string) {
+		if x, mine := n.mine(id); mine {
+			by[x.Name] = append(by[x.Name], id)
 		}
 	}
-	if !need {
-		return
+	for _, m := range o.byID {
+		// While the machine is out of reach a higher epoch does not reach it either.
+		if m.unacked != 0 && m.unacked == m.epoch && !m.noDirect && m.stuck(&o.desk) {
+			add(m.id)
+		}
 	}
-	o.raised = n.now
-	n.raiseShare()
-}
-
-// raiseShare rewrites this node's share unchanged, under its own stamp, for a
-// higher epoch. One at a time; when it is answered, the role is looked at again.
-func (n *Node) raiseShare() {
-	if n.raising {
-		return
+	for _, id := range sortedKeys(o.higher) {
+		if _, mine := n.mine(id); !mine {
+			delete(o.higher, id)
+		} else if n.now.Sub(o.higher[id]) > raiseEvery {
+			add(id)
+		}
 	}
-	n.raising = true
-	key := sharePrefix + n.set.Host
-	rec, stamp := encode(n.sess.shares[n.set.Host]), n.sess.stamps[key]
-	n.ask(StateOp{Kind: OpTxn, Prio: PrioStart, When: []Cond{{key, stamp}}, Apply: []Change{{Key: key, Value: rec}}}, func(d StateDone) {
-		n.raising = false
-		if d.Status == StateOK {
-			n.ctlItem(Item{Key: key, Value: rec, Stamp: d.Rev})
-			n.ownerCheck()
-			return
+	for _, name := range sortedKeys(by) {
+		s := n.sess.book.Find(name)
+		o.raises++
+		w, some := division.Raise(n.bounds(), fmt.Sprintf("%s-%d-%d", n.life(), o.gen, o.raises), s, by[name])
+		if len(some) == 0 {
+			continue
 		}
-		n.after(n.jitter(retryPause), n.ownerCheck)
-	})
+		o.raised = n.now
+		n.raising = true
+		n.info("machines get a higher epoch", "machines", len(some), "such as", some[0], "share", name)
+		n.ask(StateOp{Kind: OpTxn, Prio: PrioStart, When: []Cond{{sharePrefix + name, s.Stamp}, {lotPrefix + w.Name, 0}},
+			Apply: []Change{{Key: lotPrefix + w.Name, Value: w.Value}}}, func(StateDone) {
+			n.raising = false
+			if n.owner == o {
+				for _, id := range some {
+					delete(o.higher, id)
+				}
+			}
+		})
+		return
+	}
 }
 
 // tellPeers shows the progress of open jobs to the other controllers, and asks
@@ -975,7 +799,7 @@
 	for _, p := range n.set.Peers {
 		out := news
 		if n.leader == nil && p == n.sess.lead.Host && o.view != nil {
-			out.Seq, out.Idle, out.Released = o.wantsSeq, o.gone, n.released()
+			out.Seq, out.Idle, out.Offers, out.Teams = o.wantsSeq, o.gone, n.offers(), n.teamLoads()
 			for _, k := range sortedKinds(o.wants) {
 				out.Wants = append(out.Wants, Want{k.flavour, k.zone, k.spot, o.wants[k]})
 			}
@@ -987,40 +811,75 @@
 	}
 }
 
-// released names the frozen teams of which nothing is left running or on its
-// way into the state service: the leader may give them to another.
-func (n *Node) released() []string {
-	var out []string
-	for _, team := range sortedKeys(n.owner.frozen) {
-		free := true
-		for _, j := range n.owner.jobs {
-			if j.Team != team && !(j.cancelled && j.Team == "") {
-				continue
-			}
-			free = free && j.live == 0 && !j.ending
-			for _, c := range j.chunks {
-				free = free && !c.busy && c.ver == c.saved
-			}
+// offers says which machines would go along with the team that the leader wants to
+// move: those where only its tasks are, and idle ones, as many as are its part of what
+// all teams here keep busy. The receiver is not to begin with no machines.
+func (n *Node) offers() []division.Offer {
+	o := n.owner
+	r := o.release
+	held := o.teams[r.Team]
+	if r.From != n.set.Host || n.now.Sub(o.releaseAt) > newsFresh || held == nil || !held.ready {
+		return nil
+	}
+	sum, part := 0.0, 0.0
+	for _, l := range n.teamLoads() {
+		sum += l.CPU + 1
+		if l.Team == r.Team {
+			part = l.CPU + 1
+		}
+	}
+	all := 0.0
+	for _, m := range o.byID {
+		all += m.size.CPU
+	}
+	left := all * part / max(sum, 1)
+	var only, idle []*machine
+	for _, m := range o.byID {
+		if !m.heard || m.returning || m.warded {
+			continue
 		}
-		if free {
-			out = append(out, team)
+		same := true
+		for k := range m.attempts {
+			same = same && o.jobs[k.job].Team == r.Team
+		}
+		switch {
+		case len(m.attempts) == 0:
+			idle = append(idle, m)
+		case same:
+			only = append(only, m)
 		}
 	}
-	return out
+	offer := division.Offer{Team: r.Team}
+	for _, m := range append(only, idle...) {
+		if left -= m.size.CPU; left < 0 && len(offer.Machines) > 0 || len(offer.Machines) >= offerMost {
+			break
+		}
+		offer.Machines = append(offer.Machines, m.id)
+	}
+	return []division.Offer{offer}
 }
 
-// freeze begins to give up a team that the leader wants to move. One with
-// replicas stays, since they never end.
-func (n *Node) freeze(team string) {
-	for _, j := range n.owner.jobs {
-		if j.Team == team && j.Standing {
-			return
-		}
+// offerMost bounds the machines that go along with a team at once.
+const offerMost = 1000
+
+// teamLoads is what each team of this owner keeps busy: what its tasks take, and what
+// those that wait would.
+func (n *Node) teamLoads() []TeamLoad {
+	o := n.owner
+	sum := map[string]float64{}
+	for t := range o.teams {
+		sum[t] = 0
 	}
-	if slices.Contains(n.owner.share.Teams, team) && !n.owner.frozen[team] {
-		n.info("giving up a team", "team", team)
-		n.owner.frozen[team] = true
+	for _, j := range o.jobs {
+		sum[j.Team] += float64(j.live+j.pending()) * j.Need.CPU
 	}
+	var out []TeamLoad
+	for _, t := range sortedKeys(sum) {
+		if o.teams[t] != nil {
+			out = append(out, TeamLoad{t, sum[t]})
+		}
+	}
+	return out
 }
 
 func later(a, b time.Time) time.Time {
--- a/internal/core/pass.go
+++ b/internal/core/pass.go
@@ -96,7 +96,7 @@
 	}
 	v := &view{at: n.now, rentals: map[string]*rental{}, blocked: l.blocked, renting: map[kind]int{}}
 	for id, r := range l.rentals {
-		if r.gone.IsZero() && n.ownerOf(id) == n.set.Host {
+		if r.gone.IsZero() && n.rentedFor(id) == n.set.Host {
 			v.rentals[id] = r
 		}
 	}
--- a/internal/core/place.go
+++ b/internal/core/place.go
@@ -145,7 +145,7 @@
 	}
 	var waiting []*job
 	for _, j := range n.owner.jobs {
-		if j.pending() > 0 && j.mayStart(n.now) && !n.owner.frozen[j.Team] && !j.notBefore.After(n.now) {
+		if j.pending() > 0 && j.mayStart(n.now) && !j.notBefore.After(n.now) {
 			waiting = append(waiting, j)
 		}
 	}
@@ -252,7 +252,7 @@
 	for _, m := range n.owner.byID {
 		if j.allows(m.flavour, m.zone, m.spot) && n.usable(m) {
 			all += m.size.Times(j.Need)
-			free += m.size.Plus(m.used, -1).Times(j.Need)
+			free += m.free().Times(j.Need)
 		}
 	}
 	if v := n.owner.view; v != nil {
@@ -276,7 +276,7 @@
 
 // usable says whether tasks may be placed on m now.
 func (n *Node) usable(m *machine) bool {
-	return m.heard && !m.recall && !m.returning && !m.bad && !m.strays && m.size.CPU > 0 && !n.silent(m)
+	return !n.promised(m.id) && m.heard && !m.recall && !m.returning && !m.bad && !m.strays && m.size.CPU > 0 && !n.silent(m)
 }
 
 // placeAll places what waits, in order.
@@ -450,7 +450,7 @@
 		if _, ok := l.rate(j, s); !ok {
 			continue
 		}
-		k := m.size.Plus(m.used, -1).Times(j.Need)
+		k := m.free().Times(j.Need)
 		if j.Apart {
 			k = min(k, (len(j.tasks)+1)/2-zones[m.zone])
 			zones[m.zone] += k
@@ -636,7 +636,7 @@
 		}
 		room := false
 		for _, m := range n.owner.byID {
-			if m != t.m && j.Need.Fits(m.size.Plus(m.used, -1)) && j.allows(m.flavour, m.zone, m.spot) && n.usable(m) {
+			if m != t.m && j.Need.Fits(m.free()) && j.allows(m.flavour, m.zone, m.spot) && n.usable(m) {
 				room = true
 				break
 			}
--- a/internal/core/play.go
+++ b/internal/core/play.go
@@ -332,7 +332,7 @@
 			continue
 		}
 		v := &all[i]
-		*v = virtual{k: kind{m.flavour, m.zone, m.spot}, m: m, idle: len(m.attempts) == 0, free: m.size.Plus(m.used, -1)}
+		*v = virtual{k: kind{m.flavour, m.zone, m.spot}, m: m, idle: m.empty(), free: m.free()}
 		lo := len(ends)
 		for k, t := range m.attempts {
 			j := n.owner.jobs[k.job]
@@ -435,28 +435,60 @@
 	return out
 }
 
+// loadKey names a team's jobs of a workload.
+type loadKey struct{ team, workload string }
+
+// keysOf are the teams whose jobs of a workload have lately come here, or came to
+// whoever had them before.
+func (n *Node) keysOf(workload string) []loadKey {
+	var out []loadKey
+	for _, t := range sortedKeys(n.owner.teams) {
+		k := loadKey{t, workload}
+		if _, told := n.inherited[k]; told || len(n.owner.arrivals[k]) > 0 {
+			out = append(out, k)
+		}
+	}
+	return out
+}
+
 // burst is how much more than the average a workload may well bring within a
 // time. Jobs come by chance and differ in size about as much as their mean, so
 // what comes varies by one part in the root of their number: by half where few
 // come, by little where hundreds do.
 func (n *Node) burst(name string, within time.Duration) float64 {
-	jobs := float64(len(n.owner.arrivals[name])) * within.Seconds() / warmWindow.Seconds()
+	jobs := 0.0
+	for _, k := range n.keysOf(name) {
+		jobs += float64(len(n.owner.arrivals[k])) * within.Seconds() / warmWindow.Seconds()
+	}
 	return 1 + min(burstMost, 1/math.Sqrt(max(jobs, 1)))
 }
 
 // burstMost bounds what is kept in hand for chance.
 const burstMost = 0.5
 
-// arrivalRate is the workload's tasks a second over the last while. After a
-// takeover, what a former owner told of it fills in for what was not seen.
+// arrivalRate is the workload's tasks a second over the last while.
 func (n *Node) arrivalRate(name string, window time.Duration) float64 {
+	sum := 0.0
+	for _, k := range n.keysOf(name) {
+		sum += n.teamRate(k, window)
+	}
+	return sum
+}
+
+// teamRate is that of one team. After a takeover, what a former owner told of it fills
+// in for what was not seen.
+func (n *Node) teamRate(k loadKey, window time.Duration) float64 {
 	o := n.owner
-	as := o.arrivals[name]
+	as := o.arrivals[k]
 	for len(as) > 0 && n.now.Sub(as[0].at) > warmWindow {
 		as = as[1:]
 	}
-	o.arrivals[name] = as
-	span := n.now.Sub(o.readyAt)
+	o.arrivals[k] = as
+	held := o.teams[k.team]
+	if held == nil || !held.ready {
+		return 0
+	}
+	span := n.now.Sub(held.readyAt)
 	sum := 0
 	for _, a := range as {
 		if n.now.Sub(a.at) <= window {
@@ -466,7 +498,7 @@
 	if span >= window {
 		return float64(sum) / window.Seconds()
 	}
-	old, told := n.inherited[name]
+	old, told := n.inherited[k]
 	if !told {
 		if span < settleTime {
 			return 0
@@ -479,24 +511,31 @@
 	return (float64(sum) + old.Rate*(window-span).Seconds()) / window.Seconds()
 }
 
-// loads is what a successor has to know of the workloads.
+// loads is what a successor has to know of the teams' workloads.
 func (n *Node) loads() []Load {
 	var out []Load
 	for _, name := range sortedKeys(n.owner.workloads) {
-		l := Load{Workload: name, Rate: n.arrivalRate(name, warmWindow), Ratio: 1}
-		if e := n.errs[name]; e != nil {
-			l.Ratio, l.Dev, l.Samples = e.ratio, e.dev, e.n
+		for _, k := range n.keysOf(name) {
+			l := Load{Team: k.team, Workload: name, Rate: n.teamRate(k, warmWindow), Ratio: 1}
+			if e := n.errs[name]; e != nil {
+				l.Ratio, l.Dev, l.Samples = e.ratio, e.dev, e.n
+			}
+			out = append(out, l)
 		}
-		out = append(out, l)
 	}
 	return out
 }
 
-// inherit keeps what another controller, the owner now, tells of workloads.
+// inherit keeps what another controller, the owner of teams now, tells of their
+// workloads.
 func (n *Node) inherit(ls []Load) {
 	for _, l := range ls {
-		n.inherited[l.Workload] = l
-		if l.Samples > 0 {
+		k := loadKey{l.Team, l.Workload}
+		if n.owner != nil && n.owner.teams[l.Team] != nil {
+			continue
+		}
+		n.inherited[k] = l
+		if e := n.errs[l.Workload]; l.Samples > 0 && (n.owner == nil || e == nil || e.n < l.Samples) {
 			n.errs[l.Workload] = &estimate{ratio: l.Ratio, dev: l.Dev, n: l.Samples}
 		}
 	}
--- a/internal/core/record.go
+++ b/internal/core/record.go
@@ -3,6 +3,7 @@
 import (
 	"strings"
 	"time"
+	"unicode/utf8"
 
 	"github.com/vmihailenco/msgpack/v5"
 )
@@ -14,10 +15,12 @@
 // is read as well. task/ holds its tasks in chunks, apart from open/ so that
 // the owner's watch for new jobs is not woken by its own progress.
 const (
-	ctlPrefix   = "ctl/"
-	leadKey     = "ctl/lead"
-	nodePrefix  = "ctl/node/"
+	ctlPrefix  = "ctl/"
+	leadKey    = "ctl/lead"
+	nodePrefix = "ctl/node/"
+	// The shares and lots of the division; see internal/division.
 	sharePrefix = "ctl/share/"
+	lotPrefix   = "ctl/lot/"
 	jobPrefix   = "job/"
 	openPrefix  = "open/"
 	taskPrefix  = "task/"
@@ -40,18 +43,6 @@
 	Nonce string `msgpack:"nonce"`
 }
 
-// shareRecord says what one controller runs. Rest: also every machine that no
-// share lists.
-type shareRecord struct {
-	// Nonce is the life of the controller that the share is for: a restarted
-	// one does not go on with its former life's epoch, under which orders may
-	// still be on their way.
-	Nonce    string   `msgpack:"nonce"`
-	Teams    []string `msgpack:"teams"`
-	Rest     bool     `msgpack:"rest"`
-	Machines []string `msgpack:"machines"`
-}
-
 type jobRecord struct {
 	Status JobStatus `msgpack:"s"`
 	Tasks  int       `msgpack:"n"`
@@ -112,10 +103,42 @@
 // whose relaunch has been decided. Times are run times in milliseconds, the
 // last few, from which a successor rebuilds the median.
 type chunkRecord struct {
-	Runs  []int     `msgpack:"d,omitempty"`
-	Rows  []taskRow `msgpack:"t,omitempty"`
-	Marks []int64   `msgpack:"m,omitempty"`
-	Times []int64   `msgpack:"rt,omitempty"`
+	// Prefix is what the names of all machines in the rows begin with; the rows
+	// have the rest, so that long names take no more room than short ones.
+	Prefix string    `msgpack:"p,omitempty"`
+	Runs   []int     `msgpack:"d,omitempty"`
+	Rows   []taskRow `msgpack:"t,omitempty"`
+	Marks  []int64   `msgpack:"m,omitempty"`
+	Times  []int64   `msgpack:"rt,omitempty"`
+}
+
+// shorten puts what all machines' names begin with into one place. The last row's name
+// keeps a character at least, as "" stands for none.
+func (r *chunkRecord) shorten() {
+	prefix, first := "", true
+	for _, row := range r.Rows {
+		switch {
+		case row.Machine == "":
+		case first:
+			prefix, first = row.Machine[:len(row.Machine)-1], false
+		default:
+			k := 0
+			for k < len(prefix) && k < len(row.Machine)-1 && prefix[k] == row.Machine[k] {
+				k++
+			}
+			prefix = prefix[:k]
+		}
+	}
+	for !utf8.ValidString(prefix) {
+		prefix = prefix[:len(prefix)-1]
+	}
+	if len(prefix) == 0 {
+		return
+	}
+	r.Prefix = prefix
+	for i := range r.Rows {
+		r.Rows[i].Machine = strings.TrimPrefix(r.Rows[i].Machine, prefix)
+	}
 }
 
 // rowBytes is an upper bound for a row in JSON form: an index of six digits, an
--- a/internal/core/rent.go
+++ b/internal/core/rent.go
@@ -55,7 +55,7 @@
 
 // idle says that a machine has had no task for as long as one of its price is kept.
 func (n *Node) idle(m *machine, cheapest float64) bool {
-	return m.heard && len(m.attempts) == 0 && n.now.Sub(m.idleSince) > n.idleKeep(m, cheapest)
+	return m.heard && m.empty() && n.now.Sub(m.idleSince) > n.idleKeep(m, cheapest)
 }
 
 // dear is how many times the cheapest price a machine must cost to be retired
--- a/internal/core/round.go
+++ b/internal/core/round.go
@@ -58,14 +58,16 @@
 	r := &round{warm: map[string]bool{}, scarce: map[string]map[string]scarcity{}, full: map[shape]bool{}, lots: map[lotKey]*lot{}}
 	for _, w := range n.owner.workloads {
 		if n.waitBound(w.spec.Workload) > 0 && n.now.Sub(w.last) < workloadMemory {
-			for _, a := range n.owner.arrivals[w.spec.Workload] {
-				r.warm[a.spec.Image] = true
+			for _, k := range n.keysOf(w.spec.Workload) {
+				for _, a := range n.owner.arrivals[k] {
+					r.warm[a.spec.Image] = true
+				}
 			}
 		}
 	}
 	cheapest, dear := n.cheapest(), map[kind]float64{}
 	for _, m := range n.owner.byID {
-		free := m.size.Plus(m.used, -1)
+		free := m.free()
 		if free.CPU <= slack || free.Memory <= slack || !n.usable(m) {
 			continue
 		}
@@ -179,7 +181,7 @@
 // best, so that machines go empty.
 func (l *lot) rate(j *job, s *spot) (float64, bool) {
 	m := s.m
-	free := m.size.Plus(m.used, -1)
+	free := m.free()
 	if !j.Need.Fits(free) || !j.allows(m.flavour, m.zone, m.spot) || !j.zoneOK(m.zone) {
 		return 0, false
 	}
@@ -212,7 +214,9 @@
 			continue
 		}
 		for len(f.es) > 0 {
-			p := &f.es[0]
+			// Taken by value: with the first one gone another stands in its place, and
+			// would be entered with this one's rating, on a machine that may not suit.
+			p := f.es[0]
 			score, ok := l.rate(j, p.s)
 			if fetch := p.s.fetch(j); ok && fetch == f.fetch && score <= p.score {
 				break
@@ -222,7 +226,7 @@
 				f.pop()
 				l.push(fetch, place{p.s, score})
 			} else {
-				p.score = score
+				f.es[0].score = score
 				f.sink()
 			}
 		}
@@ -234,6 +238,10 @@
 	return best, best != nil
 }
 
+// asideMost bounds the tasks of a job that are passed over in a round because they
+// shun the places there are.
+const asideMost = 16
+
 // placeJob places up to count waiting tasks on machines that need no longer than
 // fetch to have the image.
 func (n *Node) placeJob(j *job, r *round, fetch time.Duration, count int) {
@@ -248,6 +256,9 @@
 	most := fetch.Seconds()
 	var g *group
 	id := n.now.UnixMilli()
+	// Tasks that shun the only places there are do not keep the others from them.
+	var aside []int
+	defer func() { j.again = append(aside, j.again...) }()
 	for ; count > 0 && j.pending() > 0 && n.withinLimit(j); count-- {
 		i := j.nextPending(n.now)
 		if i < 0 {
@@ -264,7 +275,10 @@
 			for _, p := range shunned {
 				l.push(p.s.fetch(j), p)
 			}
-			j.again = append([]int{i}, j.again...)
+			aside = append(aside, i)
+			if len(shunned) > 0 && len(aside) < asideMost {
+				continue
+			}
 			if fetch == forever && len(shunned) == 0 && !j.SamePlace && !j.Apart {
 				r.full[like] = true
 			}
@@ -350,7 +364,7 @@
 
 // freeSoon is the room on m with what stopped tasks are about to leave.
 func (n *Node) freeSoon(m *machine) Resources {
-	f := m.size.Plus(m.used, -1)
+	f := m.free()
 	for k, t := range m.attempts {
 		if t.stop == stopPreempt && n.now.Sub(t.stopped) < stopPatience {
 			f = f.Plus(n.owner.jobs[k.job].Need, 1)
--- a/internal/core/scale_test.go
+++ b/internal/core/scale_test.go
@@ -35,10 +35,21 @@
 func heir() *Node {
 	n := largePool(0)
 	n.owner.ready, n.owner.readyAt = false, time.Time{}
+	n.owner.teams["ops"] = &teamHeld{}
 	n.owner.warm = map[string]map[string]float64{}
 	return n
 }
 
+// inherits lets an owner take over what was read.
+func (n *Node) inherits(open, tasks []Item) {
+	m := &n.users.mirror
+	m.open = map[string]living{}
+	for _, it := range open {
+		mirrorItem(m.open, it)
+	}
+	teamsLoaded(n, map[string]*teamHeld{"ops": n.owner.teams["ops"]}, tasks, n.now)
+}
+
 // BenchmarkTakeover is what a successor does between its last read and its first
 // answer.
 func BenchmarkTakeover(b *testing.B) {
@@ -47,7 +58,7 @@
 			open, tasks := inheritance(size)
 			for b.Loop() {
 				n := heir()
-				n.loaded(open, tasks)
+				n.inherits(open, tasks)
 			}
 		})
 	}
@@ -64,7 +75,7 @@
 				if i == size {
 					b.StopTimer()
 					i, n = 0, heir()
-					n.loaded(open, tasks)
+					n.inherits(open, tasks)
 					b.StartTimer()
 				}
 				hearHeir(n, i)
@@ -122,7 +133,7 @@
 	runtime.GC()
 	runtime.ReadMemStats(&before)
 	n := heir()
-	n.loaded(open, tasks)
+	n.inherits(open, tasks)
 	for i := range machines {
 		hearHeir(n, i)
 	}
--- a/internal/core/session.go
+++ b/internal/core/session.go
@@ -3,8 +3,11 @@
 import (
 	"cmp"
 	"slices"
+	"strconv"
 	"strings"
 	"time"
+
+	"github.com/micahill/micahill/internal/division"
 )
 
 const (
@@ -41,15 +44,24 @@
 	stateOK  time.Time
 	stateBad time.Time
 
+	// rev is the revision up to which ctl/ is known. Its records are taken in as
+	// the watch brings them, in their order and never ahead of it, our own as well:
+	// then all that is read of the division belongs together.
 	rev       uint64
 	loaded    bool
 	lead      leadRecord
 	leadStamp uint64
 	nodes     map[string]nodeRecord
-	shares    map[string]shareRecord
-	stamps    map[string]uint64
+	book      *division.Book
 	claiming  bool
 	drain     drainRecord
+	// terms counts the grants that this process has lost: each makes another life of
+	// it, since which of its orders are on their way is forgotten with its roles.
+	terms int
+	// asOf wait until ctl/ is known as of a moment after they were asked; sure is
+	// that a read for them is under way.
+	asOf []func()
+	sure bool
 	// deafUntil: this node has given up for hearing no worker and stands back
 	// until then. othersHear is when another last said that it hears this node's.
 	deafUntil  time.Time
@@ -88,8 +100,7 @@
 func (n *Node) sessionStart() {
 	n.sess.started = true
 	n.sess.nodes = map[string]nodeRecord{}
-	n.sess.shares = map[string]shareRecord{}
-	n.sess.stamps = map[string]uint64{}
+	n.sess.book = division.NewBook()
 	n.endOldLife()
 	n.renewLoop()
 	n.loadTypes()
@@ -129,7 +140,7 @@
 
 func (n *Node) register() {
 	grant := n.sess.grant
-	rec := encode(nodeRecord{Grant: grant, Nonce: n.set.Nonce, Deaf: n.sess.deaf(n.now)})
+	rec := encode(nodeRecord{Grant: grant, Nonce: n.life(), Deaf: n.sess.deaf(n.now)})
 	n.ask(StateOp{Kind: OpTxn, Prio: PrioSession, Apply: []Change{{Key: nodePrefix + n.set.Host, Value: rec, Grant: grant}}}, func(d StateDone) {
 		if n.sess.grant != grant {
 			return
@@ -158,10 +169,17 @@
 		return
 	}
 	n.info("session lost", "why", why)
+	n.endTerm("session lost")
+	n.grantNew()
+}
+
+// endTerm gives up all roles with the grant that they rest on. What this process
+// takes up under its next grant it takes up as another life.
+func (n *Node) endTerm(why string) {
 	n.sess.grant = 0
+	n.sess.terms++
 	n.dropLead()
-	n.dropOwner("session lost")
-	n.grantNew()
+	n.dropOwner(why)
 }
 
 func (n *Node) renewLoop() {
@@ -186,64 +204,145 @@
 	})
 }
 
+// life names this process, and which grant it has in turn.
+func (n *Node) life() string {
+	if n.sess.terms == 0 {
+		return n.set.Nonce
+	}
+	return n.set.Nonce + "." + strconv.Itoa(n.sess.terms)
+}
+
+// loadCtl reads ctl/ anew. Pages read later may tell of later changes, so that it is
+// whole only when the changes up to the last page have come in order as well.
 func (n *Node) loadCtl() {
-	n.ask(StateOp{Kind: OpList, Prio: PrioSession, Key: ctlPrefix}, func(d StateDone) {
-		if d.Status != StateOK {
-			n.after(n.jitter(retryPause), n.loadCtl)
+	s := &n.sess
+	s.gen++
+	gen := s.gen
+	var items []Item
+	var first uint64
+	var list func(from string)
+	list = func(from string) {
+		n.ask(StateOp{Kind: OpList, Prio: PrioSession, Key: ctlPrefix, From: from}, func(d StateDone) {
+			if gen != s.gen {
+				return
+			}
+			if d.Status != StateOK {
+				n.after(n.jitter(retryPause), func() {
+					if gen == s.gen {
+						list(from)
+					}
+				})
+				return
+			}
+			if from == "" {
+				first, items = d.Rev, nil
+			}
+			items = append(items, d.Items...)
+			if d.Truncated && len(d.Items) > 0 {
+				list(d.Items[len(d.Items)-1].Key)
+				return
+			}
+			s.lead, s.leadStamp, s.drain = leadRecord{}, 0, drainRecord{}
+			clear(s.nodes)
+			s.book = division.NewBook()
+			for _, it := range items {
+				n.ctlItem(it)
+			}
+			s.rev = first
+			n.follow(gen, d.Rev)
+		})
+	}
+	list("")
+}
+
+// follow watches ctl/. What is known of it counts from the revision whole on.
+func (n *Node) follow(gen int, whole uint64) {
+	s := &n.sess
+	if gen != s.gen {
+		return
+	}
+	if !s.loaded && s.rev >= whole {
+		s.loaded, s.ready = true, true
+		n.mirrorStart()
+		n.ctlChanged()
+	}
+	hold := watchHold
+	if s.rev < whole {
+		hold = 0
+	}
+	n.ask(StateOp{Kind: OpFollow, Prio: PrioSession, Key: ctlPrefix, Rev: s.rev, Hold: hold}, func(d StateDone) {
+		if gen != s.gen {
 			return
 		}
-		s := &n.sess
-		s.lead, s.leadStamp = leadRecord{}, 0
-		clear(s.nodes)
-		clear(s.shares)
-		clear(s.stamps)
-		s.drain = drainRecord{}
-		for _, it := range d.Items {
+		switch d.Status {
+		case StateOK:
+			n.ctlNews(d)
+			n.follow(gen, whole)
+		case StateGone:
+			s.loaded = false
+			n.loadCtl()
+		default:
+			n.after(n.jitter(retryPause), func() { n.follow(gen, whole) })
+		}
+	})
+}
+
+// ctlNews takes in what a watch or a read of ctl/ has brought: all changes after a
+// revision that was known. Of two that overlap each change counts once.
+func (n *Node) ctlNews(d StateDone) {
+	s := &n.sess
+	some := false
+	for _, it := range d.Items {
+		if it.Stamp > s.rev {
 			n.ctlItem(it)
+			some = true
 		}
-		s.rev = d.Rev
-		s.loaded, s.ready = true, true
-		n.mirrorStart()
+	}
+	s.rev = max(s.rev, d.Rev)
+	if some && s.loaded {
 		n.ctlChanged()
-		s.gen++
-		n.follow(s.gen)
-	})
+	}
 }
 
-func (n *Node) follow(gen int) {
-	if gen != n.sess.gen {
+// ctlSure calls fn when ctl/ is known as of a moment after this call. What is counted
+// against a machine by time alone, as the end of its lease, may count only if the
+// machine still was this controller's by then.
+func (n *Node) ctlSure(fn func()) {
+	s := &n.sess
+	s.asOf = append(s.asOf, fn)
+	if s.sure || !s.loaded {
 		return
 	}
-	n.ask(StateOp{Kind: OpFollow, Prio: PrioSession, Key: ctlPrefix, Rev: n.sess.rev, Hold: watchHold}, func(d StateDone) {
-		if gen != n.sess.gen {
+	s.sure = true
+	fns := s.asOf
+	s.asOf = nil
+	gen := s.gen
+	n.ask(StateOp{Kind: OpFollow, Prio: PrioSession, Key: ctlPrefix, Rev: s.rev}, func(d StateDone) {
+		s.sure = false
+		if gen != s.gen || d.Status != StateOK {
+			// Whoever needs it asks again.
 			return
 		}
-		switch d.Status {
-		case StateOK:
-			for _, it := range d.Items {
-				n.ctlItem(it)
-			}
-			n.sess.rev = max(n.sess.rev, d.Rev)
-			if len(d.Items) > 0 {
-				n.ctlChanged()
+		n.ctlNews(d)
+		for _, fn := range fns {
+			fn()
+		}
+		if next := s.asOf; len(next) > 0 {
+			s.asOf = nil
+			for _, fn := range next {
+				n.ctlSure(fn)
 			}
-			n.follow(gen)
-		case StateGone:
-			n.loadCtl()
-		default:
-			n.after(n.jitter(retryPause), func() { n.follow(gen) })
 		}
 	})
 }
 
 func (n *Node) ctlItem(it Item) {
 	s := &n.sess
-	// A watch answer can overtake the answer to our own write, which has
-	// already told us more.
-	if it.Stamp < s.stamps[it.Key] {
-		return
+	value := it.Value
+	if it.Removed {
+		value = nil
 	}
-	s.stamps[it.Key] = it.Stamp
+	var err error
 	switch {
 	case it.Key == drainKey:
 		s.drain = drainRecord{}
@@ -265,24 +364,13 @@
 			s.nodes[host] = r
 		}
 	case strings.HasPrefix(it.Key, sharePrefix):
-		host := strings.TrimPrefix(it.Key, sharePrefix)
-		delete(s.shares, host)
-		var r shareRecord
-		if !it.Removed && decode(it.Value, &r) {
-			s.shares[host] = r
-		} else {
-			// A removed share is written again under condition 0.
-			s.stamps[it.Key] = it.Stamp
-		}
+		err = s.book.Share(strings.TrimPrefix(it.Key, sharePrefix), value, it.Stamp)
+	case strings.HasPrefix(it.Key, lotPrefix):
+		err = s.book.Lot(strings.TrimPrefix(it.Key, lotPrefix), value, it.Stamp)
 	}
-}
-
-// shareStamp is the stamp to put into conditions: 0 for a missing record.
-func (s *session) shareStamp(host string) uint64 {
-	if _, ok := s.shares[host]; !ok {
-		return 0
+	if err != nil {
+		n.info("unreadable record", "key", it.Key, "err", err)
 	}
-	return s.stamps[sharePrefix+host]
 }
 
 func (n *Node) ctlChanged() {
@@ -300,7 +388,7 @@
 			break
 		}
 		n.claimLead()
-	case s.lead.Nonce == n.set.Nonce && s.grant != 0:
+	case s.lead.Nonce == n.life() && s.grant != 0:
 		n.becomeLeader()
 	default:
 		n.dropLead()
@@ -314,17 +402,14 @@
 		return
 	}
 	s.claiming = true
-	rec := encode(leadRecord{Host: n.set.Host, Nonce: n.set.Nonce})
+	rec := encode(leadRecord{Host: n.set.Host, Nonce: n.life()})
 	n.ask(StateOp{Kind: OpTxn, Prio: PrioSession, When: []Cond{{leadKey, 0}},
 		Apply: []Change{{Key: leadKey, Value: rec, Grant: s.grant}}}, func(d StateDone) {
 		s.claiming = false
 		switch d.Status {
-		case StateOK:
-			n.ctlItem(Item{Key: leadKey, Value: rec, Stamp: d.Rev})
-			n.ctlChanged()
-		case StateConflict:
-			// Somebody else has it; the watch will say who. If our own
-			// unanswered claim did it, the watch says that as well.
+		case StateOK, StateConflict:
+			// The watch will say who has it. If our own unanswered claim did it,
+			// the watch says that as well.
 		case StateBad:
 			n.sessionLost("grant ended while claiming the lead")
 		default:
@@ -337,28 +422,21 @@
 	})
 }
 
-// holder says whose share names a machine, if any, and who has those that no
-// share names.
-func (n *Node) holder(machine string) (named, rest string) {
-	for _, host := range sortedKeys(n.sess.shares) {
-		r := n.sess.shares[host]
-		if slices.Contains(r.Machines, machine) {
-			return host, rest
-		}
-		if r.Rest {
-			rest = host
-		}
+// steward is the controller that takes the reports of a machine: its owner, if it
+// lives.
+func (n *Node) steward(machine string) string {
+	o, ok := n.sess.book.Owner(machine)
+	if !ok || !n.sess.loaded || n.sess.nodes[o.Host].Nonce != o.Nonce {
+		return ""
 	}
-	return "", rest
+	return o.Host
 }
 
-// steward is the controller that takes the reports of a machine.
-func (n *Node) steward(machine string) string {
-	named, rest := n.holder(machine)
-	if named != "" {
-		return named
-	}
-	return rest
+// mine says whether a machine is this controller's by the records that it has read,
+// and under which epoch.
+func (n *Node) mine(machine string) (division.Owner, bool) {
+	o, ok := n.sess.book.Owner(machine)
+	return o, ok && o.Host == n.set.Host && o.Nonce == n.life() && n.sess.grant != 0 && n.sess.loaded
 }
 
 // sortedKeys gives an order to a map, so that the same inputs give the same
--- a/internal/core/status.go
+++ b/internal/core/status.go
@@ -15,8 +15,9 @@
 	Leader    string           `json:"leader"`
 	IsLeader  bool             `json:"is_leader"`
 	IsOwner   bool             `json:"is_owner"`
-	Epoch     uint64           `json:"epoch,omitempty"`
-	Teams     []string         `json:"teams,omitempty"`
+	Teams     []TeamStatus     `json:"teams,omitempty"`
+	Shares    []ShareStatus    `json:"shares,omitempty"`
+	Wards     WardStatus       `json:"wards"`
 	Nodes     []string         `json:"nodes"`
 	Workloads []WorkloadStatus `json:"workloads,omitempty"`
 	Machines  []MachineStatus  `json:"machines,omitempty"`
@@ -24,6 +25,32 @@
 
 func (StatusReply) effect() {}
 
+// TeamStatus is a team and who runs it; what it keeps busy is known to that controller.
+type TeamStatus struct {
+	Name  string  `json:"name"`
+	Owner string  `json:"owner,omitempty"`
+	Here  bool    `json:"here,omitempty"`
+	Ready bool    `json:"ready,omitempty"`
+	CPU   float64 `json:"cpu,omitempty"`
+}
+
+// ShareStatus is a share of the division and its holder.
+type ShareStatus struct {
+	Name   string `json:"name"`
+	Holder string `json:"holder"`
+	Alive  bool   `json:"alive"`
+	Teams  int    `json:"teams"`
+	Rest   bool   `json:"rest,omitempty"`
+	Lots   int    `json:"lots"`
+}
+
+// WardStatus counts attempts of the jobs here on machines of others, and of others'
+// jobs on the machines here.
+type WardStatus struct {
+	Afar int `json:"afar"`
+	Here int `json:"here"`
+}
+
 // WorkloadStatus sums up the open jobs of a workload.
 type WorkloadStatus struct {
 	Name    string  `json:"name"`
@@ -53,8 +80,35 @@
 		Reply: c.Reply, Host: n.set.Host, Healthy: n.Healthy(n.now), Leader: n.sess.lead.Host,
 		IsLeader: n.leader != nil, IsOwner: n.IsOwner(), Nodes: sortedKeys(n.sess.nodes),
 	}
+	cpus := map[string]float64{}
+	if n.owner != nil {
+		for _, l := range n.teamLoads() {
+			cpus[l.Team] = l.CPU
+		}
+	}
+	for _, t := range n.set.Teams {
+		ts := TeamStatus{Name: t.Name, CPU: cpus[t.Name]}
+		if x := n.sess.book.Team(t.Name); x != nil {
+			ts.Owner = x.Host
+		}
+		if n.owner != nil && n.owner.teams[t.Name] != nil {
+			ts.Here, ts.Ready = true, n.owner.teams[t.Name].ready
+		}
+		s.Teams = append(s.Teams, ts)
+	}
+	for _, x := range n.sess.book.Shares() {
+		s.Shares = append(s.Shares, ShareStatus{
+			Name: x.Name, Holder: x.Host, Alive: n.sess.nodes[x.Host].Nonce == x.Nonce, Teams: len(x.Teams), Rest: x.Rest,
+			Lots: len(n.sess.book.LotsOf(x.Name)),
+		})
+	}
 	if o := n.owner; o != nil {
-		s.Epoch, s.Teams = o.epoch, o.share.Teams
+		for _, a := range o.afar {
+			s.Wards.Afar += len(a.attempts)
+		}
+		for _, id := range o.desk.Machines() {
+			s.Wards.Here += o.desk.Count(id)
+		}
 		by := map[string]*WorkloadStatus{}
 		for _, j := range o.jobs {
 			w := by[j.Workload]
--- a/internal/core/users.go
+++ b/internal/core/users.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"slices"
 	"time"
+
+	"github.com/micahill/micahill/internal/bounds"
 )
 
 const (
@@ -214,12 +216,16 @@
 	if (team.Limit.CPU > 0 && all.CPU > team.Limit.CPU+slack) || (team.Limit.GPU > 0 && all.GPU > team.Limit.GPU+slack) {
 		return 422, "the job needs more than its owner's limit"
 	}
-	if len(encode(s.record(n.now)))*5/4 > n.set.ValueBytes {
+	if size, err := bounds.JSON(encode(s.record(n.now))); err != nil || size+openSpare > n.set.ValueBytes {
 		return 400, "the description is too long"
 	}
 	return 0, ""
 }
 
+// openSpare is the room left in a job's record for what is added later: that it is
+// cancelled, lent or borrowed.
+const openSpare = 256
+
 func b2f(b bool) float64 {
 	if b {
 		return 1
@@ -321,8 +327,8 @@
 			if seen[s.spec.ID] {
 				break
 			}
-			size += n.set.ValueBytes / 4
-			if size > 48<<10 && len(batch) > 0 {
+			one, err := bounds.JSON(encode(s.spec.record(s.at)))
+			if size += one + submitFrame; (err != nil || size > txnFull) && len(batch) > 0 {
 				break
 			}
 			seen[s.spec.ID] = true
@@ -337,6 +343,10 @@
 	}
 }
 
+// submitFrame is what a submission takes of a transaction beside its record: three
+// keys with what goes round them.
+const submitFrame = 512
+
 func (n *Node) store(batch []*submission) {
 	var op StateOp
 	op.Kind, op.Prio = OpTxn, PrioUser
--- a/internal/core/warm.go
+++ b/internal/core/warm.go
@@ -93,10 +93,10 @@
 		o.warmFrom = next
 		return
 	}
-	key := warmPrefix + strconv.Itoa(o.warmKey)
+	key := warmPrefix + n.set.Host + "/" + strconv.Itoa(o.warmKey)
 	o.warmFrom, o.warmKey, o.warming = next, o.warmKey+1, true
 	gen := o.gen
-	n.ask(StateOp{Kind: OpTxn, Prio: PrioLazy, When: []Cond{{sharePrefix + n.set.Host, o.epoch}},
+	n.ask(StateOp{Kind: OpTxn, Prio: PrioLazy, When: n.shareConds(""),
 		Apply: []Change{{Key: key, Value: encode(r)}}}, func(StateDone) {
 		if n.owner != nil && n.owner.gen == gen {
 			n.owner.warming = false
--- a/internal/division/book.go
+++ b/internal/division/book.go
@@ -44,6 +44,9 @@
 	epoch uint64
 }
 
+// Since is the revision at which the share came to its holder.
+func (s *Share) Since() uint64 { return s.epoch }
+
 // Book is all shares and lots as of one revision. It is not safe for concurrent use.
 type Book struct {
 	shares map[string]*Share
@@ -211,6 +214,13 @@
 // Named says whether a lot names a machine.
 func (b *Book) Named(machine string) bool { _, ok := b.machines[machine]; return ok }
 
+// Each calls fn with every machine that a lot names, in no order.
+func (b *Book) Each(fn func(machine string)) {
+	for id := range b.machines {
+		fn(id)
+	}
+}
+
 // Team tells whose share a team is in, or nil.
 func (b *Book) Team(team string) *Share { return b.teams[team] }
 
@@ -258,6 +268,28 @@
 	return out
 }
 
+// LotsOf names the lots of a share, in no order.
+func (b *Book) LotsOf(share string) []string {
+	var out []string
+	for name, l := range b.lots {
+		if l.Share == share {
+			out = append(out, name)
+		}
+	}
+	return out
+}
+
+// Names says whether any record names machines for a share.
+func (b *Book) Names(share string) bool {
+	for _, l := range b.lots {
+		if l.Share == share {
+			return true
+		}
+	}
+	s := b.shares[share]
+	return s != nil && s.old != nil
+}
+
 // names are the machines of a lot that no later one names.
 func (b *Book) names(l *Lot) []string {
 	var out []string
--- a/internal/division/division_test.go
+++ b/internal/division/division_test.go
@@ -106,7 +106,7 @@
 	now    time.Time
 	d      *Divider
 	life   map[string]int
-	able   map[string]bool
+	unable map[string]bool
 	teams  []string
 	load   map[string]float64
 	ids    []string
@@ -118,7 +118,7 @@
 
 func newWorld(l bounds.Limits, hosts, teams int) *world {
 	w := &world{
-		store: newStore(l), now: time.Unix(1_750_000_000, 0), life: map[string]int{}, able: map[string]bool{},
+		store: newStore(l), now: time.Unix(1_750_000_000, 0), life: map[string]int{}, unable: map[string]bool{},
 		load: map[string]float64{}, offers: map[string]Offer{},
 	}
 	for i := range hosts {
@@ -145,7 +145,7 @@
 	for _, h := range w.hosts() {
 		if w.life[h] > 0 {
 			in.Self = h
-			in.Nodes = append(in.Nodes, Node{h, fmt.Sprintf("%s#%d", h, w.life[h]), !w.able[h]})
+			in.Nodes = append(in.Nodes, Node{h, fmt.Sprintf("%s#%d", h, w.life[h]), !w.unable[h]})
 		}
 	}
 	for _, x := range w.news {
@@ -280,7 +280,7 @@
 			},
 			"deaf": func(t *rapid.T) {
 				h := rapid.SampledFrom(w.hosts()).Draw(t, "host")
-				w.able[h] = !w.able[h]
+				w.unable[h] = !w.unable[h]
 			},
 			"lead": func(t *rapid.T) { w.elect() },
 			"rent": func(t *rapid.T) {
@@ -458,6 +458,27 @@
 	}
 }
 
+// TestUnable: a controller that can run nothing, since it hears no worker, loses its
+// shares though it lives, and gets none while another can; where none can everything
+// stays.
+func TestUnable(t *testing.T) {
+	w := newWorld(testLimits, 2, 1)
+	w.plan(t)
+	first := w.book.Team("team-00").Host
+	other := map[string]string{"worker-0": "worker-1", "worker-1": "worker-0"}[first]
+	w.unable[first] = true
+	w.plan(t)
+	if s := w.book.Team("team-00"); s.Host != other {
+		t.Errorf("the share is %s's, want that of the one who can", s.Host)
+	}
+	changes := w.changes
+	w.unable[other] = true
+	w.plan(t)
+	if s := w.book.Team("team-00"); s.Host != other || w.changes != changes {
+		t.Errorf("nobody can, and the share goes to %s", s.Host)
+	}
+}
+
 // TestEarlierForm: shares that name their machines one by one, as an earlier form
 // did, are read, and written anew within their bounds.
 func TestEarlierForm(t *testing.T) {
--- a/internal/overflow/broker/broker.go
+++ b/internal/overflow/broker/broker.go
@@ -343,7 +343,7 @@
 // report sends a report to a peer, beside the loop.
 func (b *Broker) report(now time.Time, peer, addr string, gv overflow.GuestView) {
 	r := b.guest.Report(now, b.set.Cluster, peer, gv)
-	if !b.set.Borrow || b.view.Frozen {
+	if !b.set.Borrow {
 		r.Room = nil
 	}
 	guest, m := b.guest, b.members[peer]
@@ -389,7 +389,7 @@
 // accept says whether a peer's job is taken in.
 func (b *Broker) accept(o overflow.Order) overflow.Cause {
 	switch {
-	case !b.set.Borrow || b.view.Frozen:
+	case !b.set.Borrow:
 		return overflow.Refused
 	case b.view.Drain:
 		return overflow.Draining
--- /dev/null
+++ b/internal/peer/wire.go
@@ -0,0 +1,116 @@
+package peer
+
+import (
+	"time"
+
+	"github.com/micahill/micahill/internal/core"
+	"github.com/micahill/micahill/internal/custody"
+	"github.com/micahill/micahill/internal/division"
+)
+
+// wire is news in its protobuf form, and core, below, the way back.
+func wire(n core.PeerNews) *News {
+	m := &News{
+		From: n.From, Asks: n.Asks, Seq: n.Seq, Wants: wireWants(n.Wants), Idle: n.Idle,
+		Tells: n.Tells, Blocked: wireWants(n.Blocked), StateAway: n.StateAway,
+	}
+	for _, p := range n.Progress {
+		m.Progress = append(m.Progress, &Progress{Id: p.ID, Done: int64(p.Done), Running: int64(p.Running)})
+	}
+	for _, l := range n.Loads {
+		m.Loads = append(m.Loads, &Load{Team: l.Team, Workload: l.Workload, Rate: l.Rate, Ratio: l.Ratio, Dev: l.Dev, Samples: int64(l.Samples)})
+	}
+	for _, r := range n.Rentals {
+		m.Rentals = append(m.Rentals, &Rental{Id: r.ID, Addr: r.Addr, Flavour: r.Flavour, Zone: r.Zone, Spot: r.Spot, Status: r.Status, AgeMs: r.Age.Milliseconds()})
+	}
+	for _, h := range n.Hosts {
+		m.Hosts = append(m.Hosts, &Host{Id: h.ID, Addr: h.Addr, Flavour: h.Flavour, Zone: h.Zone, Spot: h.Spot, Images: h.Images})
+	}
+	for _, t := range n.Teams {
+		m.Teams = append(m.Teams, &TeamLoad{Team: t.Team, Cpu: t.CPU})
+	}
+	for _, o := range n.Offers {
+		m.Offers = append(m.Offers, &Offer{Team: o.Team, Machines: o.Machines})
+	}
+	for _, r := range n.Release {
+		m.Release = append(m.Release, &Release{Team: r.Team, From: r.From, To: r.To})
+	}
+	for _, a := range n.Wards {
+		x := &Ask{Machine: a.Machine}
+		for _, t := range a.Attempts {
+			x.Attempts = append(x.Attempts, &Attempt{Job: t.Job, Index: int64(t.Index), Try: t.Try, Want: uint32(t.Want), WindDownMs: t.WindDown.Milliseconds()})
+		}
+		m.Wards = append(m.Wards, x)
+	}
+	for _, a := range n.Told {
+		x := &Tell{Machine: a.Machine, Epoch: a.Epoch, Zone: a.Zone}
+		for _, t := range a.Attempts {
+			x.Attempts = append(x.Attempts, &Attempt{Job: t.Job, Index: int64(t.Index), Try: t.Try, State: uint32(t.State), Cause: t.Cause})
+		}
+		m.Told = append(m.Told, x)
+	}
+	return m
+}
+
+func wireWants(ws []core.Want) []*Want {
+	var out []*Want
+	for _, w := range ws {
+		out = append(out, &Want{Flavour: w.Flavour, Zone: w.Zone, Spot: w.Spot, Count: int64(w.Count)})
+	}
+	return out
+}
+
+func (m *News) core() core.PeerNews {
+	n := core.PeerNews{
+		From: m.From, Asks: m.Asks, Seq: m.Seq, Wants: coreWants(m.Wants), Idle: m.Idle,
+		Tells: m.Tells, Blocked: coreWants(m.Blocked), StateAway: m.StateAway,
+	}
+	for _, p := range m.Progress {
+		n.Progress = append(n.Progress, core.Progress{ID: p.Id, Done: int(p.Done), Running: int(p.Running)})
+	}
+	for _, l := range m.Loads {
+		n.Loads = append(n.Loads, core.Load{Team: l.Team, Workload: l.Workload, Rate: l.Rate, Ratio: l.Ratio, Dev: l.Dev, Samples: int(l.Samples)})
+	}
+	for _, r := range m.Rentals {
+		n.Rentals = append(n.Rentals, core.RentalNews{ID: r.Id, Addr: r.Addr, Flavour: r.Flavour, Zone: r.Zone, Spot: r.Spot, Status: r.Status, Age: time.Duration(r.AgeMs) * time.Millisecond})
+	}
+	for _, h := range m.Hosts {
+		n.Hosts = append(n.Hosts, core.HostNews{ID: h.Id, Addr: h.Addr, Flavour: h.Flavour, Zone: h.Zone, Spot: h.Spot, Images: h.Images})
+	}
+	for _, t := range m.Teams {
+		n.Teams = append(n.Teams, core.TeamLoad{Team: t.Team, CPU: t.Cpu})
+	}
+	for _, o := range m.Offers {
+		n.Offers = append(n.Offers, division.Offer{Team: o.Team, Machines: o.Machines})
+	}
+	for _, r := range m.Release {
+		n.Release = append(n.Release, division.Ask{Team: r.Team, From: r.From, To: r.To})
+	}
+	for _, a := range m.Wards {
+		x := custody.Ask{Machine: a.Machine}
+		for _, t := range a.Attempts {
+			x.Attempts = append(x.Attempts, custody.Asked{Attempt: t.core(), Want: custody.Want(t.Want), WindDown: time.Duration(t.WindDownMs) * time.Millisecond})
+		}
+		n.Wards = append(n.Wards, x)
+	}
+	for _, a := range m.Told {
+		x := custody.Tell{Machine: a.Machine, Epoch: a.Epoch, Zone: a.Zone}
+		for _, t := range a.Attempts {
+			x.Attempts = append(x.Attempts, custody.Told{Attempt: t.core(), State: custody.State(t.State), Cause: t.Cause})
+		}
+		n.Told = append(n.Told, x)
+	}
+	return n
+}
+
+func (t *Attempt) core() custody.Attempt {
+	return custody.Attempt{Job: t.Job, Index: int(t.Index), Try: t.Try}
+}
+
+func coreWants(ws []*Want) []core.Want {
+	var out []core.Want
+	for _, w := range ws {
+		out = append(out, core.Want{Flavour: w.Flavour, Zone: w.Zone, Spot: w.Spot, Count: int(w.Count)})
+	}
+	return out
+}
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -187,9 +187,12 @@
 	case core.Role:
 		s.out.Role(e)
 	case core.Log:
-		if e.Debug {
+		switch {
+		case e.Debug:
 			slog.Debug(e.Text, e.Args...)
-		} else {
+		case e.Error:
+			slog.Error(e.Text, e.Args...)
+		default:
 			slog.Info(e.Text, e.Args...)
 		}
 	}
--- a/internal/standin/scenario_test.go
+++ b/internal/standin/scenario_test.go
@@ -329,6 +329,9 @@
 			case 3:
 				w.loss, w.twice = 0.02, 0.02
 			}
+			// One day with the lines on some jobs or machines, such as job-000013|vm-000003:
+			// MICAHILL_TRACE=... go test ./internal/standin -run 'TestSimulation$/^7$'
+			w.trace = os.Getenv("MICAHILL_TRACE")
 			randomDay(w, seed)
 			for _, b := range w.Broken {
 				t.Error(b)
@@ -341,8 +344,12 @@
 			if w.Started == 0 {
 				t.Error("nothing ran")
 			}
-			if t.Failed() {
-				t.Log(strings.Join(w.logs[max(0, len(w.logs)-60):], "\n"))
+			if t.Failed() || w.trace != "" {
+				last := 60
+				if w.trace != "" {
+					last = len(w.logs)
+				}
+				t.Log(strings.Join(w.logs[max(0, len(w.logs)-last):], "\n"))
 			}
 		})
 	}
