The state service's limits are divided by what each controller asks for

Each controller tells the others once a second what it asks for; internal/budget (pure) gives each what it needs with headroom, the large ones alike when there is too little.

--- a/cmd/micahill/main.go
+++ b/cmd/micahill/main.go
@@ -183,9 +183,10 @@
 			return done
 		},
 		Peer: pn.Send,
-		Role: func(r core.Role) {
-			st.SetMain(r.Owner)
-			met.Role(r)
+		Role: met.Role,
+		Rates: func(r core.Rates) {
+			st.SetRates(r)
+			met.Rates(r)
 		},
 		Observe: met.Step,
 	})
--- /dev/null
+++ b/internal/budget/budget_test.go
@@ -0,0 +1,58 @@
+package budget
+
+import (
+	"math"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+// TestDivide: the parts add up to the capacity and never to more, nobody is left
+// without, nobody gets less than it asks for while there is enough for all, and one
+// that asks for more never gets less than one that asks for less.
+func TestDivide(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		capacity := rapid.Float64Range(1, 1000).Draw(t, "capacity")
+		d := rapid.SliceOfN(rapid.Float64Range(0, 2000), 1, 9).Draw(t, "demands")
+		parts := Divide(capacity, d)
+		sum, asked := 0.0, 0.0
+		for i, p := range parts {
+			sum += p
+			asked += max(d[i]*headroom, floorPart*capacity/float64(len(d)))
+			if p < floorPart*capacity/float64(len(d))*0.999 {
+				t.Fatalf("%v of %v for %v is less than the floor", p, capacity, d[i])
+			}
+		}
+		if math.Abs(sum-capacity) > 1e-6*capacity {
+			t.Fatalf("the parts add up to %v of %v", sum, capacity)
+		}
+		for i := range parts {
+			if asked <= capacity && parts[i] < d[i] {
+				t.Fatalf("%v of %v for %v, with enough for all", parts[i], capacity, d)
+			}
+			for k := range parts {
+				if d[i] > d[k] && parts[i] < parts[k]-1e-9*capacity {
+					t.Fatalf("%v gets %v, %v gets %v", d[i], parts[i], d[k], parts[k])
+				}
+			}
+		}
+	})
+}
+
+// TestMeter: a steady rate is found within some seconds, and its end as well.
+func TestMeter(t *testing.T) {
+	var m Meter
+	now := time.Unix(1_750_000_000, 0)
+	for range 200 {
+		m.Add(2)
+		now = now.Add(100 * time.Millisecond)
+		m.Rate(now)
+	}
+	if r := m.Rate(now); math.Abs(r-20) > 1 {
+		t.Errorf("%v a second, want 20", r)
+	}
+	if r := m.Rate(now.Add(12 * time.Second)); r > 2 {
+		t.Errorf("%v a second long after the last", r)
+	}
+}
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -143,7 +143,7 @@
 		Host: c.HostName, Zones: d.Zones,
 		ReportEvery: core.Seconds(d.Workers.ReportS), Lease: core.Seconds(d.Workers.LeaseS),
 		TxnOps: d.State.TxnOps, ValueBytes: int(d.State.ValueKB * 1024),
-		ListLag: core.Seconds(d.Cloud.ListLagS), CloudRPS: d.Cloud.RPS, StateWrites: d.State.WriteRPS,
+		ListLag: core.Seconds(d.Cloud.ListLagS), CloudRPS: d.Cloud.RPS, StateRequests: d.State.RPS, StateWrites: d.State.WriteRPS,
 		Nonce: nonce, Policy: policy,
 	}
 	for _, p := range c.Seeds {
--- a/internal/core/effects.go
+++ b/internal/core/effects.go
@@ -98,6 +98,8 @@
 	// what the sender knows of those of the receiver's jobs on its own.
 	Wards []custody.Ask
 	Told  []custody.Tell
+	// Rates is what the sender asks of the state service.
+	Rates *Rates
 	// StateAway: the state service does not answer here.
 	StateAway bool
 }
--- a/internal/core/node.go
+++ b/internal/core/node.go
@@ -55,7 +55,8 @@
 	pace   pace.Pace
 	sliced int
 	// placed: the last step had a round of placing in it.
-	placed bool
+	placed  bool
+	budgets budgets
 	// defects counts requests that were malformed.
 	defects int
 	// guests are the loans this cluster has taken, as far as this node has read.
@@ -78,6 +79,7 @@
 		errs:     map[string]*estimate{},
 		returned: map[string]bool{}, inherited: map[loadKey]Load{}, heirloom: map[string]HostNews{}, away: map[string]time.Time{},
 	}
+	n.budgets.others = map[string]told{}
 	n.users.init()
 	return n
 }
@@ -158,6 +160,9 @@
 		if c.StateAway {
 			n.away[c.From] = n.now
 		}
+		if c.Rates != nil {
+			n.budgets.others[c.From] = told{n.now, *c.Rates}
+		}
 		for _, p := range c.Progress {
 			n.display[p.ID] = p
 		}
@@ -261,6 +266,7 @@
 			return
 		}
 	}
+	n.budgets.asked(&op)
 	n.state[op.ID] = fn
 	n.emit(op)
 }
--- a/internal/core/session.go
+++ b/internal/core/session.go
@@ -104,6 +104,7 @@
 	n.endOldLife()
 	n.renewLoop()
 	n.loadTypes()
+	pulse(n)
 }
 
 // endOldLife ends the grant of this controller's earlier life, which is surely
--- a/internal/core/types.go
+++ b/internal/core/types.go
@@ -119,12 +119,13 @@
 	ReportEvery time.Duration
 	Lease       time.Duration
 
-	// StateWrites is the state service's limit of changes a second, which all
-	// controllers share.
-	StateWrites float64
-	TxnOps      int
-	ValueBytes  int
-	ListLag     time.Duration
+	// StateRequests and StateWrites are the state service's limits of requests and
+	// of changes a second, which all controllers share.
+	StateRequests float64
+	StateWrites   float64
+	TxnOps        int
+	ValueBytes    int
+	ListLag       time.Duration
 	// CloudRPS is the cloud's limit of requests a second.
 	CloudRPS float64
 
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -21,6 +21,7 @@
 	steps    prometheus.Histogram
 	batch    prometheus.Histogram
 	role     *prometheus.GaugeVec
+	part     *prometheus.GaugeVec
 }
 
 // New makes and registers the metrics.
@@ -41,8 +42,9 @@
 		batch: prometheus.NewHistogram(prometheus.HistogramOpts{Namespace: "micahill", Name: "step_commands", Help: "Commands taken by a step.",
 			Buckets: prometheus.ExponentialBuckets(1, 2, 9)}),
 		role: prometheus.NewGaugeVec(prometheus.GaugeOpts{Namespace: "micahill", Name: "role", Help: "1 while the controller has the role."}, []string{"role"}),
+		part: prometheus.NewGaugeVec(prometheus.GaugeOpts{Namespace: "micahill", Name: "state_part", Help: "This controller's part of the state service's limits, a second."}, []string{"of"}),
 	}
-	s.reg.MustRegister(s.requests, s.state, s.cloud, s.orders, s.steps, s.batch, s.role)
+	s.reg.MustRegister(s.requests, s.state, s.cloud, s.orders, s.steps, s.batch, s.role, s.part)
 	return s
 }
 
@@ -88,6 +90,12 @@
 	s.orders.WithLabelValues(outcome).Observe(took.Seconds())
 }
 
+// Rates notes the controller's part of the state service's limits.
+func (s *Set) Rates(r core.Rates) {
+	s.part.WithLabelValues("requests").Set(r.Requests)
+	s.part.WithLabelValues("changes").Set(r.Changes)
+}
+
 // Role notes the controller's roles.
 func (s *Set) Role(r core.Role) {
 	for name, on := range map[string]bool{"leader": r.Leader, "owner": r.Owner} {
--- a/internal/peer/wire.go
+++ b/internal/peer/wire.go
@@ -29,6 +29,9 @@
 	for _, t := range n.Teams {
 		m.Teams = append(m.Teams, &TeamLoad{Team: t.Team, Cpu: t.CPU})
 	}
+	if n.Rates != nil {
+		m.Rates = &Rates{Requests: n.Rates.Requests, Changes: n.Rates.Changes}
+	}
 	for _, o := range n.Offers {
 		m.Offers = append(m.Offers, &Offer{Team: o.Team, Machines: o.Machines})
 	}
@@ -80,6 +83,9 @@
 	for _, t := range m.Teams {
 		n.Teams = append(n.Teams, core.TeamLoad{Team: t.Team, CPU: t.Cpu})
 	}
+	if m.Rates != nil {
+		n.Rates = &core.Rates{Requests: m.Rates.Requests, Changes: m.Rates.Changes}
+	}
 	for _, o := range m.Offers {
 		n.Offers = append(n.Offers, division.Offer{Team: o.Team, Machines: o.Machines})
 	}
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -33,6 +33,8 @@
 	Worker func(context.Context, core.WorkerOp) core.WorkerDone
 	Peer   func(to string, news core.PeerNews)
 	Role   func(core.Role)
+	// Rates is told the controller's part of the state service's limits.
+	Rates func(core.Rates)
 	// Observe is told how long a step took and how many commands it had.
 	Observe func(took time.Duration, commands int)
 }
@@ -186,6 +188,8 @@
 		s.out.Peer(e.To, e.News)
 	case core.Role:
 		s.out.Role(e)
+	case core.Rates:
+		s.out.Rates(e)
 	case core.Log:
 		switch {
 		case e.Debug:
--- a/internal/state/state.go
+++ b/internal/state/state.go
@@ -38,9 +38,8 @@
 	// userAhead is how many seconds' worth of the rate users' requests may
 	// take before it is there.
 	userAhead = 1.0
-	// mainShare is the part of the rate limits that the working controller
-	// takes; the others divide the rest.
-	mainShare = 0.7
+	// leastBurst is what may be sent at once however small the part.
+	leastBurst = 4
 )
 
 // Client is one controller's access to the state service.
@@ -49,13 +48,10 @@
 	http   *http.Client
 	reqs   *rate.Limiter
 	writes *rate.Limiter
-	rps    float64
-	wps    float64
-	others int
 }
 
 // New makes a client for the service at addr, whose limits are shared by n
-// controllers.
+// controllers: alike, until SetRates says otherwise.
 func New(addr string, rps, wps float64, n int) *Client {
 	tr := &http.Transport{
 		DialContext:         (&net.Dialer{Timeout: time.Second}).DialContext,
@@ -64,22 +60,17 @@
 		IdleConnTimeout:     time.Minute,
 		DisableCompression:  true,
 	}
-	c := &Client{base: "http://" + addr, http: &http.Client{Transport: tr}, rps: rps, wps: wps, others: max(1, n-1)}
-	c.reqs, c.writes = rate.NewLimiter(1, 1), rate.NewLimiter(1, 1)
-	c.SetMain(false)
+	c := &Client{base: "http://" + addr, http: &http.Client{Transport: tr}, reqs: rate.NewLimiter(1, 1), writes: rate.NewLimiter(1, 1)}
+	c.SetRates(core.Rates{Requests: rps / float64(n), Changes: wps / float64(n)})
 	return c
 }
 
-// SetMain gives this controller the larger or the smaller part of the limits.
-func (c *Client) SetMain(main bool) {
-	part := (1 - mainShare) / float64(c.others)
-	if main {
-		part = mainShare
-	}
-	c.reqs.SetLimit(rate.Limit(c.rps * part))
-	c.reqs.SetBurst(max(4, int(c.rps*part)))
-	c.writes.SetLimit(rate.Limit(c.wps * part))
-	c.writes.SetBurst(max(4, int(c.wps*part)))
+// SetRates gives this controller its part of the limits.
+func (c *Client) SetRates(r core.Rates) {
+	c.reqs.SetLimit(rate.Limit(r.Requests))
+	c.reqs.SetBurst(max(leastBurst, int(r.Requests)))
+	c.writes.SetLimit(rate.Limit(r.Changes))
+	c.writes.SetBurst(max(leastBurst, int(r.Changes)))
 }
 
 type row struct {
--- a/internal/state/state_test.go
+++ b/internal/state/state_test.go
@@ -27,7 +27,7 @@
 	}))
 	defer srv.Close()
 	c := New(strings.TrimPrefix(srv.URL, "http://"), 1000, 20, 1)
-	c.SetMain(true)
+	c.SetRates(core.Rates{Requests: 700, Changes: 14})
 	write := func(changes int, prio core.Priority) core.StateStatus {
 		t.Helper()
 		op := core.StateOp{Kind: core.OpTxn, Prio: prio}
