Machines that one owner has to spare go to another that wants such; no move without gain

Need: with several owners each has a pool of its own and rents what its neighbour gives back; and teams moved for loads that differ by chance from one moment to the next.

Teams move on loads over a minute, when the gain is a quarter and steady for half a share interval.

--- a/internal/core/divide.go
+++ b/internal/core/divide.go
@@ -16,8 +16,10 @@
 // show.
 const listPatience = time.Minute
 
-// loadWeight is the weight of the newest word on what a team keeps busy.
-const loadWeight = 0.1
+// loadWeight is the weight of the newest word on what a team keeps busy, one a second:
+// a mean over a minute, as teams that are alike differ by half from one moment to the
+// next, and a move for that would be one in vain.
+const loadWeight = 1.0 / 60
 
 // dividing is what the leader knows for the division.
 type dividing struct {
--- a/internal/core/effects.go
+++ b/internal/core/effects.go
@@ -80,17 +80,20 @@
 	Hosts []HostNews
 	// Asks: an owner asks the leader for machines it wants, and to return
 	// those that are idle; Seq is the newest news it has of the leader. Teams are
-	// what its teams keep busy, and Offers which machines it would give along with
-	// a team that is to move.
-	Asks   bool
-	Seq    uint64
-	Wants  []Want
-	Idle   []string
-	Teams  []TeamLoad
-	Offers []division.Offer
+	// what its teams keep busy, Offers which machines it would give along with a
+	// team that is to move, and ToSpare those that it has no use for now.
+	Asks    bool
+	ToSpare []string
+	Seq     uint64
+	Wants   []Want
+	Idle    []string
+	Teams   []TeamLoad
+	Offers  []division.Offer
 	// Tells: the leader tells an owner of its machines: of some of them, and of all
 	// that the owner does not know of by Seq; and which team is to move.
+	// Spare counts what others have to spare.
 	Tells   bool
+	Spare   []Want
 	Rentals []RentalNews
 	Blocked []Want
 	Release []division.Ask
--- a/internal/core/fleet.go
+++ b/internal/core/fleet.go
@@ -64,6 +64,8 @@
 	rentals map[string]*rental
 	blocked map[kind]time.Time
 	renting map[kind]int
+	// spare is what other owners have to spare.
+	spare map[kind]int
 }
 
 // rental is a machine as the cloud knows it.
@@ -80,6 +82,8 @@
 	toldTo, toldAs string
 	toldSeq        uint64
 	told           time.Time
+	// handed is when it was last handed over to another owner.
+	handed time.Time
 	// gone is when its return was answered; kept a while for its owner to hear.
 	gone time.Time
 }
@@ -114,6 +118,8 @@
 	// of its news each has them all.
 	turn  int
 	acked map[string]uint64
+	// handed is when a machine was last handed over.
+	handed map[string]time.Time
 	// unlisted are machines that records name and lists do not show, since when.
 	unlisted map[string]time.Time
 }
@@ -147,7 +153,7 @@
 	n.leader = &leader{
 		stamp: n.sess.leadStamp, gen: int(n.id()), since: n.now,
 		rentals: map[string]*rental{}, blocked: map[kind]time.Time{}, renting: map[ask]int{}, booking: map[string]bool{}, needSeq: map[string]uint64{},
-		news: map[string]peerWants{}, answered: map[string]bool{}, acked: map[string]uint64{}, unlisted: map[string]time.Time{}, divide: newDividing(n),
+		news: map[string]peerWants{}, answered: map[string]bool{}, acked: map[string]uint64{}, unlisted: map[string]time.Time{}, handed: map[string]time.Time{}, divide: newDividing(n),
 	}
 	n.info("leader", "stamp", n.sess.leadStamp)
 	divide(n)
@@ -198,22 +204,7 @@
 		ownNews(n)
 	}
 	divide(n)
-	if o := n.owner; o != nil && o.ready {
-		// What could not be booked at once stays wanted until the next look.
-		n.execute(n.set.Host, o.wants, o.gone)
-		o.gone = nil
-	}
-	for _, host := range sortedKeys(l.news) {
-		w := l.news[host]
-		if n.now.Sub(w.at) > newsFresh || w.news.Seq < l.needSeq[host] {
-			continue
-		}
-		wants := map[kind]int{}
-		for _, x := range w.news.Wants {
-			wants[kind{x.Flavour, x.Zone, x.Spot}] += x.Count
-		}
-		n.execute(host, wants, w.news.Idle)
-	}
+	trade(n)
 	n.tellOwners()
 	if n.owner != nil && n.now.Sub(l.told) >= fleetLog {
 		l.told = n.now
@@ -234,42 +225,6 @@
 // cloud's limit, since lists, returns and prices need some as well.
 func (n *Node) bookings() int { return max(1, int(n.set.CloudRPS/2*leaderPeriod.Seconds())) }
 
-// execute does what an owner asks of the cloud, for its own machines.
-func (n *Node) execute(host string, wants map[kind]int, gone []string) {
-	l := n.leader
-	var back []string
-	for _, id := range gone {
-		if l.answered[id] && n.ownerOf(id) == host {
-			n.goneAlready(id, host)
-			continue
-		}
-		if r := l.rentals[id]; len(back) < returnMost && n.ownerOf(id) == host && (r == nil || !r.returning) {
-			back = append(back, id)
-		}
-	}
-	if len(back) > 0 {
-		n.giveBack(back)
-	}
-	// Of a large wish several requests are sent at once, in turns of the kinds.
-	// One more wish is heard only when all of them are answered.
-	left := n.bookings()
-	busy := map[kind]bool{}
-	for _, k := range sortedKinds(wants) {
-		busy[k] = l.renting[ask{host, k}] > 0 || l.blocked[k].After(n.now)
-	}
-	for more := true; more && left > 0; {
-		more = false
-		for _, k := range sortedKinds(wants) {
-			if c := min(wants[k], rentMost); c > 0 && !busy[k] && left > 0 {
-				wants[k] -= c
-				left--
-				more = true
-				n.rentKind(host, k, c, "")
-			}
-		}
-	}
-}
-
 // ownerOf is whose machine it is, by the records.
 func (n *Node) ownerOf(id string) string {
 	if o, ok := n.sess.book.Owner(id); ok {
@@ -340,8 +295,11 @@
 			continue
 		}
 		status := r.status
-		if !r.gone.IsZero() {
+		switch {
+		case !r.gone.IsZero():
 			status = "returned"
+		case status == "running" && n.ownerOf(id) != host:
+			status = coming
 		}
 		if r.toldTo != host || r.toldAs != status {
 			r.toldTo, r.toldAs, r.toldSeq = host, status, l.seq
@@ -359,7 +317,7 @@
 	asked, moves := l.divide.div.Asked()
 	for _, host := range sortedKeys(news) {
 		m := news[host]
-		m.Seq, m.Blocked = l.seq, blocked
+		m.Seq, m.Blocked, m.Spare = l.seq, blocked, spareFor(n, host)
 		if moves && asked.From == host {
 			m.Release = []division.Ask{asked}
 		}
@@ -381,7 +339,7 @@
 		// It tells of some at a time. What it names no more is gone.
 		v.rentals = old.rentals
 		for id, r := range v.rentals {
-			if _, mine := n.mine(id); !mine && r.status != "booting" || n.now.Sub(r.told) > 2*tellTurns*leaderPeriod+newsFresh {
+			if _, mine := n.mine(id); !mine && r.status != "booting" && r.status != coming || n.now.Sub(r.told) > 2*tellTurns*leaderPeriod+newsFresh {
 				delete(v.rentals, id)
 			}
 		}
@@ -390,7 +348,7 @@
 	for _, x := range c.Rentals {
 		// News says where to look, never what is owned: one that boots is counted on
 		// before any record names it, and used only then.
-		if _, mine := n.mine(x.ID); !mine && x.Status != "booting" {
+		if _, mine := n.mine(x.ID); !mine && x.Status != "booting" && x.Status != coming {
 			continue
 		}
 		r := &rental{told: n.now, id: x.ID, addr: x.Addr, kind: kind{x.Flavour, x.Zone, x.Spot}, since: n.now.Add(-x.Age), status: x.Status, returning: n.returned[x.ID]}
@@ -405,6 +363,10 @@
 			n.adopt(r)
 		}
 	}
+	v.spare = map[kind]int{}
+	for _, w := range c.Spare {
+		v.spare[kind{w.Flavour, w.Zone, w.Spot}] += w.Count
+	}
 	for _, w := range c.Blocked {
 		v.blocked[kind{w.Flavour, w.Zone, w.Spot}] = n.now.Add(newsFresh)
 	}
@@ -556,7 +518,7 @@
 	if m.flavour == "" || m.addr == "" {
 		n.describe(m, r.addr, r.flavour, r.zone, r.spot)
 	}
-	if !m.heard && r.status == "running" && r.addr != "" {
+	if !m.heard && (r.status == "running" || r.status == coming) && r.addr != "" {
 		n.contact(m)
 	}
 }
--- a/internal/core/owner.go
+++ b/internal/core/owner.go
@@ -110,6 +110,9 @@
 	retired time.Time
 	wants   map[kind]int
 	gone    []string
+	// spare are idle machines that neither what waits nor what is expected needs, the
+	// dearest first: others may have them.
+	spare []string
 	// release is a team that the leader wants to move, and when it last said so.
 	release   division.Ask
 	releaseAt time.Time
@@ -728,7 +731,30 @@
 // has seen a higher epoch than that under which it is this owner's.
 func (n *Node) maybeRaise() {
 	o := n.owner
-	if n.raising || n.now.Sub(o.raised) < raiseEvery {
+	if n.raising || n.now.Sub(o.raised) < raiseEvery || n.now.After(n.sess.sureUntil) {
+		return
+	}
+	some := len(o.higher) > 0
+	for _, m := range o.byID {
+		some = some || m.unacked != 0 && m.unacked == m.epoch && !m.noDirect && m.stuck(&o.desk)
+	}
+	if !some {
+		return
+	}
+	// Only as of now: a machine that has seen a higher epoch is another's more likely,
+	// of which the watch has not told yet.
+	o.raised = n.now
+	n.ctlSure(func() {
+		if n.owner == o {
+			raise(n)
+		}
+	})
+}
+
+// raise names the machines that need it once more.
+func raise(n *Node) {
+	o := n.owner
+	if n.raising {
 		return
 	}
 	by := map[string][]string{}
@@ -757,7 +783,6 @@
 		if len(some) == 0 {
 			continue
 		}
-		o.raised = n.now
 		n.raising = true
 		n.info("machines get a higher epoch", "machines", len(some), "such as", some[0], "share", name)
 		n.ask(StateOp{Kind: OpTxn, Prio: PrioStart, When: []Cond{{sharePrefix + name, s.Stamp}, {lotPrefix + w.Name, 0}},
@@ -799,7 +824,7 @@
 	for _, p := range n.set.Peers {
 		out := news
 		if n.leader == nil && p == n.sess.lead.Host && o.view != nil {
-			out.Seq, out.Idle, out.Offers, out.Teams = o.wantsSeq, o.gone, n.offers(), n.teamLoads()
+			out.Seq, out.Idle, out.ToSpare, out.Offers, out.Teams = o.wantsSeq, o.gone, o.spare, n.offers(), n.teamLoads()
 			for _, k := range sortedKinds(o.wants) {
 				out.Wants = append(out.Wants, Want{k.flavour, k.zone, k.spot, o.wants[k]})
 			}
--- a/internal/core/pass.go
+++ b/internal/core/pass.go
@@ -54,7 +54,7 @@
 		if !n.viewFleet() {
 			return
 		}
-		o.wants, o.gone = nil, nil
+		o.wants, o.gone, o.spare = nil, nil, nil
 		if o.view == nil || n.now.Sub(o.view.at) > newsFresh || n.now.After(n.sess.sureUntil) {
 			return
 		}
@@ -94,7 +94,10 @@
 	if !l.listedOK {
 		return false
 	}
-	v := &view{at: n.now, rentals: map[string]*rental{}, blocked: l.blocked, renting: map[kind]int{}}
+	v := &view{at: n.now, rentals: map[string]*rental{}, blocked: l.blocked, renting: map[kind]int{}, spare: map[kind]int{}}
+	for _, w := range spareFor(n, n.set.Host) {
+		v.spare[kind{w.Flavour, w.Zone, w.Spot}] = w.Count
+	}
 	for id, r := range l.rentals {
 		if r.gone.IsZero() && n.rentedFor(id) == n.set.Host {
 			v.rentals[id] = r
@@ -125,6 +128,7 @@
 	if !t(0) {
 		return
 	}
+	o.spare = n.toSpare(spare)
 	n.returns(spare)
 	wants := n.rent(r, t)
 	if !t(0) {
--- a/internal/core/play.go
+++ b/internal/core/play.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"iter"
+	"maps"
 	"math"
 	"slices"
 	"time"
@@ -36,8 +37,10 @@
 	wanted map[[2]string]bool
 	// blocked are the kinds that the cloud has just refused.
 	blocked map[kind]bool
-	visits  int
-	tick    tick
+	// spare counts the machines that other owners have to spare.
+	spare  map[kind]int
+	visits int
+	tick   tick
 }
 
 // tick is told of work done, in units of about a tenth of a microsecond. It may
@@ -53,6 +56,7 @@
 		for k, until := range v.blocked {
 			p.blocked[k] = until.After(n.now)
 		}
+		p.spare = maps.Clone(v.spare)
 	}
 	for i, v := range vs {
 		v.i = int32(i)
--- a/internal/core/rent.go
+++ b/internal/core/rent.go
@@ -22,7 +22,7 @@
 	cheapest := n.cheapest()
 	idle := false
 	for _, m := range o.byID {
-		if n.idle(m, cheapest) && n.usable(m) {
+		if m.empty() && m.heard && n.usable(m) && (n.otherOwners() && n.now.Sub(m.idleSince) > spareAfter || n.idle(m, cheapest)) {
 			out[m.id] = true
 			idle = true
 		}
@@ -53,6 +53,40 @@
 	return out
 }
 
+// spareAfter is how long a machine must have had no task before another owner may have
+// it: ends and starts follow one another.
+const spareAfter = 2 * time.Second
+
+// otherOwners says that there are other owners.
+func (n *Node) otherOwners() bool {
+	for _, s := range n.sess.book.Shares() {
+		if s.Host != n.set.Host && len(s.Teams) > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// toSpare are the machines of those that nothing here needs that others may have, the
+// dearest first.
+func (n *Node) toSpare(spare map[string]bool) []string {
+	if !n.otherOwners() {
+		return nil
+	}
+	var ms []*machine
+	for _, m := range n.owner.byID {
+		if spare[m.id] && !m.returning && !m.recall && !m.bad && n.now.Sub(m.idleSince) > spareAfter {
+			ms = append(ms, m)
+		}
+	}
+	slices.SortStableFunc(ms, func(a, b *machine) int { return cmp.Compare(n.unitPrice(b), n.unitPrice(a)) })
+	var out []string
+	for _, m := range ms[:min(len(ms), spareMost)] {
+		out = append(out, m.id)
+	}
+	return out
+}
+
 // idle says that a machine has had no task for as long as one of its price is kept.
 func (n *Node) idle(m *machine, cheapest float64) bool {
 	return m.heard && m.empty() && n.now.Sub(m.idleSince) > n.idleKeep(m, cheapest)
@@ -172,6 +206,10 @@
 		if r.returning || r.status == "returned" || r.status == "failed" || m != nil && (m.heard || n.awaited(m)) {
 			continue
 		}
+		if r.status == coming || n.now.Sub(r.handed) < handPause {
+			p.boot(r.kind, n.now.Add(handTime))
+			continue
+		}
 		if f := n.types[r.flavour]; n.boots(r) {
 			p.boot(r.kind, later(r.since.Add(f.Ready), n.now.Add(f.Ready/4)))
 		}
@@ -199,13 +237,13 @@
 						first = at.Sub(from)
 					}
 					wants[k]++
-					v = p.boot(k, p.now.Add(n.types[k.flavour].Ready))
+					v = p.get(k)
 				} else if x, k, ok := p.relief(a, v, from, count); x != nil {
 					v = x
 				} else if ok {
 					reliefs++
 					wants[k]++
-					v = p.boot(k, p.now.Add(n.types[k.flavour].Ready))
+					v = p.get(k)
 				}
 				k := left
 				if v != nil {
@@ -222,6 +260,24 @@
 	return wants
 }
 
+// ready is how long a machine of a kind takes to be of use: less while another owner
+// has some to spare.
+func (p *plan) ready(o offer) time.Duration {
+	if p.spare[o.kind] > 0 {
+		return handTime
+	}
+	return o.ready
+}
+
+// get adds a machine that is to be rented, or handed over by another owner.
+func (p *plan) get(k kind) *virtual {
+	if p.spare[k] > 0 {
+		p.spare[k]--
+		return p.boot(k, p.now.Add(handTime))
+	}
+	return p.boot(k, p.now.Add(p.n.types[k.flavour].Ready))
+}
+
 // boots says that a machine that was not heard of yet may still come up.
 func (n *Node) boots(r *rental) bool {
 	f, ok := n.types[r.flavour]
@@ -239,7 +295,7 @@
 	k, ok := p.bestKind(a, count, true)
 	ok = ok && !p.needed(a.j, k.flavour)
 	if x, at := p.best(a, from, true); x != nil {
-		if !ok || !at.After(later(p.now.Add(k.ready), from).Add(k.pull+lateMargin)) {
+		if !ok || !at.After(later(p.now.Add(p.ready(k)), from).Add(k.pull+lateMargin)) {
 			return x, kind{}, false
 		}
 	}
@@ -276,7 +332,7 @@
 		// It has to fetch the image as well, and not before the task is there:
 		// without that, each task expected later than a boot takes would want a
 		// machine of its own, beside idle ones that have to fetch too.
-		ready := later(p.now.Add(k.ready), from).Add(k.pull)
+		ready := later(p.now.Add(p.ready(k)), from).Add(k.pull)
 		if !at.After(ready.Add(lateMargin)) {
 			continue
 		}
@@ -318,7 +374,7 @@
 	var bestCost float64
 	found := false
 	for _, o := range a.offers {
-		if o.spot != spot || a.zones.room(o.zone) == 0 || p.blocked[o.kind] {
+		if o.spot != spot || a.zones.room(o.zone) == 0 || p.blocked[o.kind] && p.spare[o.kind] == 0 {
 			continue
 		}
 		cost := o.price / float64(min(o.fit, max(count, 1)))
--- a/internal/core/tenure.go
+++ b/internal/core/tenure.go
@@ -153,7 +153,13 @@
 		case !mine:
 			letMachineGo(n, m)
 		case x.Epoch != m.epoch:
-			m.epoch = x.Epoch
+			// It may have been another's in between, of which this one has read only
+			// now: what was seen of it, and when its lease ends, count anew.
+			m.epoch, m.former = x.Epoch, n.now.Add(n.former())
+			if !m.leaseEnd.IsZero() {
+				m.leaseEnd = later(m.leaseEnd, n.leaseAfter(m.former))
+			}
+			o.desk.Doubt(m.id)
 			n.mark(m)
 		}
 	}
--- a/internal/custody/custody.go
+++ b/internal/custody/custody.go
@@ -232,6 +232,16 @@
 // Count is how many attempts of others are, or may yet begin, on a machine.
 func (d *Desk) Count(machine string) int { return len(d.Living(machine)) }
 
+// Doubt forgets what was seen of a machine under an epoch that has passed: it may have
+// been another's in between, who has started there what was not there before. What is
+// asked for stands.
+func (d *Desk) Doubt(machine string) {
+	if h := d.machines[machine]; h != nil {
+		clear(h.gone)
+		clear(h.pieces)
+	}
+}
+
 // Drop forgets a machine that now belongs to another.
 func (d *Desk) Drop(machine string) { delete(d.machines, machine) }
 
--- a/internal/custody/custody_test.go
+++ b/internal/custody/custody_test.go
@@ -308,6 +308,26 @@
 	}
 }
 
+// TestDoubt: what a machine's owner saw under an epoch that has passed is not told
+// under the next. Behind with its reading it may have taken the machine for its own
+// while another started there what it then did not see.
+func TestDoubt(t *testing.T) {
+	now := time.Unix(1_750_000_000, 0)
+	d := &Desk{}
+	a := Attempt{"j", 0, 1}
+	own := func(string) bool { return false }
+	d.Ask(now, "a", Ask{"vm", []Asked{{Attempt: a, Want: Stop}}})
+	d.Saw(now, "vm", nil, own, true)
+	d.Doubt("vm")
+	told := d.Tells(now, func(string) (About, bool) { return About{Epoch: 9, Owner: func(string) string { return "" }}, true })["a"][0]
+	if got := told.Attempts[0].State; got != Unknown {
+		t.Errorf("told as %v under epoch %d, though it was seen under an earlier one", got, told.Epoch)
+	}
+	if _, w, ok := d.Since("vm", a); !ok || w.Want != Stop {
+		t.Error("what was asked for is forgotten as well")
+	}
+}
+
 // TestMessagesAreBounded: of more attempts than a message may hold the rest is told in
 // the next round, and none is left out for ever.
 func TestMessagesAreBounded(t *testing.T) {
--- a/internal/division/plan.go
+++ b/internal/division/plan.go
@@ -26,8 +26,10 @@
 	// gather is how long new machines wait for others, to share a record.
 	gather = 400 * time.Millisecond
 	// gain is the part of the largest load that must be won before anything moves
-	// between controllers that do well.
-	gain = 0.2
+	// between controllers that do well, and steady for how many share intervals that
+	// must have been so.
+	gain   = 0.25
+	steady = 0.5
 	// returnPause is how long a team that has moved stays, in share intervals.
 	returnPause = 4
 	// offerPatience is how long a controller may take to say which machines go
@@ -50,7 +52,8 @@
 	Machines []string
 }
 
-// Rented is a machine that was rented for a controller, and when that was known.
+// Rented is a machine that was rented for a controller, or is handed over to it, and
+// when that was known.
 type Rented struct {
 	ID   string
 	Host string
@@ -104,6 +107,8 @@
 	ask     *Ask
 	asked   time.Time
 	refused map[string]time.Time
+	// uneven is since when a move would win enough.
+	uneven time.Time
 }
 
 // New makes a divider for one term as the one who divides. interval is the least
@@ -346,52 +351,57 @@
 			most = n
 		}
 	}
-	enough := func(w float64) bool {
-		after := max(p.load[most.Host]-w, p.load[least.Host]+w)
-		return p.load[most.Host]-after >= gain*p.load[most.Host]
+	level := func(w float64) float64 {
+		return p.load[most.Host] - max(p.load[most.Host]-w, p.load[least.Host]+w)
 	}
+	// The one that levels best, of shares first: they take their machines along.
+	share, team, won, enough := "", "", 0.0, gain*p.load[most.Host]
 	var mine []string
 	for _, n := range p.names() {
 		if r := p.shares[n]; r.Host == most.Host && len(r.Teams) > 0 {
 			mine = append(mine, n)
 		}
 	}
-	// The one that levels best, of shares first: they take their machines along.
-	best, won := "", 0.0
-	level := func(w float64) float64 {
-		return p.load[most.Host] - max(p.load[most.Host]-w, p.load[least.Host]+w)
-	}
-	if len(mine) > 1 {
-		for _, n := range mine {
-			if w := p.weigh(p.shares[n]); enough(w) && level(w) > won {
-				best, won = n, level(w)
-			}
-		}
-		if best != "" {
-			r := p.shares[best]
-			r.Host, r.Nonce, r.Epoch = least.Host, least.Nonce, 0
-			p.dirty[best] = true
-			d.changed = now
-			return
+	for _, n := range mine {
+		if w := level(p.weigh(p.shares[n])); len(mine) > 1 && w >= enough && w > won {
+			share, won = n, w
 		}
 	}
 	for _, n := range mine {
-		r := p.shares[n]
-		if len(r.Teams) < 2 {
-			continue
-		}
-		for _, t := range r.Teams {
-			if now.Sub(d.moved[t]) < returnPause*d.interval && !d.moved[t].IsZero() || now.Sub(d.refused[t]) < refusedPause && !d.refused[t].IsZero() {
-				continue
-			}
-			if w := p.weight(t); enough(w) && level(w) > won {
-				best, won = t, level(w)
+		if r := p.shares[n]; share == "" && len(r.Teams) > 1 {
+			for _, t := range r.Teams {
+				if w := level(p.weight(t)); w >= enough && w > won && !d.stays(t, now) {
+					team, won = t, w
+				}
 			}
 		}
 	}
-	if best != "" {
-		d.ask, d.asked = &Ask{best, most.Host, least.Host}, now
+	switch {
+	case share == "" && team == "":
+		d.uneven = time.Time{}
+		return
+	case d.uneven.IsZero():
+		d.uneven = now
+	}
+	if float64(now.Sub(d.uneven)) < steady*float64(d.interval) {
+		return
 	}
+	d.uneven = time.Time{}
+	if share == "" {
+		d.ask, d.asked = &Ask{team, most.Host, least.Host}, now
+		return
+	}
+	r := p.shares[share]
+	r.Host, r.Nonce, r.Epoch = least.Host, least.Nonce, 0
+	p.dirty[share] = true
+	d.changed = now
+}
+
+// stays says that a team is not to move: it has moved not long ago, or its owner has
+// lately not said which machines go along.
+func (d *Divider) stays(team string, now time.Time) bool {
+	within := func(at time.Time, t time.Duration) bool { return !at.IsZero() && now.Sub(at) < t }
+	return within(d.moved[team], returnPause*d.interval) || within(d.refused[team], refusedPause)
 }
 
 // answered carries a move on that was asked for, and says whether it is written now.
@@ -465,26 +475,19 @@
 	}
 }
 
-// newLots names the machines that were rented for shares without the rest.
+// newLots names the machines that were rented for, or are handed over to, controllers
+// whose they are not yet.
 func (p *draft) newLots(now time.Time) {
 	by := map[string][]string{}
 	ripe := false
 	for _, x := range p.in.New {
-		if p.in.Gone(x.ID) {
+		if o, ok := p.in.Book.Owner(x.ID); ok && o.Host == x.Host || p.in.Gone(x.ID) {
 			continue
 		}
+		// The first of its shares with teams, or the one with the rest.
 		name := ""
 		for _, n := range p.names() {
-			r := p.shares[n]
-			if r.Host != x.Host {
-				continue
-			}
-			if r.Rest {
-				// They are its already.
-				name = ""
-				break
-			}
-			if name == "" && len(r.Teams) > 0 {
+			if r := p.shares[n]; r.Host == x.Host && (name == "" && len(r.Teams) > 0 || r.Rest) {
 				name = n
 			}
 		}
--- a/internal/peer/wire.go
+++ b/internal/peer/wire.go
@@ -12,7 +12,7 @@
 func wire(n core.PeerNews) *News {
 	m := &News{
 		From: n.From, Asks: n.Asks, Seq: n.Seq, Wants: wireWants(n.Wants), Idle: n.Idle,
-		Tells: n.Tells, Blocked: wireWants(n.Blocked), StateAway: n.StateAway,
+		Tells: n.Tells, Blocked: wireWants(n.Blocked), ToSpare: n.ToSpare, Spare: wireWants(n.Spare), StateAway: n.StateAway,
 	}
 	for _, p := range n.Progress {
 		m.Progress = append(m.Progress, &Progress{Id: p.ID, Done: int64(p.Done), Running: int64(p.Running)})
@@ -66,7 +66,7 @@
 func (m *News) core() core.PeerNews {
 	n := core.PeerNews{
 		From: m.From, Asks: m.Asks, Seq: m.Seq, Wants: coreWants(m.Wants), Idle: m.Idle,
-		Tells: m.Tells, Blocked: coreWants(m.Blocked), StateAway: m.StateAway,
+		Tells: m.Tells, Blocked: coreWants(m.Blocked), ToSpare: m.ToSpare, Spare: coreWants(m.Spare), StateAway: m.StateAway,
 	}
 	for _, p := range m.Progress {
 		n.Progress = append(n.Progress, core.Progress{ID: p.Id, Done: int(p.Done), Running: int(p.Running)})
