The stand-in of the state service keeps the limits of the protocol and the settings

Need: our own stand-in took values of any size as often as they came, so that no test could see a share pass value_kb, nor owners that together ask for more than there is.

It answers 400 and 429 as written: sizes of values, keys and transactions, changes, conditions, requests and changes a second, 1,000 rows and 512 KiB a page. Sizes are counted by writing the JSON.

--- /dev/null
+++ b/internal/standin/limits.go
@@ -0,0 +1,105 @@
+package standin
+
+import (
+	"encoding/json"
+	"fmt"
+	"strings"
+	"time"
+
+	"github.com/micahill/micahill/internal/core"
+	"github.com/vmihailenco/msgpack/v5"
+	"golang.org/x/time/rate"
+)
+
+// StateTooMany stands for a 429, of which the cores never hear: their client tries
+// again.
+const StateTooMany core.StateStatus = -1
+
+// limits are those of the protocol and the settings. Sizes are counted by writing the
+// JSON, on purpose: the controllers reckon them another way, and would agree with
+// their own mistakes.
+type limits struct {
+	valueBytes, ops, page int
+	requests, changes     *rate.Limiter
+}
+
+const (
+	keyMost = 200
+	txnMost = 64 << 10
+	// pageMost is how many rows a list has at most.
+	pageMost = 1000
+)
+
+// Limit makes the service keep the limits of the settings: the size of values and
+// transactions, and requests and changes a second with bursts of one second's worth.
+// Settings that say nothing of sizes leave it without limits.
+func (s *StateService) Limit(set core.Settings) {
+	if set.TxnOps == 0 || set.ValueBytes == 0 {
+		return
+	}
+	limit := func(rps float64, burst int) *rate.Limiter {
+		if rps <= 0 {
+			return rate.NewLimiter(rate.Inf, burst)
+		}
+		return rate.NewLimiter(rate.Limit(rps), max(burst, int(rps)))
+	}
+	s.limits = &limits{
+		valueBytes: set.ValueBytes, ops: set.TxnOps, page: pageMost,
+		requests: limit(set.StateRequests, 1), changes: limit(set.StateWrites, set.TxnOps),
+	}
+}
+
+// allow takes a request's part of the rates, if there is enough left. A transaction
+// that is refused for its changes counts as a request all the same.
+func (l *limits) allow(now time.Time, op *core.StateOp) bool {
+	return l.requests.AllowN(now, 1) && (len(op.Apply) == 0 || l.changes.AllowN(now, len(op.Apply)))
+}
+
+// malformed says what a 400 is for, or nothing.
+func (l *limits) malformed(op *core.StateOp) string {
+	if op.Kind != core.OpTxn {
+		return ""
+	}
+	if len(op.Apply) > l.ops {
+		return fmt.Sprintf("%d changes", len(op.Apply))
+	}
+	if len(op.When) > 4*l.ops {
+		return fmt.Sprintf("%d conditions", len(op.When))
+	}
+	whole := obj{}
+	var when, apply []any
+	for _, c := range op.When {
+		if !goodKey(c.Key) {
+			return "key " + c.Key
+		}
+		when = append(when, obj{"key": c.Key, "stamp": c.Stamp})
+	}
+	for _, a := range op.Apply {
+		if !goodKey(a.Key) {
+			return "key " + a.Key
+		}
+		if a.Value == nil {
+			apply = append(apply, obj{"remove": a.Key})
+			continue
+		}
+		var v any
+		if err := msgpack.Unmarshal(a.Value, &v); err != nil {
+			return "no value for " + a.Key
+		}
+		b, err := json.Marshal(v)
+		if err != nil {
+			return "no value for " + a.Key
+		}
+		if len(b) > l.valueBytes {
+			return fmt.Sprintf("%d bytes for %s", len(b), a.Key)
+		}
+		apply = append(apply, obj{"put": a.Key, "value": json.RawMessage(b), "permit": a.Grant})
+	}
+	whole["when"], whole["apply"] = when, apply
+	if b, err := json.Marshal(whole); err != nil || len(b) > txnMost {
+		return fmt.Sprintf("%d bytes", len(b))
+	}
+	return ""
+}
+
+func goodKey(k string) bool { return k != "" && len(k) <= keyMost && !strings.ContainsAny(k, " \t\n") }
--- a/internal/standin/live.go
+++ b/internal/standin/live.go
@@ -276,6 +276,10 @@
 		reply(rw, 410, obj{"error": "too old"})
 	case core.StateNoGrant:
 		reply(rw, 400, obj{"error": "no such lease"})
+	case core.StateBad:
+		reply(rw, 400, obj{"error": "malformed"})
+	case StateTooMany:
+		reply(rw, 429, obj{"error": "rate"})
 	default:
 		switch op.Kind {
 		case core.OpGet:
--- a/internal/standin/state.go
+++ b/internal/standin/state.go
@@ -28,6 +28,14 @@
 	// lost is the newest revision whose change is no longer kept.
 	lost    uint64
 	waiting []*watch
+	limits  *limits
+	// Bad counts requests that were malformed, with the last of them, and Refused
+	// those above the rates.
+	Bad     int
+	LastBad string
+	Refused int
+	// Reads counts reads and watches, and most the most rows kept beside job/.
+	Reads int
 }
 
 type stateRow struct {
@@ -143,10 +151,27 @@
 	return out
 }
 
-// Do executes a request; the answer may come later, for a watch.
+// Do executes a request; the answer may come later, for a watch. Without limits, set
+// by Limit, it takes requests of any size, as often as they come.
 func (s *StateService) Do(now time.Time, op core.StateOp, answer func(core.StateDone)) {
 	s.Tick(now)
 	out := core.StateDone{ID: op.ID, Status: core.StateOK, Rev: s.rev}
+	if s.limits != nil {
+		if why := s.limits.malformed(&op); why != "" {
+			s.Bad++
+			s.LastBad = why
+			answer(core.StateDone{ID: op.ID, Status: core.StateBad})
+			return
+		}
+		if !s.limits.allow(now, &op) {
+			s.Refused++
+			answer(core.StateDone{ID: op.ID, Status: StateTooMany})
+			return
+		}
+	}
+	if op.Kind != core.OpTxn {
+		s.Reads++
+	}
 	switch op.Kind {
 	case core.OpGet:
 		if r, ok := s.rows[op.Key]; ok {
@@ -187,8 +212,11 @@
 	answer(out)
 }
 
-// listPage is small, so that tests turn pages.
-const listPage = 100
+// listPage is small, so that tests turn pages. An answer has at most listBytes.
+const (
+	listPage  = 100
+	listBytes = 512 << 10
+)
 
 func (s *StateService) list(prefix, from string) ([]core.Item, bool) {
 	var keys []string
@@ -198,12 +226,20 @@
 		}
 	}
 	sort.Strings(keys)
-	more := len(keys) > listPage
+	page := listPage
+	if s.limits != nil {
+		page = s.limits.page
+	}
+	more := len(keys) > page
 	if more {
-		keys = keys[:listPage]
+		keys = keys[:page]
 	}
 	var out []core.Item
+	size := 0
 	for _, k := range keys {
+		if size += 3 * len(s.rows[k].value); size > listBytes && len(out) > 0 {
+			return out, true
+		}
 		out = append(out, core.Item{Key: k, Value: s.rows[k].value, Stamp: s.rows[k].stamp})
 	}
 	return out, more
--- a/internal/state/state.go
+++ b/internal/state/state.go
@@ -19,7 +19,6 @@
 
 	"github.com/micahill/micahill/internal/core"
 	"github.com/vmihailenco/msgpack/v5"
-	"golang.org/x/time/rate"
 )
 
 const (
@@ -44,10 +43,9 @@
 
 // Client is one controller's access to the state service.
 type Client struct {
-	base   string
-	http   *http.Client
-	reqs   *rate.Limiter
-	writes *rate.Limiter
+	base string
+	http *http.Client
+	gate *Gate
 }
 
 // New makes a client for the service at addr, whose limits are shared by n
@@ -60,18 +58,12 @@
 		IdleConnTimeout:     time.Minute,
 		DisableCompression:  true,
 	}
-	c := &Client{base: "http://" + addr, http: &http.Client{Transport: tr}, reqs: rate.NewLimiter(1, 1), writes: rate.NewLimiter(1, 1)}
-	c.SetRates(core.Rates{Requests: rps / float64(n), Changes: wps / float64(n)})
-	return c
+	gate := NewGate(time.Now(), core.Rates{Requests: rps / float64(n), Changes: wps / float64(n)})
+	return &Client{base: "http://" + addr, http: &http.Client{Transport: tr}, gate: gate}
 }
 
 // SetRates gives this controller its part of the limits.
-func (c *Client) SetRates(r core.Rates) {
-	c.reqs.SetLimit(rate.Limit(r.Requests))
-	c.reqs.SetBurst(max(leastBurst, int(r.Requests)))
-	c.writes.SetLimit(rate.Limit(r.Changes))
-	c.writes.SetBurst(max(leastBurst, int(r.Changes)))
-}
+func (c *Client) SetRates(r core.Rates) { c.gate.Set(time.Now(), r) }
 
 type row struct {
 	Key    string             `msgpack:"key"`
@@ -106,18 +98,19 @@
 
 // Do carries out op and tells how it ended.
 func (c *Client) Do(ctx context.Context, op core.StateOp) core.StateDone {
-	limit := shortDeadline
-	switch {
-	case op.Kind == core.OpFollow:
-		limit = op.Hold + longDeadline
-	case op.Kind == core.OpList || op.Prio == core.PrioLazy:
-		limit = longDeadline
-	}
 	out := core.StateDone{ID: op.ID, Status: core.StateRefused}
-	if !c.admit(ctx, op, limit) {
+	wait, ok := c.gate.Wait(time.Now(), op)
+	if !ok {
 		return out
 	}
-	ctx, cancel := context.WithTimeout(ctx, limit)
+	if wait > 0 {
+		select {
+		case <-ctx.Done():
+			return out
+		case <-time.After(wait):
+		}
+	}
+	ctx, cancel := context.WithTimeout(ctx, Deadline(op))
 	defer cancel()
 	method, path, body := request(op)
 	for {
@@ -131,12 +124,11 @@
 			}
 			return out
 		case status == http.StatusTooManyRequests:
-			// Not executed: others used up the rate. Come back shortly, not
-			// all at the same moment.
+			// Not executed. Come back shortly.
 			select {
 			case <-ctx.Done():
 				return out
-			case <-time.After(60*time.Millisecond + rand.N(120*time.Millisecond)):
+			case <-time.After(TooMany + rand.N(TooManySpread)):
 			}
 			continue
 		}
@@ -146,37 +138,6 @@
 	}
 }
 
-// admit takes the request's part of the rate. The session comes first, and then
-// what users wait for: they take their part without waiting, and the others
-// wait the longer. Users' own requests wait only when they alone are more than
-// the rate allows.
-func (c *Client) admit(ctx context.Context, op core.StateOp, limit time.Duration) bool {
-	now := time.Now()
-	ahead := c.writes.TokensAt(now) > -userAhead*float64(c.writes.Limit()) && c.reqs.TokensAt(now) > -userAhead*float64(c.reqs.Limit())
-	if op.Prio == core.PrioSession || op.Prio == core.PrioUser && ahead {
-		c.reqs.ReserveN(now, 1)
-		if k := min(len(op.Apply), c.writes.Burst()); k > 0 {
-			c.writes.ReserveN(now, k)
-		}
-		return true
-	}
-	if op.Prio >= core.PrioStart {
-		// Nobody waits at the other end of these, and few are under way at a
-		// time. Were a large write refused because its turn comes after the
-		// deadline of a request, small ones would pass it for ever.
-		limit = queueDeadline
-	}
-	ctx, cancel := context.WithTimeout(ctx, limit)
-	defer cancel()
-	if c.reqs.Wait(ctx) != nil {
-		return false
-	}
-	if k := min(len(op.Apply), c.writes.Burst()); k > 0 {
-		return c.writes.WaitN(ctx, k) == nil
-	}
-	return true
-}
-
 func request(op core.StateOp) (method, path string, body any) {
 	switch op.Kind {
 	case core.OpGet:
