Every record, transaction and message is bounded before it leaves; a 400 is not repeated

Need: a value beyond value_kb was refused and sent again 1,269 times in 120 s, and what waited for it waited for ever.

Transactions are measured before they leave; one that the state service calls malformed is remembered and not sent again as it is, is an error in the log, a counter and a line of status. Of a write with several records the one at fault is found by itself, its tasks are put off, the others go on; the same for submissions. Rows share what machines' names begin with; orders to a worker, news to a controller and records of images are bounded; names that can't be part of a key are refused in the settings, with what would do. Damaged lists make no room for what they claim.

--- a/cmd/micahill/main.go
+++ b/cmd/micahill/main.go
@@ -188,6 +188,7 @@
 			st.SetRates(r)
 			met.Rates(r)
 		},
+		Defect:  met.Defect,
 		Observe: met.Step,
 	})
 	back, err := peer.Listen(ctx, c.Back, func(n core.PeerNews) { srv.Post(n) })
--- a/cmd/micahill/status.go
+++ b/cmd/micahill/status.go
@@ -81,6 +81,9 @@
 		roles = append(roles, "standing by")
 	}
 	fmt.Fprintf(out, "%s: %s; healthy: %v; leader: %s; controllers: %s\n", s.Host, strings.Join(roles, ", "), s.Healthy, s.Leader, strings.Join(s.Nodes, ", "))
+	if s.Defects > 0 {
+		fmt.Fprintf(out, "%d requests of its own were malformed; its log names them\n", s.Defects)
+	}
 	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
 	if len(s.Teams) > 1 {
 		fmt.Fprintln(w, "\nTEAM\tOWNER\tCPU HERE")
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -27,6 +27,8 @@
 		{`lease_s = 24.0`, `lease_s = 3.5`, "deployment.workers.lease_s: 3.5 is not longer than the longest pause"},
 		{`value_kb = 4.0`, `value_kb = 0.5`, "deployment.state.value_kb: 0.5 does not hold"},
 		{`sockets = 2000`, `sockets = 4`, "deployment.quota.sockets"},
+		{`host_name = "ctl-0"`, `host_name = "ctl 0"`, "host_name: \"ctl 0\" can't be part of a key"},
+		{`name = "lab"`, `name = "` + strings.Repeat("l", 2000) + `"`, "deployment.teams[0].name"},
 	} {
 		bad := strings.Replace(string(good), c.old, c.new, 1)
 		_, err := Parse([]byte(bad))
--- a/internal/config/limits.go
+++ b/internal/config/limits.go
@@ -1,6 +1,11 @@
 package config
 
-import "fmt"
+import (
+	"fmt"
+	"strings"
+
+	"github.com/micahill/micahill/internal/bounds"
+)
 
 const (
 	// pauses is how many of the workers' report intervals may pass between two
@@ -19,6 +24,21 @@
 	tightCPU, tightMB, tightSockets = 0.02, 64, 64
 )
 
+// hostMost is how long a controller's name may be: it is part of keys, which have 200
+// bytes at most. teamPart is the part of a value that a team's name may take.
+const (
+	hostMost = 120
+	teamPart = 0.25
+)
+
+func hostNames(seeds []Seed) []string {
+	var out []string
+	for _, s := range seeds {
+		out = append(out, s.HostName)
+	}
+	return out
+}
+
 // finding is what is wrong or tight about a field.
 type finding struct {
 	field string
@@ -36,6 +56,23 @@
 func (c *Config) limits() (wrong, tight []finding) {
 	d := &c.Deployment
 	nodes := float64(len(c.Seeds) + 1)
+	for i, name := range append([]string{c.HostName}, hostNames(c.Seeds)...) {
+		field := "host_name"
+		if i > 0 {
+			field = fmt.Sprintf("seeds[%d].host_name", i-1)
+		}
+		if len(name) > hostMost || strings.ContainsAny(name, " \t\r\n/") {
+			wrong = append(wrong, finding{field, fmt.Sprintf("%q", name), "can't be part of a key of the state service",
+				fmt.Sprintf("up to %d characters without spaces and slashes would do", hostMost)})
+		}
+	}
+	for i, t := range d.Teams {
+		if size := bounds.Text(t.Name); float64(size) > d.State.ValueKB*1024*teamPart {
+			wrong = append(wrong, finding{fmt.Sprintf("deployment.teams[%d].name", i), fmt.Sprintf("%.20q...", t.Name),
+				fmt.Sprintf("takes %d bytes of a record, of which there are %.0f", size, d.State.ValueKB*1024),
+				fmt.Sprintf("up to %.0f would do", d.State.ValueKB*1024*teamPart)})
+		}
+	}
 	if least := pauses*d.Workers.ReportS + answerS; d.Workers.LeaseS <= pauses*d.Workers.ReportS {
 		wrong = append(wrong, finding{"deployment.workers.lease_s", d.Workers.LeaseS,
 			fmt.Sprintf("is not longer than the longest pause between two reports (report_s %g and a quarter), so every worker would lose its tasks", d.Workers.ReportS),
--- a/internal/core/divide.go
+++ b/internal/core/divide.go
@@ -97,7 +97,13 @@
 			x.rev = d.Rev
 			return
 		}
-		n.after(n.jitter(retryPause), func() {
+		pause := n.jitter(retryPause)
+		if d.Status == StateBad {
+			// The same would be planned again. Other changes may go meanwhile, when what
+			// they rest on is another.
+			pause = defectPause
+		}
+		n.after(pause, func() {
 			if n.leader != nil && n.leader.gen == gen {
 				divide(n)
 			}
--- a/internal/core/fleet.go
+++ b/internal/core/fleet.go
@@ -269,6 +269,9 @@
 	return n.ownerOf(id)
 }
 
+// tellMost bounds the machines in one news.
+const tellMost = 3000
+
 // tellTurns is in how many turns, a second each, an owner is told of all its machines;
 // of what has changed it is told at once, and until it has shown that it knows.
 const tellTurns = 5
@@ -304,6 +307,11 @@
 		if r.toldTo != host || r.toldAs != status {
 			r.toldTo, r.toldAs, r.toldSeq = host, status, l.seq
 		}
+		if len(m.Rentals) >= tellMost {
+			// It goes with the next news, until it is known to be known.
+			r.toldSeq = l.seq + 1
+			continue
+		}
 		if r.toldSeq > l.acked[host] || i%tellTurns == l.turn {
 			m.Rentals = append(m.Rentals, RentalNews{r.id, r.addr, r.flavour, r.zone, r.spot, status, n.now.Sub(r.since)})
 		}
--- a/internal/core/jobs.go
+++ b/internal/core/jobs.go
@@ -61,6 +61,8 @@
 	busy    bool
 	// refused is the version that the state service called malformed.
 	refused uint64
+	// alone: a write that it shared was malformed, and it is to be written by itself.
+	alone bool
 	// urgent: a start waits for the write; otherwise it may wait and share.
 	urgent bool
 	since  time.Time
--- a/internal/core/machines.go
+++ b/internal/core/machines.go
@@ -555,6 +555,10 @@
 	m.images = map[string]*image{}
 }
 
+// ordersMost bounds the orders of one answer or request to a worker, whose body may
+// have 64 KiB: an order takes some 70 bytes and its job's name.
+const ordersMost = 500
+
 // reconcile is what the worker has to be told, from its newest report and what
 // should be there. Repeating an order does no harm but for a start after its
 // clear, so clear waits until no start can be on its way.
@@ -567,6 +571,10 @@
 	var orders []Order
 	quiet := n.quiet(m)
 	for _, k := range sortedTasks(m.pieces) {
+		if len(orders) >= ordersMost {
+			n.mark(m)
+			break
+		}
 		p := m.pieces[k]
 		j := o.jobs[k.job]
 		var t *task
@@ -593,6 +601,11 @@
 		}
 	}
 	for _, k := range sortedAttempts(m) {
+		if len(orders) >= ordersMost {
+			// The rest goes with the next.
+			n.mark(m)
+			break
+		}
 		t := m.attempts[k]
 		j := o.jobs[k.job]
 		if t.stop != stopNone || !j.durable(k.index) || !j.mayStart(n.now) {
--- a/internal/core/node.go
+++ b/internal/core/node.go
@@ -1,9 +1,11 @@
 package core
 
 import (
+	"fmt"
 	"math/rand/v2"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/micahill/micahill/internal/bounds"
 	"github.com/micahill/micahill/internal/ears"
 	"github.com/micahill/micahill/internal/pace"
@@ -57,8 +59,10 @@
 	// placed: the last step had a round of placing in it.
 	placed  bool
 	budgets budgets
-	// defects counts requests that were malformed.
-	defects int
+	// defects counts requests that were malformed, and malformed has those that the
+	// state service said so of: none is sent again as it is.
+	defects   int
+	malformed map[uint64]bool
 	// guests are the loans this cluster has taken, as far as this node has read.
 	guests guests
 }
@@ -79,6 +83,7 @@
 		errs:     map[string]*estimate{},
 		returned: map[string]bool{}, inherited: map[loadKey]Load{}, heirloom: map[string]HostNews{}, away: map[string]time.Time{},
 	}
+	n.malformed = map[uint64]bool{}
 	n.budgets.others = map[string]told{}
 	n.users.init()
 	return n
@@ -122,10 +127,6 @@
 	case WorkerReport:
 		n.workerReport(c)
 	case StateDone:
-		if c.Status == StateBad {
-			n.defects++
-			n.emit(Log{Error: true, Text: "the state service calls a request malformed", Args: []any{"request", c.ID}})
-		}
 		if c.Status != StateUnknown && c.Status != StateRefused {
 			n.sess.stateOK = n.now
 			n.sess.stateBad = time.Time{}
@@ -260,17 +261,61 @@
 			apply[i] = bounds.Change{Key: c.Key, Value: c.Value}
 		}
 		if err := n.bounds().Txn(when, apply); err != nil {
-			n.emit(Log{Error: true, Text: "a request passes the state service's limits", Args: []any{"err", err}})
-			n.defects++
+			n.defect("a request passes the state service's limits", "err", err)
 			n.after(0, func() { fn(StateDone{ID: op.ID, Status: StateBad, Sent: n.now}) })
 			return
 		}
+		if len(n.malformed) > 0 && n.malformed[opHash(&op)] {
+			// Called malformed before, as it is.
+			n.after(retryPause, func() { fn(StateDone{ID: op.ID, Status: StateBad, Sent: n.now}) })
+			return
+		}
+		given := fn
+		fn = func(d StateDone) {
+			if d.Status == StateBad {
+				n.defect("the state service calls a transaction malformed", "changes", len(op.Apply), "first", firstKey(&op))
+				if len(n.malformed) >= malformedMost {
+					clear(n.malformed)
+				}
+				n.malformed[opHash(&op)] = true
+			}
+			given(d)
+		}
 	}
 	n.budgets.asked(&op)
 	n.state[op.ID] = fn
 	n.emit(op)
 }
 
+// malformedMost bounds how many malformed transactions are remembered.
+const malformedMost = 256
+
+// opHash tells transactions apart by what they would do.
+func opHash(op *StateOp) uint64 {
+	h := xxhash.New()
+	for _, c := range op.When {
+		fmt.Fprint(h, c.Key, c.Stamp, ";")
+	}
+	for _, a := range op.Apply {
+		fmt.Fprint(h, a.Key, a.Grant, len(a.Value), ":")
+		h.Write(a.Value)
+	}
+	return h.Sum64()
+}
+
+func firstKey(op *StateOp) string {
+	if len(op.Apply) == 0 {
+		return ""
+	}
+	return op.Apply[0].Key
+}
+
+// defect tells of a mistake of this program's that it goes on with.
+func (n *Node) defect(text string, args ...any) {
+	n.defects++
+	n.emit(Log{Error: true, Text: text, Args: args})
+}
+
 func (n *Node) askCloud(op CloudOp, fn func(CloudDone)) {
 	op.ID = n.id()
 	n.clouds[op.ID] = fn
--- a/internal/core/owner.go
+++ b/internal/core/owner.go
@@ -426,6 +426,7 @@
 		var parts []part
 		size := 0
 		shares := map[string]bool{}
+		alone := false
 		based := map[string]bool{}
 		add := func(most int, due func(*chunk) bool) {
 			for _, j := range unsaved {
@@ -436,9 +437,10 @@
 				}
 				for _, k := range sortedKeys(j.chunks) {
 					c := j.chunks[k]
-					if c.busy || c.ver == c.saved || c.ver == c.refused || len(op.Apply) >= most || !due(c) {
+					if c.busy || c.ver == c.saved || c.ver == c.refused || len(op.Apply) >= most || !due(c) || alone || c.alone && len(op.Apply) > 0 {
 						continue
 					}
+					alone = c.alone
 					val := encode(j.record(c))
 					conds := 1
 					var fence []Cond
@@ -520,21 +522,25 @@
 					// Perhaps applied, perhaps later: read what stands there.
 					n.reread(p.j, p.c)
 				default:
-					// As it is it would be refused again. What was to start with it
-					// does not, and the rest goes on.
-					n.info("write refused as malformed", "job", p.j.ID, "chunk", p.c.n)
-					n.defect(p.j, p.c, p.ver)
+					// As it is it would be refused again: each by itself, to find out
+					// which it is. What was to start with that does not, and the rest
+					// goes on.
+					if len(parts) > 1 {
+						p.c.busy, p.c.urgent, p.c.alone = false, true, true
+					} else {
+						n.badRecord(p.j, p.c, p.ver)
+					}
 				}
 			}
 		})
 	}
 }
 
-// defect deals with a record that the state service calls malformed. It is not sent
-// again as it is: tasks in it that were not begun are taken off their machines, and
+// badRecord deals with a record that the state service calls malformed: tasks in it that were not begun are taken off their machines, and
 // only when something of it changes is it written once more.
-func (n *Node) defect(j *job, c *chunk, ver uint64) {
-	c.busy, c.urgent = false, false
+func (n *Node) badRecord(j *job, c *chunk, ver uint64) {
+	n.info("a record is malformed", "job", j.ID, "chunk", c.n)
+	c.busy, c.urgent, c.alone = false, false, false
 	c.refused = c.ver
 	for i := c.n * j.per; i < min((c.n+1)*j.per, j.fresh); i++ {
 		if t := &j.tasks[i]; t.m != nil && !t.sent && t.ver <= ver {
@@ -676,6 +682,8 @@
 				}
 				n.after(n.jitter(retryPause), func() { j.ending = false })
 			})
+		case StateBad:
+			n.after(defectPause, func() { j.ending = false })
 		default:
 			n.after(n.jitter(retryPause), func() { j.ending = false })
 		}
@@ -798,6 +806,9 @@
 	}
 }
 
+// progressMost bounds the jobs in one news.
+const progressMost = 3000
+
 // tellPeers shows the progress of open jobs to the other controllers, and asks
 // the leader for machines.
 func (n *Node) tellPeers() {
@@ -810,6 +821,10 @@
 	news.From = n.set.Host
 	for _, id := range sortedKeys(o.jobs) {
 		j := o.jobs[id]
+		if len(news.Progress) >= progressMost {
+			// The rest with the next news.
+			break
+		}
 		p := j.progress()
 		if p != j.lastTold {
 			j.lastTold = p
--- a/internal/core/record.go
+++ b/internal/core/record.go
@@ -5,6 +5,7 @@
 	"time"
 	"unicode/utf8"
 
+	"github.com/micahill/micahill/internal/bounds"
 	"github.com/vmihailenco/msgpack/v5"
 )
 
@@ -159,7 +160,14 @@
 	return b
 }
 
-func decode(b []byte, v any) bool { return msgpack.Unmarshal(b, v) == nil }
+// decode reads a record. The library takes a list's length at its word and makes room
+// for it, so a damaged record is found before.
+func decode(b []byte, v any) bool {
+	if _, err := bounds.JSON(b); err != nil {
+		return false
+	}
+	return msgpack.Unmarshal(b, v) == nil
+}
 
 func (s *Spec) record(at time.Time) openRecord {
 	return openRecord{
--- a/internal/core/session.go
+++ b/internal/core/session.go
@@ -151,7 +151,7 @@
 			if !n.sess.loaded {
 				n.loadCtl()
 			}
-		case StateBad, StateNoGrant:
+		case StateNoGrant:
 			n.sessionLost("grant ended before registration")
 		default:
 			n.after(n.jitter(retryPause), func() {
@@ -411,7 +411,7 @@
 		case StateOK, StateConflict:
 			// The watch will say who has it. If our own unanswered claim did it,
 			// the watch says that as well.
-		case StateBad:
+		case StateNoGrant:
 			n.sessionLost("grant ended while claiming the lead")
 		default:
 			n.after(n.jitter(retryPause), func() {
--- a/internal/core/status.go
+++ b/internal/core/status.go
@@ -9,15 +9,17 @@
 
 // StatusReply is the picture.
 type StatusReply struct {
-	Reply     uint64           `json:"-"`
-	Host      string           `json:"host"`
-	Healthy   bool             `json:"healthy"`
-	Leader    string           `json:"leader"`
-	IsLeader  bool             `json:"is_leader"`
-	IsOwner   bool             `json:"is_owner"`
-	Teams     []TeamStatus     `json:"teams,omitempty"`
-	Shares    []ShareStatus    `json:"shares,omitempty"`
-	Wards     WardStatus       `json:"wards"`
+	Reply    uint64        `json:"-"`
+	Host     string        `json:"host"`
+	Healthy  bool          `json:"healthy"`
+	Leader   string        `json:"leader"`
+	IsLeader bool          `json:"is_leader"`
+	IsOwner  bool          `json:"is_owner"`
+	Teams    []TeamStatus  `json:"teams,omitempty"`
+	Shares   []ShareStatus `json:"shares,omitempty"`
+	Wards    WardStatus    `json:"wards"`
+	// Defects counts mistakes of the program's own, such as malformed requests.
+	Defects   int              `json:"defects"`
 	Nodes     []string         `json:"nodes"`
 	Workloads []WorkloadStatus `json:"workloads,omitempty"`
 	Machines  []MachineStatus  `json:"machines,omitempty"`
@@ -78,6 +80,7 @@
 func (n *Node) status(c StatusQuery) {
 	s := StatusReply{
 		Reply: c.Reply, Host: n.set.Host, Healthy: n.Healthy(n.now), Leader: n.sess.lead.Host,
+		Defects:  n.defects,
 		IsLeader: n.leader != nil, IsOwner: n.IsOwner(), Nodes: sortedKeys(n.sess.nodes),
 	}
 	cpus := map[string]float64{}
--- a/internal/core/users.go
+++ b/internal/core/users.go
@@ -52,6 +52,8 @@
 	w    *waiter
 	spec Spec
 	at   time.Time
+	// alone: a transaction with others was malformed; it is stored by itself.
+	alone bool
 }
 
 // pollState shares one read among the polls for a job that wait together. A
@@ -324,7 +326,7 @@
 				continue
 			}
 			// The same id twice in a transaction would conflict with itself.
-			if seen[s.spec.ID] {
+			if seen[s.spec.ID] || len(batch) > 0 && (s.alone || batch[0].alone) {
 				break
 			}
 			one, err := bounds.JSON(encode(s.spec.record(s.at)))
@@ -376,13 +378,16 @@
 			}
 			n.users.queue = append(again, n.users.queue...)
 		case StateBad:
+			if len(batch) == 1 {
+				s := batch[0]
+				n.finish(s.w, UserReply{Status: 400, Message: fmt.Sprintf("job %s cannot be stored", s.spec.ID)})
+				break
+			}
+			// One of them is at fault, and the others are not to suffer for it.
 			for _, s := range batch {
-				if len(batch) == 1 {
-					n.finish(s.w, UserReply{Status: 400, Message: fmt.Sprintf("job %s cannot be stored", s.spec.ID)})
-				} else {
-					n.refuse(s.w, "not stored")
-				}
+				s.alone = true
 			}
+			n.users.queue = append(batch, n.users.queue...)
 		default:
 			for _, s := range batch {
 				n.refuse(s.w, "the state service does not answer")
--- a/internal/core/warm.go
+++ b/internal/core/warm.go
@@ -4,6 +4,8 @@
 	"strconv"
 	"strings"
 	"time"
+
+	"github.com/micahill/micahill/internal/bounds"
 )
 
 // warmEvery is how often one of the records is written that say which machines
@@ -34,8 +36,9 @@
 	return prefix, value, len(digits), err == nil
 }
 
-// warmBytes is about what one machine takes in a record's JSON form.
-const warmBytes = 8
+// warmFrame is what an image takes in a record's JSON form beside its name and its
+// machines.
+const warmFrame = 32
 
 // warmNext puts together the next record, from the machine at the place on, and
 // says where the one after it begins.
@@ -66,10 +69,10 @@
 				i = len(r.Images)
 				at[name] = i
 				r.Images = append(r.Images, warmImage{Name: name, GB: im.gb})
-				room -= len(name) + 3*warmBytes
+				room -= bounds.Text(name) + warmFrame
 			}
 			r.Images[i].Machines = append(r.Images[i].Machines, value)
-			room -= warmBytes
+			room -= width + 2
 		}
 		if room < 0 {
 			return r, from + 1
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -22,6 +22,7 @@
 	batch    prometheus.Histogram
 	role     *prometheus.GaugeVec
 	part     *prometheus.GaugeVec
+	defects  prometheus.Counter
 }
 
 // New makes and registers the metrics.
@@ -41,10 +42,11 @@
 			Buckets: prometheus.ExponentialBuckets(0.00005, 3, 10)}),
 		batch: prometheus.NewHistogram(prometheus.HistogramOpts{Namespace: "micahill", Name: "step_commands", Help: "Commands taken by a step.",
 			Buckets: prometheus.ExponentialBuckets(1, 2, 9)}),
-		role: prometheus.NewGaugeVec(prometheus.GaugeOpts{Namespace: "micahill", Name: "role", Help: "1 while the controller has the role."}, []string{"role"}),
-		part: prometheus.NewGaugeVec(prometheus.GaugeOpts{Namespace: "micahill", Name: "state_part", Help: "This controller's part of the state service's limits, a second."}, []string{"of"}),
+		role:    prometheus.NewGaugeVec(prometheus.GaugeOpts{Namespace: "micahill", Name: "role", Help: "1 while the controller has the role."}, []string{"role"}),
+		defects: prometheus.NewCounter(prometheus.CounterOpts{Namespace: "micahill", Name: "defects_total", Help: "Mistakes of the program's own that it went on with, such as malformed requests."}),
+		part:    prometheus.NewGaugeVec(prometheus.GaugeOpts{Namespace: "micahill", Name: "state_part", Help: "This controller's part of the state service's limits, a second."}, []string{"of"}),
 	}
-	s.reg.MustRegister(s.requests, s.state, s.cloud, s.orders, s.steps, s.batch, s.role, s.part)
+	s.reg.MustRegister(s.requests, s.state, s.cloud, s.orders, s.steps, s.batch, s.role, s.part, s.defects)
 	return s
 }
 
@@ -90,6 +92,9 @@
 	s.orders.WithLabelValues(outcome).Observe(took.Seconds())
 }
 
+// Defect counts a mistake of the program's own, such as a malformed request.
+func (s *Set) Defect() { s.defects.Inc() }
+
 // Rates notes the controller's part of the state service's limits.
 func (s *Set) Rates(r core.Rates) {
 	s.part.WithLabelValues("requests").Set(r.Requests)
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -12,6 +12,7 @@
 
 	"github.com/micahill/micahill/internal/core"
 	"google.golang.org/protobuf/encoding/protodelim"
+	"google.golang.org/protobuf/proto"
 )
 
 const (
@@ -94,8 +95,15 @@
 			}
 			conn = c
 		}
+		m := wire(news)
+		if size := proto.Size(m); size > maxMessage {
+			// It would end the connection at the other end. What is in it is bounded by
+			// whoever makes it, so this is a defect.
+			slog.Error("news to a controller is too large", "addr", addr, "bytes", size, "most", maxMessage)
+			continue
+		}
 		conn.SetWriteDeadline(time.Now().Add(writeTimeout))
-		if _, err := protodelim.MarshalTo(conn, wire(news)); err != nil {
+		if _, err := protodelim.MarshalTo(conn, m); err != nil {
 			slog.Debug("peer lost", "addr", addr, "err", err)
 			conn.Close()
 			conn = nil
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -35,6 +35,8 @@
 	Role   func(core.Role)
 	// Rates is told the controller's part of the state service's limits.
 	Rates func(core.Rates)
+	// Defect is told of every mistake of the program's own that it goes on with.
+	Defect func()
 	// Observe is told how long a step took and how many commands it had.
 	Observe func(took time.Duration, commands int)
 }
@@ -196,6 +198,7 @@
 			slog.Debug(e.Text, e.Args...)
 		case e.Error:
 			slog.Error(e.Text, e.Args...)
+			s.out.Defect()
 		default:
 			slog.Info(e.Text, e.Args...)
 		}
