A team that moves takes its part of the machines along, mixed ones too; moves are tested

Need: the receiver began with the few machines on which only the team's tasks were, and nothing of it started for eight seconds until others had booted.

What a team's owner offers is its part of all capacity: machines with only its tasks, then idle ones, then those of which it has the most; what others have on them goes on in custody.

Tests: under steady load with replicas a controller comes back, teams move within a minute, no task is started again, replicas neither stop nor double, no gap of five seconds in the starts of any team, nothing moves afterwards; and moves under loss, with peers apart, owners, all controllers or the state service gone in the middle, a receiver cut off.

--- a/internal/core/owner.go
+++ b/internal/core/owner.go
@@ -852,8 +852,9 @@
 }
 
 // offers says which machines would go along with the team that the leader wants to
-// move: those where only its tasks are, and idle ones, as many as are its part of what
-// all teams here keep busy. The receiver is not to begin with no machines.
+// move, as many as are its part of what all teams here keep busy: the receiver is not to
+// begin with none. Those go first on which only its tasks are, then idle ones, then those
+// of which it has the most; what others have on them goes on there.
 func (n *Node) offers() []division.Offer {
 	o := n.owner
 	r := o.release
@@ -868,33 +869,42 @@
 			part = l.CPU + 1
 		}
 	}
+	type choice struct {
+		m *machine
+		// of is the team's part of what runs there, 1 for all of it, and 0.5 for an
+		// idle machine.
+		of float64
+	}
 	all := 0.0
+	var cs []choice
 	for _, m := range o.byID {
 		all += m.size.CPU
-	}
-	left := all * part / max(sum, 1)
-	var only, idle []*machine
-	for _, m := range o.byID {
-		if !m.heard || m.returning || m.warded {
+		if !m.heard || m.returning || m.recall {
 			continue
 		}
-		same := true
-		for k := range m.attempts {
-			same = same && o.jobs[k.job].Team == r.Team
-		}
-		switch {
-		case len(m.attempts) == 0:
-			idle = append(idle, m)
-		case same:
-			only = append(only, m)
+		c := choice{m, 0.5}
+		if !m.empty() {
+			its := 0.0
+			for k := range m.attempts {
+				if j := o.jobs[k.job]; j.Team == r.Team {
+					its += j.Need.CPU
+				}
+			}
+			c.of = its / max(m.used.CPU+m.foreign.CPU, its, slack)
 		}
+		cs = append(cs, c)
 	}
+	slices.SortStableFunc(cs, func(a, b choice) int { return cmp.Compare(b.of, a.of) })
+	left := all * part / max(sum, 1)
 	offer := division.Offer{Team: r.Team}
-	for _, m := range append(only, idle...) {
-		if left -= m.size.CPU; left < 0 && len(offer.Machines) > 0 || len(offer.Machines) >= offerMost {
+	for _, c := range cs {
+		if len(offer.Machines) >= offerMost || c.of == 0 {
 			break
 		}
-		offer.Machines = append(offer.Machines, m.id)
+		if c.m.size.CPU <= left {
+			left -= c.m.size.CPU
+			offer.Machines = append(offer.Machines, c.m.id)
+		}
 	}
 	return []division.Offer{offer}
 }
--- /dev/null
+++ b/internal/standin/move_test.go
@@ -0,0 +1,195 @@
+package standin
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/micahill/micahill/internal/core"
+)
+
+// moving is a world under steady load in which teams move: two controllers at first
+// live, with a team each, and the third comes later.
+func moving(t *testing.T, seed uint64, teams int) *World {
+	t.Helper()
+	set := testSettings()
+	set.Zones, set.Teams, set.StateWrites = []string{"a"}, nil, 60
+	for i := range teams {
+		set.Teams = append(set.Teams, core.Team{Name: fmt.Sprintf("team-%c", 'a'+i)})
+	}
+	w := NewWorld(seed, 3, set, testCancel, []core.Flavour{
+		{Name: "small", Size: core.Resources{CPU: 4, Memory: 16}, DiskGB: 20, PullRate: 0.5, Price: 0.2, SpotPrice: 0.07, Ready: 15 * time.Second, Zones: []string{"a"}},
+		{Name: "big", Size: core.Resources{CPU: 16, Memory: 64}, DiskGB: 40, PullRate: 0.5, Price: 0.8, SpotPrice: 0.3, Ready: 15 * time.Second, Zones: []string{"a"}},
+	}, map[string]int{"small/a/true": 30, "small/a/false": 30, "big/a/true": 12, "big/a/false": 10})
+	for i := range teams {
+		team := set.Teams[i].Name
+		w.Submit(core.Spec{ID: "job-s" + team, Workload: "service", Team: team, Standing: true, Urgency: core.Urgent, Tasks: 3,
+			Need: core.Resources{CPU: 1, Memory: 1}, Image: "svc", ImageGB: 1}, 0, false)
+		k := 0
+		var next func()
+		next = func() {
+			k++
+			w.Submit(core.Spec{ID: fmt.Sprintf("job-%s-%04d", team, k), Workload: "batch", Team: team, Urgency: core.Normal, Tasks: 3,
+				Need: core.Resources{CPU: 2, Memory: 2}, Image: fmt.Sprintf("img-%d", k%3), ImageGB: 0.5, Spot: true, Expected: 20 * time.Second}, 20*time.Second, false)
+			w.after(2*time.Second, next)
+		}
+		w.after(time.Duration(i)*100*time.Millisecond, next)
+	}
+	return w
+}
+
+// gap is the longest time without a start of a team after a moment.
+func (w *World) gap(team string, since time.Time) time.Duration {
+	at := []time.Time{since, w.now}
+	for _, j := range w.jobs {
+		for _, b := range j.began {
+			if j.spec.Team == team && b.After(since) {
+				at = append(at, b)
+			}
+		}
+	}
+	slices.SortFunc(at, time.Time.Compare)
+	longest := time.Duration(0)
+	for i := 1; i < len(at); i++ {
+		longest = max(longest, at[i].Sub(at[i-1]))
+	}
+	return longest
+}
+
+// teamsAt counts the teams that each living controller runs.
+func (w *World) teamsAt() map[string]int {
+	out := map[string]int{}
+	for _, p := range w.nodes {
+		if !p.alive {
+			continue
+		}
+		out[p.name] = 0
+		p.ask(func(r uint64) core.Command { return core.StatusQuery{Reply: r} }, func(e core.Effect) {
+			for _, x := range e.(core.StatusReply).Teams {
+				if x.Here && x.Ready {
+					out[p.name]++
+				}
+			}
+		})
+	}
+	w.Run(50 * time.Millisecond)
+	return out
+}
+
+// TestTeamsMoveWhileTheyRun: a controller comes back and gets teams within a minute.
+// What runs goes on: no task of theirs is started again, replicas neither stop nor
+// double, no team is without starts for more than five seconds, and nothing turns to
+// and fro afterwards.
+func TestTeamsMoveWhileTheyRun(t *testing.T) {
+	for seed := range uint64(4) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			const teams = 4
+			w := moving(t, seed, teams)
+			w.Run(60 * time.Second)
+			w.Crash(int(seed%3), 40*time.Second)
+			w.Run(45 * time.Second)
+			from := w.now
+			tries := func() int {
+				n := 0
+				for _, m := range w.machine {
+					for _, x := range m.tasks {
+						if x.try > 1 {
+							n++
+						}
+					}
+				}
+				return n
+			}
+			again := tries()
+			for i := range 60 {
+				w.Run(time.Second)
+				for k := range teams {
+					if n := w.live(fmt.Sprintf("job-steam-%c", 'a'+k)); i > 0 && n != 3 {
+						t.Fatalf("%d replicas of team-%c after %d s", n, 'a'+k, i)
+					}
+				}
+			}
+			if at := w.teamsAt(); slices.ContainsFunc(w.nodes, func(p *proc) bool { return at[p.name] == 0 }) {
+				t.Errorf("a minute after a controller is back the teams are divided %v", at)
+			}
+			for k := range teams {
+				if g := w.gap(fmt.Sprintf("team-%c", 'a'+k), from); g > 5*time.Second {
+					t.Errorf("nothing of team-%c starts for %v", 'a'+k, g)
+				}
+			}
+			if n := tries(); n > again+1 {
+				t.Errorf("%d tasks were started again while teams moved", n-again)
+			}
+			was := w.teamsAt()
+			w.Run(4 * time.Minute)
+			if now := w.teamsAt(); fmt.Sprint(now) != fmt.Sprint(was) {
+				t.Errorf("divided %v, and later %v", was, now)
+			}
+			for _, b := range w.Broken {
+				t.Error(b)
+			}
+			if t.Failed() {
+				t.Log(w.logs)
+			}
+		})
+	}
+}
+
+// TestMovesOverBadLinks: teams move while a part of all messages is lost, doubled or
+// held, the controllers can't hear one another, or the owner ends in the middle. No
+// task runs twice, and all work is done.
+func TestMovesOverBadLinks(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		bad  func(w *World)
+	}{
+		{"loss", func(w *World) { w.loss, w.twice = 0.03, 0.03 }},
+		{"deaf peers", func(w *World) {
+			for i := range w.nodes {
+				w.Cut(w.nodes[i].name, w.nodes[(i+1)%3].name, 40*time.Second, i%2 == 0)
+			}
+		}},
+		{"owner ends", func(w *World) {
+			w.after(33*time.Second, func() { w.Crash(0, 5*time.Second) })
+			w.after(47*time.Second, func() { w.Crash(1, 5*time.Second) })
+		}},
+		{"all end", func(w *World) {
+			w.after(35*time.Second, func() {
+				for i := range w.nodes {
+					w.Crash(i, 5*time.Second)
+				}
+			})
+		}},
+		{"state service away", func(w *World) { w.after(34*time.Second, func() { w.Outage(20 * time.Second) }) }},
+		{"receiver cut", func(w *World) { w.after(34*time.Second, func() { w.Cut(w.nodes[2].name, "*", 30*time.Second, true) }) }},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			w := moving(t, 3, 4)
+			w.Run(50 * time.Second)
+			w.Crash(2, 30*time.Second)
+			w.Run(32 * time.Second)
+			c.bad(w)
+			w.Run(90 * time.Second)
+			w.loss, w.twice = 0, 0
+			w.Run(30 * time.Second)
+			for _, b := range w.Broken {
+				t.Error(b)
+			}
+			late := 0
+			for _, j := range w.jobs {
+				if !j.spec.Standing && j.told != "done" && w.now.Sub(j.submitted) > 100*time.Second {
+					late++
+				}
+			}
+			if late > 0 {
+				t.Errorf("%d jobs are not done 100 s after they came", late)
+			}
+			if t.Failed() {
+				t.Log(w.logs)
+			}
+		})
+	}
+}
