--- a/internal/core/tenure.go
+++ b/internal/core/tenure.go
@@ -94,6 +94,7 @@
 	if s := n.sess.book.Team(team); s != nil {
 		to = s.Host
 	}
+	left := map[string]*machine{}
 	for _, id := range sortedKeys(o.jobs) {
 		j := o.jobs[id]
 		if j.Team != team {
@@ -118,11 +119,15 @@
 			if !t.sent {
 				o.desk.Nowhere(n.now, m.id, a)
 			}
-			n.countWards(m)
-			n.mark(m)
+			left[m.id] = m
 		}
 		delete(o.jobs, id)
 	}
+	// Only now: what belongs to a job in the books is not counted as another's.
+	for _, id := range sortedKeys(left) {
+		n.countWards(left[id])
+		n.mark(left[id])
+	}
 	delete(o.used, team)
 	for k := range o.arrivals {
 		if k.team == team {
--- a/internal/core/trade.go
+++ b/internal/core/trade.go
@@ -64,6 +64,10 @@
 // trade meets the wishes.
 func trade(n *Node) {
 	l := n.leader
+	if n.sess.rev < l.divide.rev {
+		// Whose the machines are is not known before what was written has been read.
+		return
+	}
 	all := wishes(n)
 	var owners []market.Owner
 	for _, w := range all {
--- a/internal/division/division_test.go
+++ b/internal/division/division_test.go
@@ -433,7 +433,11 @@
 					w.plan(t)
 				}
 			}
-			step(120)
+			step(20)
+			for _, h := range w.hosts() {
+				w.rent(h, 30)
+			}
+			step(100)
 			w.life["worker-1"] = -1
 			step(10)
 			w.life["worker-1"] = 2
@@ -458,6 +462,42 @@
 	}
 }
 
+// TestTidyKeepsEpochs: records that are joined, and joined again, leave each machine
+// with the owner and the epoch that it had.
+func TestTidyKeepsEpochs(t *testing.T) {
+	w := newWorld(testLimits, 2, 2)
+	w.plan(t)
+	host := "worker-0"
+	if w.book.rest.Host == host {
+		host = "worker-1"
+	}
+	for range 12 {
+		w.rent(host, 12)
+		w.now = w.now.Add(time.Second)
+		w.plan(t)
+	}
+	for range 6 {
+		lots, _ := w.book.Lots()
+		was := map[string]Owner{}
+		for _, id := range w.ids {
+			was[id], _ = w.book.Owner(id)
+		}
+		for i := range w.ids {
+			w.gone[w.ids[i]] = w.gone[w.ids[i]] || i%7 == lots%7
+		}
+		w.now = w.now.Add(2 * tidyEvery)
+		w.plan(t)
+		for _, id := range w.ids {
+			if o, _ := w.book.Owner(id); !w.gone[id] && (o.Epoch != was[id].Epoch || o.Host != was[id].Host) {
+				t.Fatalf("%s was %s's under %d and is %s's under %d", id, was[id].Host, was[id].Epoch, o.Host, o.Epoch)
+			}
+		}
+	}
+	if lots, _ := w.book.Lots(); lots > 3 {
+		t.Errorf("%d lots are left", lots)
+	}
+}
+
 // TestUnable: a controller that can run nothing, since it hears no worker, loses its
 // shares though it lives, and gets none while another can; where none can everything
 // stays.
