A controller's lives are told apart; one that just began gets no duty another can have

Need: a process that ends may be back within a fraction of a second, and end again. News of a former life named only its host, so that what it had wished to return or had been told counted for the present one; a registration of it that came late took the place of this one's, and nobody registered again; and one that ended over and over was given shares as soon as it was back.

Change: news names the life that sent it and counts only while that life takes part; a registration names the record that it replaces and, refused, looks what stands there; a leader told by another life of an owner tells it all anew. internal/lives (pure) says how long a life waits after several short ones, and for how long it is young: the division gives it nothing while another can have it, and it leaves the lead to others for half a second. What a young one holds it keeps.

--- a/internal/core/divide.go
+++ b/internal/core/divide.go
@@ -57,7 +57,7 @@
 	for _, h := range sortedKeys(s.nodes) {
 		r := s.nodes[h]
 		deaf := r.Deaf || h == n.set.Host && s.deaf(n.now)
-		in.Nodes = append(in.Nodes, division.Node{Host: h, Nonce: r.Nonce, Able: !deaf})
+		in.Nodes = append(in.Nodes, division.Node{Host: h, Nonce: r.Nonce, Able: !deaf, Young: n.young(r)})
 	}
 	for _, t := range n.set.Teams {
 		in.Teams = append(in.Teams, t.Name)
--- a/internal/core/effects.go
+++ b/internal/core/effects.go
@@ -73,7 +73,9 @@
 
 // PeerNews is what controllers tell each other. All of it may be lost or late.
 type PeerNews struct {
-	From     string
+	From string
+	// Life is that of the sender when it said so.
+	Life     string
 	Progress []Progress
 	Loads    []Load
 	// Hosts are the owner's machines, for a successor.
--- a/internal/core/fleet.go
+++ b/internal/core/fleet.go
@@ -47,6 +47,27 @@
 	news PeerNews
 }
 
+// takeNews takes in what an owner asks. Another life of it knows nothing of what its
+// former one was told.
+func (l *leader) takeNews(now time.Time, c PeerNews) {
+	if l.news[c.From].news.Life != c.Life {
+		delete(l.acked, c.From)
+		for _, r := range l.rentals {
+			if r.toldTo == c.From {
+				r.toldTo = ""
+			}
+		}
+	}
+	l.news[c.From] = peerWants{at: now, news: c}
+}
+
+// heard is an owner's word, if it is fresh and of the life that takes part now: what a
+// former one did not need, the present one may.
+func (n *Node) heard(host string) (peerWants, bool) {
+	w, ok := n.leader.news[host]
+	return w, ok && n.now.Sub(w.at) <= newsFresh && n.current(&w.news)
+}
+
 // newsFresh is how long an owner's wishes and a leader's view hold.
 const newsFresh = 4 * time.Second
 
@@ -59,6 +80,7 @@
 // view is what an owner knows of its machines from the leader.
 type view struct {
 	from    string
+	life    string
 	seq     uint64
 	at      time.Time
 	rentals map[string]*rental
@@ -190,7 +212,7 @@
 		return
 	}
 	for _, host := range sortedKeys(l.news) {
-		if w := l.news[host]; n.now.Sub(w.at) <= newsFresh {
+		if w, ok := n.heard(host); ok {
 			l.acked[host] = max(l.acked[host], w.news.Seq)
 			for _, x := range w.news.Offers {
 				l.divide.offers[x.Team] = x
@@ -340,7 +362,7 @@
 	o := n.owner
 	v := &view{rentals: map[string]*rental{}}
 	switch old := o.view; {
-	case old == nil || old.from != c.From:
+	case old == nil || old.from != c.From || old.life != c.Life:
 	case old.seq > c.Seq && n.now.Sub(old.at) < newsFresh:
 		return
 	default:
@@ -352,7 +374,8 @@
 			}
 		}
 	}
-	v.from, v.seq, v.at, v.blocked, v.renting = c.From, c.Seq, n.now, map[kind]time.Time{}, map[kind]int{}
+	v.from, v.life = c.From, c.Life
+	v.seq, v.at, v.blocked, v.renting = c.Seq, n.now, map[kind]time.Time{}, map[kind]int{}
 	for _, x := range c.Rentals {
 		// News says where to look, never what is owned: one that boots is counted on
 		// before any record names it, and used only then.
--- a/internal/core/jobs.go
+++ b/internal/core/jobs.go
@@ -90,9 +90,7 @@
 	// sorted holds all of them in order, so that the median costs nothing.
 	times  []time.Duration
 	sorted []time.Duration
-	// failed counts distinct failures, to retry a job that fails everywhere
-	// ever more slowly.
-	failed    int
+	// notBefore is when a job that fails everywhere may be tried again.
 	notBefore time.Time
 	// preempted is when it last looked for work to stop, and coming for how
 	// many of its tasks that makes room.
--- a/internal/core/machines.go
+++ b/internal/core/machines.go
@@ -27,9 +27,6 @@
 	// contactMost bounds the questions to machines that are under way: those
 	// to silent hosts hang, and a successor has a thousand to ask.
 	contactMost = 48
-	// errorsBad is how many tasks of different jobs must fail on a machine
-	// before it is taken for faulty.
-	errorsBad = 2
 )
 
 type taskKey struct {
@@ -81,7 +78,6 @@
 	// retiring: others can do its work more cheaply; see retire.
 	retiring  bool
 	bad       bool
-	badJobs   map[string]bool
 	idleSince time.Time
 
 	// dirty: orders may be due; it is then in the owner's list. forgotten:
@@ -119,7 +115,7 @@
 	o := n.owner
 	m := o.machines[id]
 	if m == nil {
-		m = &machine{id: id, attempts: map[taskKey]*task{}, images: map[string]*image{}, badJobs: map[string]bool{}, idleSince: n.now, former: n.now.Add(n.former())}
+		m = &machine{id: id, attempts: map[taskKey]*task{}, images: map[string]*image{}, idleSince: n.now, former: n.now.Add(n.former())}
 		if x, ok := n.mine(id); ok {
 			m.epoch = x.Epoch
 		}
@@ -145,6 +141,7 @@
 		o.byID = slices.Delete(o.byID, i, i+1)
 	}
 	m.forgotten = true
+	o.blame.MachineGone(m.id)
 }
 
 // mark notes that orders may be due for m. Going through all machines after
@@ -437,14 +434,11 @@
 				j.ran(ran)
 				n.learn(j, ran)
 			}
-			if x := n.owner.machines[t.avoid]; x != nil && x != m && t.fails > 0 && !x.bad {
-				// What failed there is done here: the fault was the machine's.
-				x.bad = true
-				n.info("machine is faulty", "machine", x.id)
-			}
+			// What failed elsewhere is done here.
+			n.judge(n.owner.blame.Done(j.ID, k.index, m.id))
 			n.gone(j, k.index, true)
 		case "error":
-			n.failed(m, j, t)
+			n.failed(m, j, k.index)
 			n.gone(j, k.index, false)
 		case "unknown":
 			// The worker says no such job: try again, not at once.
@@ -508,12 +502,12 @@
 	m.speed += 0.3 * (r - m.speed)
 }
 
-// failed tells a faulty machine from a job that fails everywhere: a machine is
-// bad when tasks of several jobs failed on it; a job whose tasks fail is
-// retried elsewhere, ever more slowly.
-func (n *Node) failed(m *machine, j *job, t *task) {
+// failed takes note that a task failed on a machine: internal/blame says whose fault
+// it is. The task is tried again elsewhere, and a job that fails everywhere ever more
+// slowly, one task at a time.
+func (n *Node) failed(m *machine, j *job, index int) {
+	t := &j.tasks[index]
 	t.fails++
-	j.failed++
 	t.avoid = m.id
 	pause := time.Second
 	for i := 1; i < min(t.fails, 6); i++ {
@@ -522,11 +516,31 @@
 	if t.fails > 1 {
 		t.notBefore = n.now.Add(n.jitter(pause))
 	}
-	m.badJobs[j.ID] = true
-	n.debug("task failed", "task", j.ID, "machine", m.id, "fails", t.fails)
-	if len(m.badJobs) >= errorsBad && !m.bad {
-		m.bad = true
-		n.info("machine is faulty", "machine", m.id)
+	n.debug("task failed", "job", j.ID, "task", index, "machine", m.id, "fails", t.fails)
+	b := &n.owner.blame
+	was := b.Broken(j.ID)
+	n.judge(b.Failed(j.ID, index, m.id))
+	if pause := b.Pause(j.ID); pause > 0 {
+		j.notBefore = n.now.Add(n.jitter(pause))
+	}
+	if b.Broken(j.ID) && !was {
+		n.info("a job fails on every machine: it is tried ever more slowly", "job", j.ID, "workload", j.Workload, "owner", j.Team)
+	}
+}
+
+// judge looks again at machines of which internal/blame thinks otherwise now.
+func (n *Node) judge(hosts []string) {
+	for _, id := range hosts {
+		m := n.owner.machines[id]
+		if m == nil {
+			continue
+		}
+		m.bad = n.owner.blame.Faulty(id)
+		if m.bad {
+			n.info("machine is faulty", "machine", id)
+		} else {
+			n.info("machine is not faulty: what failed there fails everywhere", "machine", id)
+		}
 	}
 }
 
--- a/internal/core/node.go
+++ b/internal/core/node.go
@@ -164,6 +164,9 @@
 		if c.Rates != nil {
 			n.budgets.others[c.From] = told{n.now, *c.Rates}
 		}
+		if !n.current(&c) {
+			break
+		}
 		for _, p := range c.Progress {
 			n.display[p.ID] = p
 		}
@@ -187,9 +190,9 @@
 			}
 		}
 		if c.Asks && n.leader != nil {
-			n.leader.news[c.From] = peerWants{at: n.now, news: c}
+			n.leader.takeNews(n.now, c)
 		}
-		if c.Tells && n.owner != nil && n.leader == nil && c.From == n.sess.lead.Host {
+		if c.Tells && n.owner != nil && n.leader == nil && c.Life == n.sess.lead.Nonce {
 			n.viewNews(c)
 		}
 	}
@@ -243,7 +246,13 @@
 	}
 }
 
-func (n *Node) emit(e Effect) { n.out = append(n.out, e) }
+func (n *Node) emit(e Effect) {
+	if p, ok := e.(PeerSend); ok {
+		p.News.Life = n.life()
+		e = p
+	}
+	n.out = append(n.out, e)
+}
 
 func (n *Node) id() uint64 { n.next++; return n.next }
 
--- a/internal/core/owner.go
+++ b/internal/core/owner.go
@@ -7,6 +7,7 @@
 	"strings"
 	"time"
 
+	"github.com/micahill/micahill/internal/blame"
 	"github.com/micahill/micahill/internal/bounds"
 	"github.com/micahill/micahill/internal/custody"
 	"github.com/micahill/micahill/internal/division"
@@ -82,6 +83,8 @@
 	heirs    []*machine
 	contacts int
 	used     map[string]Resources
+	// blame tells faulty machines from jobs that fail everywhere.
+	blame    blame.Book
 	inFlight int
 	// lazy counts the writes under way for which no start waits.
 	lazy  int
@@ -695,6 +698,7 @@
 	if o.jobs[j.ID] == j {
 		delete(o.jobs, j.ID)
 	}
+	o.blame.JobOver(j.ID)
 	o.orphans = append(o.orphans, rest...)
 }
 
--- a/internal/core/place.go
+++ b/internal/core/place.go
@@ -136,6 +136,20 @@
 	late bool
 }
 
+// triable is how many of a job's waiting tasks may be placed now: of a job that fails
+// everywhere one at a time, to see whether it still does.
+func (n *Node) triable(j *job) int {
+	switch {
+	case j.pending() == 0 || !j.mayStart(n.now) || j.notBefore.After(n.now):
+		return 0
+	case !n.owner.blame.Broken(j.ID):
+		return j.pending()
+	case j.live > 0:
+		return 0
+	}
+	return 1
+}
+
 // order sorts the jobs that wait for places.
 func (n *Node) order() []*job {
 	var rs []ranked
@@ -145,7 +159,7 @@
 	}
 	var waiting []*job
 	for _, j := range n.owner.jobs {
-		if j.pending() > 0 && j.mayStart(n.now) && !j.notBefore.After(n.now) {
+		if n.triable(j) > 0 {
 			waiting = append(waiting, j)
 		}
 	}
@@ -304,23 +318,23 @@
 		}
 		bound := n.waitBound(j.Workload)
 		if bound == 0 || j.Urgency == BestEffort {
-			n.placeJob(j, r, forever, j.pending())
+			n.placeJob(j, r, forever, n.triable(j))
 			continue
 		}
 		// Where an objective bounds the wait: first where the image is, then
 		// in the place of lower work there, and only then where it must be
 		// fetched first, which alone can take longer than the bound.
 		left := bound - n.now.Sub(j.at) - fetchMargin
-		n.placeJob(j, r, max(left, 0), j.pending())
+		n.placeJob(j, r, max(left, 0), n.triable(j))
 		coming := 0
 		switch {
-		case j.pending() == 0:
+		case n.triable(j) == 0 || n.owner.blame.Broken(j.ID):
 		case left > 0:
 			coming = n.preemptFor(j, left)
 		case n.latest(j).Sub(n.now) < bound:
 			coming = n.preemptFor(j, forever)
 		}
-		n.placeJob(j, r, forever, j.pending()-coming)
+		n.placeJob(j, r, forever, n.triable(j)-coming)
 	}
 }
 
--- a/internal/core/record.go
+++ b/internal/core/record.go
@@ -30,6 +30,8 @@
 	// being emptied.
 	guestPrefix = "guest/"
 	drainKey    = "ctl/drain"
+	// life/ has a record for each controller, outside ctl/: only itself reads it.
+	lifePrefix = "life/"
 )
 
 type nodeRecord struct {
@@ -37,6 +39,15 @@
 	Nonce string `msgpack:"nonce"`
 	// Deaf: it hears no worker and wants no share.
 	Deaf bool `msgpack:"deaf,omitempty"`
+	// Born is when its process began, in Unix milliseconds.
+	Born int64 `msgpack:"born,omitempty"`
+}
+
+// lifeRecord is what a controller's lives leave for the next one. It outlives their
+// grants.
+type lifeRecord struct {
+	Born  int64 `msgpack:"born"`
+	Short int   `msgpack:"short"`
 }
 
 type leadRecord struct {
--- a/internal/core/session.go
+++ b/internal/core/session.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/micahill/micahill/internal/division"
+	"github.com/micahill/micahill/internal/lives"
 )
 
 const (
@@ -24,6 +25,9 @@
 	// not answer, and awayFresh how long that counts.
 	awayEvery = time.Second
 	awayFresh = 3 * time.Second
+	// youngWait is how long one that has just begun leaves the lead to others: they
+	// hear of it within some milliseconds.
+	youngWait = 500 * time.Millisecond
 	// stateDownAfter is how long requests must have failed, with no success
 	// in between, before users are refused at once instead of tried for.
 	stateDownAfter = 1500 * time.Millisecond
@@ -34,6 +38,11 @@
 	started bool
 	ready   bool
 	grant   uint64
+	// born is when this process began. nodeStamp is the stamp of this controller's
+	// record, 0 when there is none: what is written there names it, so that a late
+	// write of a former life does not take the place of this one's.
+	born      time.Time
+	nodeStamp uint64
 	// sureUntil: until then the grant lives whatever happened, counted from
 	// the sending of the last successful renewal. During an outage it lives
 	// longer, but this node cannot know.
@@ -98,31 +107,77 @@
 }
 
 func (n *Node) sessionStart() {
-	n.sess.started = true
+	n.sess.started, n.sess.born = true, n.now
 	n.sess.nodes = map[string]nodeRecord{}
 	n.sess.book = division.NewBook()
-	n.endOldLife()
+	// The earlier life is ended at once, whatever this one waits for: the others are
+	// to have its duties.
+	ended, waited := false, false
+	begin := func() {
+		if ended && waited {
+			n.grantNew()
+		}
+	}
+	n.endOldLife(func() {
+		ended = true
+		begin()
+	})
+	beginLife(n, func() {
+		waited = true
+		begin()
+	})
 	n.renewLoop()
 	n.loadTypes()
 	pulse(n)
 }
 
+// beginLife calls fn when this life may take part, which after several short ones in
+// a row is not at once; see internal/lives.
+func beginLife(n *Node, fn func()) {
+	key := lifePrefix + n.set.Host
+	n.ask(StateOp{Kind: OpGet, Prio: PrioSession, Key: key}, func(d StateDone) {
+		if d.Status != StateOK && d.Status != StateNotFound {
+			n.after(n.jitter(retryPause), func() { beginLife(n, fn) })
+			return
+		}
+		var r lifeRecord
+		known := d.Status == StateOK && len(d.Items) == 1 && decode(d.Items[0].Value, &r)
+		past, wait := lives.Begin(n.now, lives.Past{Born: time.UnixMilli(r.Born), Short: r.Short}, known)
+		// It need not be waited for: lost, it only makes the next life wait less.
+		rec := encode(lifeRecord{Born: past.Born.UnixMilli(), Short: past.Short})
+		n.ask(StateOp{Kind: OpTxn, Prio: PrioSession, Apply: []Change{{Key: key, Value: rec}}}, func(StateDone) {})
+		if wait > 0 {
+			n.info("earlier lives were short: this one waits", "lives", past.Short, "for", wait)
+		}
+		n.after(wait, fn)
+	})
+}
+
 // endOldLife ends the grant of this controller's earlier life, which is surely
-// over, so that the others need not wait for it to run out.
-func (n *Node) endOldLife() {
+// over, so that the others need not wait for it to run out, and calls fn when it is
+// known what stands under its name.
+func (n *Node) endOldLife(fn func()) {
+	s := &n.sess
 	n.ask(StateOp{Kind: OpGet, Prio: PrioSession, Key: nodePrefix + n.set.Host}, func(d StateDone) {
 		switch d.Status {
 		case StateOK:
 			var old nodeRecord
-			if len(d.Items) == 1 && decode(d.Items[0].Value, &old) && old.Nonce != n.set.Nonce {
-				n.ask(StateOp{Kind: OpGrantDrop, Prio: PrioSession, Grant: old.Grant}, func(StateDone) { n.grantNew() })
+			if !decode(d.Items[0].Value, &old) || old.Nonce == n.life() {
+				s.nodeStamp = d.Items[0].Stamp
+				fn()
 				return
 			}
-			n.grantNew()
+			n.ask(StateOp{Kind: OpGrantDrop, Prio: PrioSession, Grant: old.Grant}, func(StateDone) {
+				// Should the record stand all the same, registering fails and comes
+				// back here.
+				s.nodeStamp = 0
+				fn()
+			})
 		case StateNotFound:
-			n.grantNew()
+			s.nodeStamp = 0
+			fn()
 		default:
-			n.after(n.jitter(retryPause), n.endOldLife)
+			n.after(n.jitter(retryPause), func() { n.endOldLife(fn) })
 		}
 	})
 }
@@ -141,13 +196,26 @@
 
 func (n *Node) register() {
 	grant := n.sess.grant
-	rec := encode(nodeRecord{Grant: grant, Nonce: n.life(), Deaf: n.sess.deaf(n.now)})
-	n.ask(StateOp{Kind: OpTxn, Prio: PrioSession, Apply: []Change{{Key: nodePrefix + n.set.Host, Value: rec, Grant: grant}}}, func(d StateDone) {
+	key := nodePrefix + n.set.Host
+	rec := encode(nodeRecord{Grant: grant, Nonce: n.life(), Deaf: n.sess.deaf(n.now), Born: n.sess.born.UnixMilli()})
+	n.ask(StateOp{Kind: OpTxn, Prio: PrioSession, When: []Cond{{key, n.sess.nodeStamp}}, Apply: []Change{{Key: key, Value: rec, Grant: grant}}}, func(d StateDone) {
 		if n.sess.grant != grant {
 			return
 		}
 		switch d.Status {
+		case StateConflict:
+			// A write of a former life came late, or this one's own had no answer.
+			n.after(n.jitter(retryPause), func() {
+				if n.sess.grant == grant {
+					n.endOldLife(func() {
+						if n.sess.grant == grant {
+							n.register()
+						}
+					})
+				}
+			})
 		case StateOK:
+			n.sess.nodeStamp = d.Rev
 			if !n.sess.loaded {
 				n.loadCtl()
 			}
@@ -177,7 +245,7 @@
 // endTerm gives up all roles with the grant that they rest on. What this process
 // takes up under its next grant it takes up as another life.
 func (n *Node) endTerm(why string) {
-	n.sess.grant = 0
+	n.sess.grant, n.sess.nodeStamp = 0, 0
 	n.sess.terms++
 	n.dropLead()
 	n.dropOwner(why)
@@ -205,6 +273,30 @@
 	})
 }
 
+// young says that a controller began so lately that it gets no duty yet that another
+// can have.
+func (n *Node) young(r nodeRecord) bool {
+	return r.Born != 0 && lives.IsYoung(n.now, time.UnixMilli(r.Born))
+}
+
+// othersGrown says that some other controller has been up for a while.
+func (n *Node) othersGrown() bool {
+	for h, r := range n.sess.nodes {
+		if h != n.set.Host && !n.young(r) && !r.Deaf {
+			return true
+		}
+	}
+	return false
+}
+
+// current says that news comes from a life of its sender that takes part now, as far as
+// this node has read. What a former life sent may come late, and what it asked for may
+// be in use by now.
+func (n *Node) current(c *PeerNews) bool {
+	r, lives := n.sess.nodes[c.From]
+	return lives && r.Nonce == c.Life
+}
+
 // life names this process, and which grant it has in turn.
 func (n *Node) life() string {
 	if n.sess.terms == 0 {
@@ -379,16 +471,24 @@
 	switch {
 	case s.leadStamp == 0:
 		n.dropLead()
-		if s.deaf(n.now) {
+		wait := time.Duration(0)
+		switch {
+		case s.deaf(n.now):
 			// The others first; see deaf.go.
-			n.after(deafWait, func() {
-				if s.leadStamp == 0 {
-					n.claimLead()
-				}
-			})
+			wait = deafWait
+		case lives.IsYoung(n.now, s.born) && n.othersGrown():
+			// Others have been up for longer, and may be for longer yet.
+			wait = youngWait
+		}
+		if wait == 0 {
+			n.claimLead()
 			break
 		}
-		n.claimLead()
+		n.after(wait, func() {
+			if s.leadStamp == 0 {
+				n.claimLead()
+			}
+		})
 	case s.lead.Nonce == n.life() && s.grant != 0:
 		n.becomeLeader()
 	default:
--- a/internal/core/tenure.go
+++ b/internal/core/tenure.go
@@ -122,6 +122,7 @@
 			left[m.id] = m
 		}
 		delete(o.jobs, id)
+		o.blame.JobOver(id)
 	}
 	// Only now: what belongs to a job in the books is not counted as another's.
 	for _, id := range sortedKeys(left) {
@@ -236,7 +237,7 @@
 func (n *Node) afar(id string) *machine {
 	a := n.owner.afar[id]
 	if a == nil {
-		a = &machine{id: id, afar: true, attempts: map[taskKey]*task{}, images: map[string]*image{}, badJobs: map[string]bool{}}
+		a = &machine{id: id, afar: true, attempts: map[taskKey]*task{}, images: map[string]*image{}}
 		if h, ok := n.heirloom[id]; ok {
 			a.zone, a.flavour, a.spot = h.Zone, h.Flavour, h.Spot
 		}
--- a/internal/core/trade.go
+++ b/internal/core/trade.go
@@ -48,8 +48,8 @@
 		o.gone = nil
 	}
 	for _, host := range sortedKeys(l.news) {
-		w := l.news[host]
-		if n.now.Sub(w.at) > newsFresh || w.news.Seq < l.needSeq[host] {
+		w, ok := n.heard(host)
+		if !ok || w.news.Seq < l.needSeq[host] {
 			continue
 		}
 		x := wish{host, map[kind]int{}, w.news.Idle, w.news.ToSpare}
@@ -161,7 +161,7 @@
 		count(n.set.Host, o.spare)
 	}
 	for _, h := range sortedKeys(l.news) {
-		if w := l.news[h]; n.now.Sub(w.at) <= newsFresh {
+		if w, ok := n.heard(h); ok {
 			count(h, w.news.ToSpare)
 		}
 	}
--- a/internal/division/division_test.go
+++ b/internal/division/division_test.go
@@ -107,6 +107,7 @@
 	d      *Divider
 	life   map[string]int
 	unable map[string]bool
+	young  map[string]bool
 	teams  []string
 	load   map[string]float64
 	ids    []string
@@ -118,7 +119,7 @@
 
 func newWorld(l bounds.Limits, hosts, teams int) *world {
 	w := &world{
-		store: newStore(l), now: time.Unix(1_750_000_000, 0), life: map[string]int{}, unable: map[string]bool{},
+		store: newStore(l), now: time.Unix(1_750_000_000, 0), life: map[string]int{}, unable: map[string]bool{}, young: map[string]bool{},
 		load: map[string]float64{}, offers: map[string]Offer{},
 	}
 	for i := range hosts {
@@ -145,7 +146,7 @@
 	for _, h := range w.hosts() {
 		if w.life[h] > 0 {
 			in.Self = h
-			in.Nodes = append(in.Nodes, Node{h, fmt.Sprintf("%s#%d", h, w.life[h]), !w.unable[h]})
+			in.Nodes = append(in.Nodes, Node{Host: h, Nonce: fmt.Sprintf("%s#%d", h, w.life[h]), Able: !w.unable[h], Young: w.young[h]})
 		}
 	}
 	for _, x := range w.news {
@@ -498,6 +499,36 @@
 	}
 }
 
+// TestYoung: one that has just begun keeps what it holds and gets nothing while another
+// can have it; where all have just begun they get it all the same.
+func TestYoung(t *testing.T) {
+	w := newWorld(testLimits, 3, 3)
+	for _, h := range w.hosts() {
+		w.young[h] = true
+	}
+	w.plan(t)
+	for _, team := range w.teams {
+		if w.book.Team(team) == nil {
+			t.Fatalf("all are young, and %s is nobody's", team)
+		}
+	}
+	holder := w.book.Team(w.teams[0]).Host
+	changes := w.changes
+	for _, h := range w.hosts() {
+		w.young[h] = h == holder
+	}
+	w.plan(t)
+	if w.changes != changes {
+		t.Error("what a young one holds is taken from it")
+	}
+	// It ends and is back at once: its share is another's, and stays there.
+	w.life[holder]++
+	w.plan(t)
+	if s := w.book.Team(w.teams[0]); s.Host == holder {
+		t.Error("one that is back at once gets its share again while others can have it")
+	}
+}
+
 // TestUnable: a controller that can run nothing, since it hears no worker, loses its
 // shares though it lives, and gets none while another can; where none can everything
 // stays.
--- a/internal/division/plan.go
+++ b/internal/division/plan.go
@@ -40,10 +40,11 @@
 	shareFull = 0.75
 )
 
-// Node is a living controller. Able: it can run shares.
+// Node is a living controller. Able: it can run shares. Young: it has begun so lately
+// that it gets none while another can have it; what it has it keeps.
 type Node struct {
 	Host, Nonce string
-	Able        bool
+	Able, Young bool
 }
 
 // Offer says which machines a controller would give along with a team.
@@ -138,6 +139,8 @@
 	lots   []Write
 	load   map[string]float64
 	able   []Node
+	// takers are those of the able that get what is given away.
+	takers []Node
 }
 
 // Plan says what to write next, all of it in one transaction, or nothing.
@@ -154,6 +157,14 @@
 		p.able = slices.Clone(in.Nodes)
 	}
 	slices.SortFunc(p.able, func(a, b Node) int { return strings.Compare(a.Host, b.Host) })
+	for _, n := range p.able {
+		if !n.Young {
+			p.takers = append(p.takers, n)
+		}
+	}
+	if len(p.takers) == 0 {
+		p.takers = p.able
+	}
 	slices.Sort(names)
 	if all := strings.Join(names, ","); all != d.nodes {
 		// Who lives has changed: let the dust settle before anything moves that need
@@ -202,10 +213,11 @@
 	return sum
 }
 
-// least is the controller with the least load; of equals, the one that divides.
+// least is the controller with the least load of those that get anything; of equals,
+// the one that divides.
 func (p *draft) least() Node {
-	best := p.able[0]
-	for _, n := range p.able {
+	best := p.takers[0]
+	for _, n := range p.takers {
 		if l, b := p.load[n.Host], p.load[best.Host]; l < b || l == b && n.Host == p.in.Self {
 			best = n
 		}
--- a/internal/peer/wire.go
+++ b/internal/peer/wire.go
@@ -11,7 +11,7 @@
 // wire is news in its protobuf form, and core, below, the way back.
 func wire(n core.PeerNews) *News {
 	m := &News{
-		From: n.From, Asks: n.Asks, Seq: n.Seq, Wants: wireWants(n.Wants), Idle: n.Idle,
+		From: n.From, Life: n.Life, Asks: n.Asks, Seq: n.Seq, Wants: wireWants(n.Wants), Idle: n.Idle,
 		Tells: n.Tells, Blocked: wireWants(n.Blocked), ToSpare: n.ToSpare, Spare: wireWants(n.Spare), StateAway: n.StateAway,
 	}
 	for _, p := range n.Progress {
@@ -65,7 +65,7 @@
 
 func (m *News) core() core.PeerNews {
 	n := core.PeerNews{
-		From: m.From, Asks: m.Asks, Seq: m.Seq, Wants: coreWants(m.Wants), Idle: m.Idle,
+		From: m.From, Life: m.Life, Asks: m.Asks, Seq: m.Seq, Wants: coreWants(m.Wants), Idle: m.Idle,
 		Tells: m.Tells, Blocked: coreWants(m.Blocked), ToSpare: m.ToSpare, Spare: coreWants(m.Spare), StateAway: m.StateAway,
 	}
 	for _, p := range m.Progress {
