--- a/cmd/micahill/main.go
+++ b/cmd/micahill/main.go
@@ -191,10 +191,6 @@
 		Defect:  met.Defect,
 		Observe: met.Step,
 	})
-	back, err := peer.Listen(ctx, c.Back, func(n core.PeerNews) { srv.Post(n) })
-	if err != nil {
-		return err
-	}
 	slog.Info("micahill starts", "version", version, "host", c.HostName, "nonce", nonce)
 	errs := make(chan error, 5)
 	var more []func(*echo.Echo)
@@ -206,7 +202,15 @@
 		more = append(more, routes)
 	}
 	go func() { errs <- api.Serve(ctx, c.APIAddr, d.Quota.Sockets, srv, met.Request) }()
-	go func() { errs <- api.Operators(ctx, back, srv, met.Handler(), more...) }()
+	go func() {
+		// Users and workers are served while this address is still in use.
+		back, err := peer.Listen(ctx, c.Back, func(n core.PeerNews) { srv.Post(n) })
+		if err != nil {
+			errs <- err
+			return
+		}
+		errs <- api.Operators(ctx, back, srv, met.Handler(), more...)
+	}()
 	go func() { errs <- srv.Run(ctx) }()
 	return <-errs
 }
--- a/internal/api/api.go
+++ b/internal/api/api.go
@@ -16,6 +16,7 @@
 
 	"github.com/labstack/echo/v4"
 	"github.com/micahill/micahill/internal/core"
+	"github.com/micahill/micahill/internal/ports"
 	"github.com/micahill/micahill/internal/worker"
 	"github.com/vmihailenco/msgpack/v5"
 )
@@ -134,7 +135,7 @@
 			slog.Debug("answer not sent", "err", err)
 		}
 	}
-	ln, err := (&net.ListenConfig{}).Listen(ctx, "tcp", addr)
+	ln, err := ports.Listen(ctx, "api_addr", addr)
 	if err != nil {
 		return fmt.Errorf("api: %w", err)
 	}
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/micahill/micahill/internal/core"
+	"github.com/micahill/micahill/internal/ports"
 	"google.golang.org/protobuf/encoding/protodelim"
 	"google.golang.org/protobuf/proto"
 )
@@ -118,7 +119,7 @@
 // Listen takes news from peers and hands it to post. Connections that are not
 // a peer's come out of the listener it returns.
 func Listen(ctx context.Context, addr string, post func(core.PeerNews)) (net.Listener, error) {
-	ln, err := (&net.ListenConfig{}).Listen(ctx, "tcp", addr)
+	ln, err := ports.Listen(ctx, "back", addr)
 	if err != nil {
 		return nil, fmt.Errorf("peer: %w", err)
 	}
