--- a/cmd/micahill-lab/days.go
+++ b/cmd/micahill-lab/days.go
@@ -71,6 +71,7 @@
 	f.IntVar(&p.Faults, "faults", 0, "troubles; -1: none")
 	f.IntVar(&p.Minutes, "minutes", 0, "how long jobs come")
 	f.IntVar(&p.Hot, "hot", 0, "how many times the work of another team the first has")
+	f.BoolVar(&p.Unlisted, "unlisted", false, "with troubles that were on no list: late boots, storms of polls, mistakes, guests, ends in a row, links that are half there")
 	f.Uint64Var(&seeds, "seeds", 10, "how many days")
 	f.Uint64Var(&from, "from", 1, "the first day's seed")
 	f.Uint64Var(&p.Seed, "seed", 0, "play this one day, with its log")
--- a/internal/standin/day.go
+++ b/internal/standin/day.go
@@ -26,6 +26,8 @@
 	Minutes int `json:"minutes"`
 	// Hot makes one team have so many times the work of the others.
 	Hot int `json:"hot"`
+	// Unlisted adds troubles that were on no list; see unlisted.go.
+	Unlisted bool `json:"unlisted"`
 }
 
 // DayFault is a trouble of a day.
@@ -39,6 +41,8 @@
 	Link  string  `json:"link,omitempty"`
 	Hold  bool    `json:"hold,omitempty"`
 	Share float64 `json:"share,omitempty"`
+	// Back is how soon a process that ends is started again.
+	Back time.Duration `json:"back_ns,omitempty"`
 }
 
 func (f DayFault) String() string {
@@ -60,6 +64,10 @@
 	Settings core.Settings `json:"-"`
 	Faults   []DayFault    `json:"troubles"`
 	classes  []dayClass
+	// mistakes is the part of the jobs that fail on every machine, until their users
+	// cancel them, and guest a team that comes in the middle of the day.
+	mistakes float64
+	guest    string
 }
 
 // dayClass is a workload.
@@ -143,6 +151,9 @@
 		d.Faults = append(d.Faults, f)
 	}
 	slices.SortFunc(d.Faults, func(a, b DayFault) int { return cmp.Compare(a.At, b.At) })
+	if p.Unlisted {
+		drawUnlisted(&d)
+	}
 	return d
 }
 
@@ -181,6 +192,9 @@
 	Name   string  `json:"name"`
 	Jobs   int     `json:"jobs"`
 	Served float64 `json:"served"`
+	// Tasks are those of its jobs, and Ran the part of them that was done.
+	Tasks int     `json:"tasks"`
+	Ran   float64 `json:"ran"`
 	// Wait is from the submission to the first start of each job, and Late how much
 	// later than due jobs ended.
 	Wait Dist `json:"wait_s"`
@@ -214,8 +228,8 @@
 func (r *DayResult) Starved() []string {
 	var out []string
 	for _, g := range append(slices.Clone(r.Classes), r.Team...) {
-		if g.Jobs > 1 && g.Served < 0.5 {
-			out = append(out, fmt.Sprintf("%s %.2f", g.Name, g.Served))
+		if g.Served < 0.5 || g.Ran < 0.5 {
+			out = append(out, fmt.Sprintf("%s %.2f of %d jobs, %.2f of their tasks", g.Name, g.Served, g.Jobs, g.Ran))
 		}
 	}
 	return out
@@ -226,7 +240,11 @@
 func PlayDay(d Day, trace string) DayResult {
 	w := d.world()
 	w.trace = trace
+	if d.Unlisted {
+		w.weather = &weather{}
+	}
 	rng := rand.New(rand.NewPCG(d.Seed, 815))
+	mistakes := rand.New(rand.NewPCG(d.Seed, 816))
 	span := time.Duration(d.Minutes) * time.Minute
 	weights := 0.0
 	for i := range d.Settings.Teams {
@@ -252,7 +270,12 @@
 			Image: fmt.Sprintf("%s-%d", c.name, min(rng.IntN(12), rng.IntN(12))), ImageGB: c.gb, Spot: rng.IntN(5) > 0, Expected: c.run,
 			Due: time.Duration(c.due*float64(run)) + core.Seconds(15*min(1, c.due)),
 		}
-		w.after(time.Duration(rng.Float64()*float64(span)), func() { w.Submit(spec, run, false) })
+		broken := d.mistakes > 0 && mistakes.Float64() < d.mistakes
+		at := time.Duration(rng.Float64() * float64(span))
+		w.after(at, func() { w.Submit(spec, run, broken) })
+		if broken {
+			w.after(at+30*time.Second+time.Duration(mistakes.IntN(120))*time.Second, func() { w.Abort(spec.ID) })
+		}
 		if rng.IntN(25) == 0 {
 			w.after(span/2, func() {
 				if w.jobs[spec.ID] != nil {
@@ -261,6 +284,7 @@
 			})
 		}
 	}
+	d.guestJobs(w, rng, span)
 	for _, f := range d.Faults {
 		w.after(f.At, func() { w.trouble(f, rng) })
 	}
@@ -278,6 +302,9 @@
 
 // trouble lets a fault begin.
 func (w *World) trouble(f DayFault, rng *rand.Rand) {
+	if w.unlisted(f, rng) {
+		return
+	}
 	p := w.nodes[f.Node%len(w.nodes)]
 	some := func(fn func(*Worker)) {
 		for _, m := range slices.Clone(w.fleet) {
@@ -345,6 +372,7 @@
 	}
 	type sums struct {
 		jobs, served int
+		tasks, ran   int
 		wait, late   *hdrhistogram.Histogram
 	}
 	by := map[string]*sums{}
@@ -360,6 +388,8 @@
 				by[k] = s
 			}
 			s.jobs++
+			s.tasks += j.spec.Tasks
+			s.ran += len(j.results)
 			wait := w.now.Sub(j.submitted)
 			for _, at := range j.began {
 				wait = min(wait, at.Sub(j.submitted))
@@ -378,7 +408,7 @@
 	for _, k := range sorted(by) {
 		s := by[k]
 		kind, name, _ := strings.Cut(k, " ")
-		g := Group{Name: name, Jobs: s.jobs, Served: float64(s.served) / float64(s.jobs), Wait: dist(s.wait), Late: dist(s.late)}
+		g := Group{Name: name, Jobs: s.jobs, Served: float64(s.served) / float64(s.jobs), Tasks: s.tasks, Ran: float64(s.ran) / float64(s.tasks), Wait: dist(s.wait), Late: dist(s.late)}
 		if kind == "class" {
 			r.Classes = append(r.Classes, g)
 		} else {
--- a/internal/standin/users.go
+++ b/internal/standin/users.go
@@ -97,7 +97,7 @@
 			w.hear(j, r)
 		}
 		// Ends are asked for again now and then, for a state that went back.
-		pause := 5 * time.Second
+		pause := w.pollPause(5 * time.Second)
 		if j.told == "done" || j.told == "cancelled" {
 			pause = 30 * time.Second
 		}
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -31,6 +31,8 @@
 	hungTill time.Time
 	slow     float64
 	faulty   bool
+	// lazy: it reports and takes orders, and never starts anything.
+	lazy     bool
 	recallAt time.Time
 
 	tenure    uint64
@@ -94,7 +96,7 @@
 		t := m.tasks[k]
 		switch o.Verb {
 		case core.Start:
-			if t == nil {
+			if t == nil && !m.lazy {
 				w.startTask(m, o, k)
 			}
 		case core.Halt:
--- a/internal/standin/world.go
+++ b/internal/standin/world.go
@@ -43,6 +43,7 @@
 	jobs   map[string]*userJob
 
 	cuts     map[string]*cut
+	oneWay   map[string]int
 	outage   bool
 	cloudOut bool
 	// loss: how often an answer or request is lost, or held for long.
@@ -82,6 +83,8 @@
 	// stills picks the effect before which a process stands still, for stillFor.
 	stills   func(*proc, core.Effect) bool
 	stillFor time.Duration
+	// weather is there on days with troubles of no list.
+	weather *weather
 	// trace names a job whose debug lines are kept as well.
 	trace string
 }
@@ -143,7 +146,7 @@
 	w := &World{
 		now: time.Unix(1_750_000_000, 0), rng: rand.New(rand.NewPCG(seed, 1)), set: set, cancel: cancel,
 		state: NewStateService(), machine: map[string]*Worker{}, types: map[string]core.Flavour{},
-		room: room, booked: map[string][]string{}, jobs: map[string]*userJob{}, cuts: map[string]*cut{},
+		room: room, booked: map[string][]string{}, jobs: map[string]*userJob{}, cuts: map[string]*cut{}, oneWay: map[string]int{},
 		used: map[string]core.Resources{}, calls: rate.NewLimiter(rate.Inf, 1),
 	}
 	if set.CloudRPS > 0 {
@@ -233,13 +236,35 @@
 	})
 }
 
-func (w *World) cutBetween(a, b string) *cut {
-	kind := func(s string) string {
-		if strings.HasPrefix(s, "vm-") {
-			return "workers"
+// cutOneWay loses what a sends to b for d, and nothing of what b sends to a; "*"
+// means all others.
+func (w *World) cutOneWay(a, b string, d time.Duration) {
+	key := a + ">" + b
+	w.oneWay[key]++
+	w.after(d, func() { w.oneWay[key]-- })
+}
+
+func (w *World) lostOneWay(a, b string) bool {
+	for _, x := range [...]string{linkKind(a), "*"} {
+		for _, y := range [...]string{linkKind(b), "*"} {
+			if w.oneWay[x+">"+y] > 0 {
+				return true
+			}
 		}
-		return s
 	}
+	return false
+}
+
+// linkKind names workers all alike.
+func linkKind(s string) string {
+	if strings.HasPrefix(s, "vm-") {
+		return "workers"
+	}
+	return s
+}
+
+func (w *World) cutBetween(a, b string) *cut {
+	kind := linkKind
 	for _, k := range []string{a + "|" + b, b + "|" + a, a + "|*", b + "|*", a + "|" + kind(b), b + "|" + kind(a)} {
 		if c := w.cuts[k]; c != nil {
 			return c
@@ -267,6 +292,9 @@
 		}
 		fn()
 	}
+	if w.lostOneWay(a, b) {
+		return
+	}
 	if c := w.cutBetween(a, b); c != nil {
 		if c.hold {
 			c.held = append(c.held, deliver)
@@ -277,6 +305,9 @@
 	if w.now.Before(w.slowState) && (a == "state" || b == "state") {
 		d *= 20
 	}
+	if w.weather != nil && w.now.Before(w.weather.slowTill) && (a == "state" || a == "cloud") {
+		d += time.Duration(w.rng.Int64N(int64(w.weather.slow)))
+	}
 	if w.rng.Float64() < 0.01 {
 		d += time.Duration(w.rng.IntN(400)) * time.Millisecond
 	}
@@ -637,7 +668,7 @@
 			id := fmt.Sprintf("vm-%06d", w.names)
 			m := &Worker{
 				ID: id, Addr: id, Flavour: op.Flavour, Zone: op.Zone, Spot: op.Spot, Size: f.Size,
-				Pull: f.PullRate, rentedAt: w.now, upAt: w.now.Add(w.jitter(f.Ready)),
+				Pull: f.PullRate, rentedAt: w.now, upAt: w.now.Add(w.upAfter(f)),
 				images: map[string]time.Time{}, tasks: map[string]*workerTask{}, node: w.rng.IntN(max(1, len(w.nodes))),
 			}
 			w.machine[m.ID] = m
