Machines that start nothing lose their work; starts do not wait behind clearing up

Change: a start that five reports in a row do not show is taken back with the usual proof and its machine is returned, unless many machines seem so, when the links are at fault. Starts and stops go before clearing up, which goes with the answers to reports.

--- a/internal/core/bounded_test.go
+++ b/internal/core/bounded_test.go
@@ -163,7 +163,10 @@
 	if err != nil || len(orders) == 0 || len(b) > bounds.BodyMost {
 		t.Errorf("%d orders in %d bytes, %v", len(orders), len(b), err)
 	}
-	if !m.dirty {
+	// The rest follows with the answer to the next report, which lists what is left.
+	r.Tick, r.Tasks = 10, r.Tasks[len(orders):]
+	n.hear(m, r, true)
+	if more := n.reconcile(m); len(more) == 0 {
 		t.Error("nothing is due any more, though only a part was sent")
 	}
 }
--- a/internal/core/jobs.go
+++ b/internal/core/jobs.go
@@ -33,6 +33,8 @@
 	fails     int
 	preempted int
 	status    TaskStatus
+	// misses counts the reports in a row that did not show it though it was ordered.
+	misses uint8
 	// sent: a start may be on its way. seen: the worker has reported it.
 	sent       bool
 	seen       bool
--- a/internal/core/machines.go
+++ b/internal/core/machines.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/micahill/micahill/internal/custody"
+	"github.com/micahill/micahill/internal/loss"
 )
 
 const (
@@ -309,6 +310,9 @@
 		n.piece(m, k, p)
 	}
 	deskSees(n, m)
+	if report {
+		missStarts(m)
+	}
 	for _, k := range m.attemptsIf(func(t *task) bool { return t.stop != stopNone }) {
 		if _, ok := m.pieces[k]; !ok && n.quiet(m) {
 			// To be stopped, and not there: the proof that it is gone.
@@ -317,6 +321,57 @@
 	}
 }
 
+// missMost is how many reports in a row may be without a task that was ordered to start
+// with the answer to each report before. One answer may be late and dropped, or lost.
+const missMost = 5
+
+// missStarts counts the reports that do not show what was ordered to start.
+func missStarts(m *machine) {
+	for k, t := range m.attempts {
+		if p, ok := m.pieces[k]; !ok || p.Try != t.try {
+			if t.sent && t.misses < missMost {
+				t.misses++
+			}
+		}
+	}
+}
+
+// startsNothing deals with machines that report and never start what they are told to:
+// what was to start there goes elsewhere, with the usual proof, and they are returned.
+// When many seem to be like that, the fault is more likely in the links, and answers
+// that do not arrive are none of the machines' doing.
+func startsNothing(n *Node) {
+	missed := func(t *task) bool { return t.misses >= missMost && t.stop == stopNone }
+	var idle []*machine
+	reporting := 0
+	for _, m := range n.owner.byID {
+		if !m.heard || m.returning || n.silent(m) {
+			continue
+		}
+		reporting++
+		for _, t := range m.attempts {
+			if missed(t) {
+				idle = append(idle, m)
+				break
+			}
+		}
+	}
+	if len(idle) == 0 || loss.Many(loss.Pool{Reporting: reporting}, len(idle)) {
+		return
+	}
+	for _, m := range idle {
+		if !m.bad {
+			n.info("machine starts nothing that it is told to", "machine", m.id)
+		}
+		m.bad = true
+		for _, k := range m.attemptsIf(missed) {
+			t := m.attempts[k]
+			t.stop, t.avoid = stopDrain, m.id
+			n.mark(m)
+		}
+	}
+}
+
 // attemptsIf names the attempts that fulfil a condition, in order. Mostly there
 // are none, and nothing is sorted.
 func (m *machine) attemptsIf(is func(*task) bool) []taskKey {
@@ -408,7 +463,7 @@
 	if t.isRunning() {
 		j.running--
 	}
-	t.seen, t.status = true, p.Status
+	t.seen, t.status, t.misses = true, p.Status, 0
 	if t.isRunning() {
 		j.running++
 	}
@@ -582,7 +637,10 @@
 	if m.settled() {
 		return nil
 	}
-	var orders []Order
+	// Clearing up comes last, with the room that is left: thousands of short tasks may
+	// have ended here, and what is to start or stop is not to wait behind them. What is
+	// left of it goes with the next report's answer.
+	var orders, clears []Order
 	quiet := n.quiet(m)
 	for _, k := range sortedTasks(m.pieces) {
 		if len(orders) >= ordersMost {
@@ -596,7 +654,9 @@
 			t = &j.tasks[k.index]
 		}
 		if j == nil {
-			if x, some := n.others(m, p, quiet); some {
+			if x, some := n.others(m, p, quiet); some && x.Verb == Clear {
+				clears = append(clears, x)
+			} else if some {
 				orders = append(orders, x)
 			}
 			continue
@@ -611,7 +671,13 @@
 		case p.Status != Ended:
 			orders = append(orders, Order{Verb: Halt, Job: k.job, Index: k.index, Try: p.Try})
 		case quiet && (t == nil || j.durable(k.index)):
-			orders = append(orders, Order{Verb: Clear, Job: k.job, Index: k.index, Try: p.Try})
+			x := Order{Verb: Clear, Job: k.job, Index: k.index, Try: p.Try}
+			if m.attempts[k] != nil {
+				// Another attempt of it is to start here.
+				orders = append(orders, x)
+			} else {
+				clears = append(clears, x)
+			}
 		}
 	}
 	for _, k := range sortedAttempts(m) {
@@ -633,7 +699,7 @@
 		t.sent = true
 		orders = append(orders, Order{Verb: Start, Job: k.job, Index: k.index, Try: t.try})
 	}
-	return orders
+	return append(orders, clears[:min(len(clears), max(0, ordersMost-len(orders)))]...)
 }
 
 // settled says that what is there is what should be, so that there is nothing
--- a/internal/core/owner.go
+++ b/internal/core/owner.go
@@ -338,6 +338,7 @@
 	if n.now.Sub(o.swept) >= ownerPeriod {
 		o.swept = n.now
 		n.sweep()
+		startsNothing(n)
 		if checkEars(n); n.owner != o {
 			return
 		}
