What comes from outside is judged before it counts: reports, news, records, with the field

Need: malformed or impossible bodies, news with absurd fields and damaged records must get a clear refusal, and nothing may end for them. Found by reading what the decoders took: a task record that named finished tasks twice had them counted twice, so that a job could be called done before its last task; a rate or a count from news could ask for a list of any length; a job's record with a negative number of tasks ended the process.

Change: internal/sane (pure) judges amounts, counts and names and says the field and what would be right; a report that makes no sense gets 400 with it, news and records are not taken; each cause is told once a minute, all are counted (bad_input in the status).

--- a/internal/api/api.go
+++ b/internal/api/api.go
@@ -12,11 +12,13 @@
 	"net/http"
 	"regexp"
 	"strconv"
+	"sync"
 	"time"
 
 	"github.com/labstack/echo/v4"
 	"github.com/micahill/micahill/internal/core"
 	"github.com/micahill/micahill/internal/ports"
+	"github.com/micahill/micahill/internal/sane"
 	"github.com/micahill/micahill/internal/worker"
 	"github.com/vmihailenco/msgpack/v5"
 )
@@ -48,6 +50,8 @@
 type handlers struct {
 	core  Core
 	conns *conns
+	mu    sync.Mutex
+	told  sane.Minute
 }
 
 // connKey finds a request's connection in its context.
@@ -204,6 +208,18 @@
 	return answer(c, r.Status, m)
 }
 
+// bad refuses a body that makes no sense, and tells of it once a minute for each cause;
+// all are counted by the answers' histogram.
+func (h *handlers) bad(c echo.Context, why string) error {
+	h.mu.Lock()
+	tell := h.told.Say(time.Now(), c.Path()+why)
+	h.mu.Unlock()
+	if tell {
+		slog.Info("bad input is not taken", "what", c.Path(), "from", c.RealIP(), "why", why)
+	}
+	return fail(c, http.StatusBadRequest, why)
+}
+
 func (h *handlers) query(c echo.Context) error {
 	id := c.Param("id")
 	if !idForm.MatchString(id) {
@@ -227,7 +243,7 @@
 	}
 	spec, bad := parseRun(b)
 	if spec.ID == "" {
-		return fail(c, http.StatusBadRequest, bad)
+		return h.bad(c, bad)
 	}
 	return h.ask(c, func(r uint64) core.Command { return core.Submit{Reply: r, Spec: spec, Bad: bad} })
 }
@@ -241,12 +257,16 @@
 		c.Response().Header().Set(echo.HeaderConnection, "close")
 	}
 	var r worker.Report
-	if err := msgpack.Unmarshal(b, &r); err != nil || r.Host == "" {
-		return fail(c, http.StatusBadRequest, "not a report")
+	if err := msgpack.Unmarshal(b, &r); err != nil {
+		return h.bad(c, "not a MessagePack map with a report's fields: "+err.Error())
+	}
+	report := r.Core()
+	if why := report.Bad(); why != "" {
+		return h.bad(c, "field "+why)
 	}
 	ctx, cancel := context.WithTimeout(c.Request().Context(), patience)
 	defer cancel()
-	e, err := h.core.Ask(ctx, func(reply uint64) core.Command { return core.WorkerReport{Reply: reply, Report: r.Core()} })
+	e, err := h.core.Ask(ctx, func(reply uint64) core.Command { return core.WorkerReport{Reply: reply, Report: report} })
 	a, ok := e.(core.ReportReply)
 	switch {
 	case err != nil || !ok:
--- /dev/null
+++ b/internal/api/fuzz_test.go
@@ -0,0 +1,56 @@
+package api
+
+import (
+	"testing"
+
+	"github.com/micahill/micahill/internal/core"
+	"github.com/micahill/micahill/internal/worker"
+	"github.com/vmihailenco/msgpack/v5"
+)
+
+// FuzzRun: whatever a user sends, it is a job that makes sense, or a reason is given.
+func FuzzRun(f *testing.F) {
+	good, err := msgpack.Marshal(map[string]any{"id": "job-000412", "workload": "train", "owner": "vision", "shape": "array", "urgency": "urgent", "pieces": 16,
+		"vcpus": 8.0, "gpus": 1.0, "memory_gb": 64.0, "bundle": "img-07", "image_gb": 6.2, "flavours": []string{"g8"}, "site": nil, "same_place": true,
+		"apart": false, "loaner": true, "expected_s": 240.0, "snapshot_every_s": 30.0, "snapshot_cost_s": 4.0, "due_s": 900.0})
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(good)
+	f.Add(good[:len(good)/2])
+	f.Add([]byte{0xdf, 0xff, 0xff, 0xff, 0xff})
+	f.Fuzz(func(t *testing.T, b []byte) {
+		spec, bad := parseRun(b)
+		if bad == "" && (spec.Tasks < 1 || spec.Tasks > 100000 || !finite(spec.Need.CPU) || spec.Expected < 0 || spec.ID == "") {
+			t.Fatalf("taken: %+v", spec)
+		}
+	})
+}
+
+// FuzzReport: whatever a worker sends, it is a report that makes sense, or a reason is
+// given.
+func FuzzReport(f *testing.F) {
+	recall := 12.5
+	good, err := msgpack.Marshal(worker.Report{Host: "vm-000231", Address: "10.1.0.232:9000", Flavour: "g8", Site: "a", Tenure: 1, Tick: 88, Epoch: 41, RecallS: &recall,
+		Pieces: []worker.Piece{{Piece: "job-000412/3", Try: 2, Status: "running"}, {Piece: "x/-1"}}})
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(good)
+	f.Add(good[:len(good)/2])
+	f.Fuzz(func(t *testing.T, b []byte) {
+		var r worker.Report
+		if msgpack.Unmarshal(b, &r) != nil {
+			return
+		}
+		c := r.Core()
+		if c.Bad() != "" {
+			return
+		}
+		for _, p := range c.Tasks {
+			if p.Index < 0 || p.Job == "" || p.Status < core.Fetching || p.Status > core.Ended {
+				t.Fatalf("taken: %+v", p)
+			}
+		}
+	})
+}
--- a/internal/core/node.go
+++ b/internal/core/node.go
@@ -10,6 +10,7 @@
 	"github.com/micahill/micahill/internal/bounds"
 	"github.com/micahill/micahill/internal/ears"
 	"github.com/micahill/micahill/internal/pace"
+	"github.com/micahill/micahill/internal/sane"
 )
 
 // Node is one controller. All of its state belongs to the goroutine that
@@ -66,6 +67,9 @@
 	// state service said so of: none is sent again as it is.
 	defects   int
 	malformed map[uint64]bool
+	// badInput counts what made no sense, and complaints are what was told of it.
+	badInput   int
+	complaints sane.Minute
 	// guests are the loans this cluster has taken, as far as this node has read.
 	guests guests
 }
@@ -162,6 +166,10 @@
 	case DrainOp:
 		drainOp(n, c)
 	case PeerNews:
+		if bad := c.bad(); bad != "" {
+			n.complain("news", c.From, bad)
+			break
+		}
 		if c.StateAway {
 			n.away[c.From] = n.now
 		}
--- a/internal/core/owner.go
+++ b/internal/core/owner.go
@@ -226,7 +226,12 @@
 	}
 	var r openRecord
 	if !decode(it.Value, &r) {
-		n.info("unreadable record", "key", it.Key)
+		n.complain("record", it.Key, "it can't be read")
+		return
+	}
+	if bad := r.bad(); bad != "" {
+		// Its job stays queued until somebody mends the record or cancels it.
+		n.complain("record", it.Key, bad)
 		return
 	}
 	if j == nil {
--- a/internal/core/restore.go
+++ b/internal/core/restore.go
@@ -1,15 +1,19 @@
 package core
 
 import (
+	"strconv"
 	"strings"
 	"time"
+
+	"github.com/micahill/micahill/internal/sane"
 )
 
 // restore takes in a record of a job's tasks that a former owner wrote.
 func (n *Node) restore(j *job, it Item, r *chunkRecord) {
-	var k int
-	for _, ch := range strings.TrimPrefix(it.Key, taskPrefix+j.ID+"/") {
-		k = k*10 + int(ch-'0')
+	k, err := strconv.Atoi(strings.TrimPrefix(it.Key, taskPrefix+j.ID+"/"))
+	if err != nil || k < 0 || k > sane.MostTasks || !j.cancelled && k*j.per >= len(j.tasks) {
+		n.complain("record", it.Key, "its job has no such part")
+		return
 	}
 	c := &chunk{n: k, stamp: it.Stamp, ver: 1, saved: 1, writing: 1}
 	if j.cancelled && len(j.tasks) < (k+1)*j.per {
@@ -19,6 +23,10 @@
 	for i := 0; i+1 < len(r.Runs); i += 2 {
 		for x := max(0, r.Runs[i]); x <= r.Runs[i+1] && x < len(j.tasks); x++ {
 			t := &j.tasks[x]
+			if t.done {
+				// Named twice, it is still one: a job is done when all its tasks are.
+				continue
+			}
 			t.done, t.ver, t.try = true, 1, 1
 			j.done++
 			j.fresh = max(j.fresh, x+1)
@@ -33,6 +41,10 @@
 			continue
 		}
 		t := &j.tasks[row.Index]
+		if t.done || t.m != nil {
+			n.complain("record", it.Key, "a task is named twice")
+			continue
+		}
 		t.try, t.group, t.relaunched, t.ver = row.Try, row.Group, row.Relaunched, 1
 		j.fresh = max(j.fresh, row.Index+1)
 		if row.Machine != "" {
@@ -53,7 +65,9 @@
 	}
 	if len(j.sorted) == 0 {
 		for _, ms := range r.Times {
-			j.ran(time.Duration(ms) * time.Millisecond)
+			if ms > 0 && ms < longestRun.Milliseconds() {
+				j.ran(time.Duration(ms) * time.Millisecond)
+			}
 		}
 	}
 }
--- a/internal/core/session.go
+++ b/internal/core/session.go
@@ -462,7 +462,7 @@
 		err = s.book.Lot(strings.TrimPrefix(it.Key, lotPrefix), value, it.Stamp)
 	}
 	if err != nil {
-		n.info("unreadable record", "key", it.Key, "err", err)
+		n.complain("record", it.Key, err.Error())
 	}
 }
 
--- a/internal/core/status.go
+++ b/internal/core/status.go
@@ -19,7 +19,9 @@
 	Shares   []ShareStatus `json:"shares,omitempty"`
 	Wards    WardStatus    `json:"wards"`
 	// Defects counts mistakes of the program's own, such as malformed requests.
-	Defects   int              `json:"defects"`
+	Defects int `json:"defects"`
+	// BadInput counts what came from outside and made no sense.
+	BadInput  int              `json:"bad_input"`
 	Nodes     []string         `json:"nodes"`
 	Workloads []WorkloadStatus `json:"workloads,omitempty"`
 	Machines  []MachineStatus  `json:"machines,omitempty"`
@@ -81,6 +83,7 @@
 	s := StatusReply{
 		Reply: c.Reply, Host: n.set.Host, Healthy: n.Healthy(n.now), Leader: n.sess.lead.Host,
 		Defects:  n.defects,
+		BadInput: n.badInput,
 		IsLeader: n.leader != nil, IsOwner: n.IsOwner(), Nodes: sortedKeys(n.sess.nodes),
 	}
 	cpus := map[string]float64{}
--- a/internal/core/tenure.go
+++ b/internal/core/tenure.go
@@ -386,6 +386,10 @@
 		if n.users.final[id] == Done {
 			continue
 		}
+		if bad := l.rec.bad(); bad != "" {
+			n.complain("record", openPrefix+id, bad)
+			continue
+		}
 		spec := l.rec.spec(id)
 		if l.rec.Cancelled {
 			spec.Tasks = l.rec.Tasks
@@ -406,7 +410,7 @@
 		}
 		var r chunkRecord
 		if !decode(it.Value, &r) {
-			n.info("unreadable record", "key", it.Key)
+			n.complain("record", it.Key, "it can't be read")
 			continue
 		}
 		n.restore(j, it, &r)
--- /dev/null
+++ b/internal/peer/wire_test.go
@@ -0,0 +1,51 @@
+package peer
+
+import (
+	"math"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/micahill/micahill/internal/core"
+	"google.golang.org/protobuf/proto"
+)
+
+// TestLifeTravels: news names the life that sent it.
+func TestLifeTravels(t *testing.T) {
+	b, err := proto.Marshal(wire(core.PeerNews{From: "a", Life: "n.2", StateAway: true}))
+	if err != nil {
+		t.Fatal(err)
+	}
+	var m News
+	if err := proto.Unmarshal(b, &m); err != nil {
+		t.Fatal(err)
+	}
+	if n := m.core(); n.From != "a" || n.Life != "n.2" || !n.StateAway {
+		t.Errorf("came as %+v", n)
+	}
+}
+
+// FuzzNews: whatever another controller sends, nothing ends for it.
+func FuzzNews(f *testing.F) {
+	for _, n := range []core.PeerNews{
+		{From: "b", Rates: &core.Rates{Requests: math.NaN(), Changes: -1}},
+		{From: "b", Loads: []core.Load{{Workload: "w", Rate: math.Inf(1), Samples: -4}}, Asks: true, Wants: []core.Want{{Flavour: "box", Count: -1}}},
+		{From: "b", Tells: true, Rentals: []core.RentalNews{{ID: "vm", Age: -time.Hour}}, Progress: []core.Progress{{ID: "job-1", Done: -1}}},
+	} {
+		b, err := proto.Marshal(wire(n))
+		if err != nil {
+			f.Fatal(err)
+		}
+		f.Add(b)
+	}
+	f.Fuzz(func(t *testing.T, b []byte) {
+		var m News
+		if proto.Unmarshal(b, &m) != nil {
+			return
+		}
+		n := core.New(core.Settings{Host: "a", Peers: []string{"b"}, TxnOps: 12, ValueBytes: 4096, StateRequests: 10, StateWrites: 10, Policy: core.DefaultPolicy()}, rand.New(rand.NewPCG(1, 2)))
+		now := time.Unix(1_750_000_000, 0)
+		n.Step(now, []core.Command{m.core()})
+		n.Step(now.Add(2*time.Second), nil)
+	})
+}
