Orders whose turn comes with their deadline open no connection; bounds at 2,000 and 5,000

Cause: an order that waited for its turn until its deadline might still get it then, and the transport opened a connection for it: 177 at a time where 80 are allowed, with 2,000 orders to silent machines.

Change: it is not sent then.

--- /dev/null
+++ b/internal/core/size_test.go
@@ -0,0 +1,38 @@
+package core
+
+import (
+	"fmt"
+	"runtime"
+	"testing"
+	"time"
+)
+
+// mostPerMachine is what the core may keep for each machine with its tasks and its part
+// of the jobs: at 2,000 machines a tenth of the smallest quota of the sites known.
+const mostPerMachine = 12 << 10
+
+// TestMemoryBySize: what the core keeps grows with the machines and stays far within the
+// quota, also while the fleet is planned and all of it reports.
+func TestMemoryBySize(t *testing.T) {
+	for _, machines := range []int{2000, 5000} {
+		t.Run(fmt.Sprint(machines), func(t *testing.T) {
+			var before, after runtime.MemStats
+			runtime.GC()
+			runtime.ReadMemStats(&before)
+			n := largePool(machines)
+			for i := range machines {
+				r := n.poolReport(i)
+				r.Tick = 7
+				n.hear(n.owner.byID[i], r, true)
+			}
+			n.now = n.now.Add(time.Second)
+			n.lookAtFleet(func(int) bool { return true })
+			runtime.GC()
+			runtime.ReadMemStats(&after)
+			if kept := int64(after.HeapAlloc) - int64(before.HeapAlloc); kept > int64(machines)*mostPerMachine {
+				t.Errorf("%d machines keep %d KB", machines, kept>>10)
+			}
+			runtime.KeepAlive(n)
+		})
+	}
+}
--- a/internal/worker/worker.go
+++ b/internal/worker/worker.go
@@ -157,6 +157,12 @@
 		out.NotSent = true
 		return out
 	}
+	if ctx.Err() != nil {
+		// Its turn came with its deadline. The transport would open a connection for it
+		// all the same, beside those that are allowed.
+		out.NotSent = true
+		return out
+	}
 	r, status, err := c.send(ctx, op)
 	if err != nil || r.Host != op.Machine {
 		return out
