Tests of orders to silent machines rest on no timing

Change: connections are bounded by half of the sockets at 2,000 and 5,000 machines, threads by 200, and that an order whose turn comes with its deadline is not sent has a test of its own, which fails without the check.

--- a/internal/worker/size_test.go
+++ b/internal/worker/size_test.go
@@ -48,29 +48,38 @@
 			ctx, cancel := context.WithCancel(context.Background())
 			cl := New(sockets)
 			var wg sync.WaitGroup
-			var not atomic.Int64
 			for i := range machines {
 				wg.Go(func() {
 					d := cl.Do(ctx, core.WorkerOp{ID: uint64(i), Machine: fmt.Sprintf("vm-%06d", i), Addr: ln.Addr().String(), Ask: true})
 					if d.Report != nil {
 						t.Error("an answer out of nothing")
 					}
-					if d.NotSent {
-						not.Add(1)
-					}
 				})
 			}
 			wg.Wait()
 			cancel()
-			if m := most.Load(); m > busyPart*sockets {
+			// Each is given up at its own deadline, and the next have their turn; the
+			// other end sees some of them go a little later.
+			if m := most.Load(); m > sockets/2 {
 				t.Errorf("%d connections at a time, of %d sockets", m, sockets)
 			}
-			if not.Load() < int64(machines)-busyPart*sockets {
-				t.Errorf("only %d of %d know that they were not sent", not.Load(), machines)
-			}
 			if k := pprof.Lookup("threadcreate").Count(); k > 200 {
 				t.Errorf("%d threads", k)
 			}
 		})
 	}
 }
+
+// TestTurnAtDeadline: an order whose turn comes with its deadline is not sent, and its
+// core knows that.
+func TestTurnAtDeadline(t *testing.T) {
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	// A free place and an ended context are there at once, and either may be seen first.
+	cl := New(800)
+	for range 100 {
+		if d := cl.Do(ctx, core.WorkerOp{Machine: "vm-1", Addr: "127.0.0.1:1", Ask: true}); !d.NotSent {
+			t.Fatal("it counts as sent")
+		}
+	}
+}
