--- a/internal/api/api.go
+++ b/internal/api/api.go
@@ -7,7 +7,6 @@
 	"fmt"
 	"io"
 	"log/slog"
-	"math"
 	"net"
 	"net/http"
 	"regexp"
@@ -33,9 +32,6 @@
 	headerTimeout = 10 * time.Second
 	idleTimeout   = 90 * time.Second
 	writeTimeout  = 10 * time.Second
-	// maxAmount bounds amounts and durations in the settings of a job, so
-	// that adding them up can't overflow.
-	maxAmount = 1e8
 )
 
 // idForm is what job ids look like.
@@ -278,8 +274,3 @@
 	}
 	return fail(c, a.Status, "not the steward")
 }
-
-// finite says whether an amount is a number that can be reckoned with.
-func finite(f float64) bool {
-	return !math.IsNaN(f) && !math.IsInf(f, 0) && f >= 0 && f <= maxAmount
-}
--- a/internal/core/boot.go
+++ b/internal/core/boot.go
@@ -34,14 +34,12 @@
 // rented so long ago and is not up yet.
 func (n *Node) readyIn(k kind, age time.Duration) time.Duration {
 	f := n.types[k.flavour]
-	left := n.bootsOf(k).Remaining(age, f.Ready)
-	// None of this kind came up lately; if it is rented all the same, it is for want
-	// of another, and planned as the cloud says.
-	return min(left, max(f.Ready, time.Duration(stuckReady*float64(f.Ready))))
+	return min(n.bootsOf(k).Remaining(age, f.Ready), stuckReady*f.Ready)
 }
 
 // stuckReady bounds how much later than told machines are planned to come up, in times
-// of that.
+// of that, also when none came up lately and one is rented all the same for want of
+// another.
 const stuckReady = 10
 
 // comes says that a machine that was not heard of yet is counted on: that waiting for
--- a/internal/sane/sane.go
+++ b/internal/sane/sane.go
@@ -5,7 +5,6 @@
 
 import (
 	"fmt"
-	"math"
 	"time"
 )
 
@@ -34,9 +33,13 @@
 	}
 }
 
+// IsAmount says that f is a finite number from 0 to MostAmount; nothing else can be
+// reckoned with.
+func IsAmount(f float64) bool { return f >= 0 && f <= MostAmount }
+
 // Amount wants a finite number from 0 to MostAmount.
 func (c *Check) Amount(field string, f float64) {
-	if !(f >= 0 && f <= MostAmount) || math.IsNaN(f) {
+	if !IsAmount(f) {
 		c.add("%s is %v: want a number from 0 to %g", field, f, float64(MostAmount))
 	}
 }
--- a/internal/standin/day.go
+++ b/internal/standin/day.go
@@ -300,19 +300,22 @@
 	return 1
 }
 
+// some calls fn with a part of the machines that are up, by chance.
+func (w *World) some(part float64, rng *rand.Rand, fn func(*Worker)) {
+	for _, m := range slices.Clone(w.fleet) {
+		if m.up(w.now) && rng.Float64() < part {
+			fn(m)
+		}
+	}
+}
+
 // trouble lets a fault begin.
 func (w *World) trouble(f DayFault, rng *rand.Rand) {
 	if w.unlisted(f, rng) {
 		return
 	}
 	p := w.nodes[f.Node%len(w.nodes)]
-	some := func(fn func(*Worker)) {
-		for _, m := range slices.Clone(w.fleet) {
-			if m.up(w.now) && rng.Float64() < f.Share {
-				fn(m)
-			}
-		}
-	}
+	some := func(fn func(*Worker)) { w.some(f.Share, rng, fn) }
 	switch f.Kind {
 	case "crash":
 		w.Crash(p.index, 5*time.Second)
--- a/internal/standin/unlisted.go
+++ b/internal/standin/unlisted.go
@@ -94,13 +94,6 @@
 
 // unlisted lets a trouble of no list begin, and says whether it is one.
 func (w *World) unlisted(f DayFault, rng *rand.Rand) bool {
-	some := func(fn func(*Worker)) {
-		for _, m := range slices.Clone(w.fleet) {
-			if m.up(w.now) && rng.Float64() < f.Share {
-				fn(m)
-			}
-		}
-	}
 	switch f.Kind {
 	case "boots":
 		w.weather.bootsTill, w.weather.bootFactor, w.weather.bootNever = w.now.Add(f.For), f.Share, 0
@@ -130,9 +123,9 @@
 	case "slow_answers":
 		w.weather.slowTill, w.weather.slow = w.now.Add(f.For), 700*time.Millisecond
 	case "lazy":
-		some(func(m *Worker) { m.lazy = true })
+		w.some(f.Share, rng, func(m *Worker) { m.lazy = true })
 	case "faulty":
-		some(func(m *Worker) { m.faulty = true })
+		w.some(f.Share, rng, func(m *Worker) { m.faulty = true })
 	case "capacity":
 		for _, k := range sorted(w.room) {
 			gone := int(float64(w.room[k]) * (1 - f.Share))
--- a/internal/standin/world.go
+++ b/internal/standin/world.go
@@ -264,8 +264,7 @@
 }
 
 func (w *World) cutBetween(a, b string) *cut {
-	kind := linkKind
-	for _, k := range []string{a + "|" + b, b + "|" + a, a + "|*", b + "|*", a + "|" + kind(b), b + "|" + kind(a)} {
+	for _, k := range []string{a + "|" + b, b + "|" + a, a + "|*", b + "|*", a + "|" + linkKind(b), b + "|" + linkKind(a)} {
 		if c := w.cuts[k]; c != nil {
 			return c
 		}
