Answers that prolong leases are bounded by what is known of cancellations

Cause: an owner answered its workers for a grace of one lease after its grant may have ended, whatever had been cancelled elsewhere. One that had not read its records renewed leases and ordered nothing.

Change: internal/horizon. An answer leaves only within a window after the sending of the newest read of open/; on a machine that may have a cancelled job's tasks, only within the window after the sending of its cancellation, which its record says. An owner that has read nothing answers nothing, one that has not read its tasks halts what it knows to be cancelled. Who confirms a cancellation tells the others until they have heard it; who does not own the job passes it on. Peers vouch for nothing: the horizon moves by reads alone. Settings that leave no window are told of.

The stand-in let a refused controller's open watch bring news, which the protocol rules out; it waits now. That lost halts are noticed as ran_cancelled takes wrong answers as well, since an owner without proof lets leases run out.

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -142,6 +142,7 @@
 	s := core.Settings{
 		Host: c.HostName, Zones: d.Zones,
 		ReportEvery: core.Seconds(d.Workers.ReportS), Lease: core.Seconds(d.Workers.LeaseS),
+		Cancel: core.Seconds(d.Workers.CancelS), ClockBound: core.Seconds(d.TimeBoundMS / 1000),
 		TxnOps: d.State.TxnOps, ValueBytes: int(d.State.ValueKB * 1024),
 		ListLag: core.Seconds(d.Cloud.ListLagS), CloudRPS: d.Cloud.RPS, StateRequests: d.State.RPS, StateWrites: d.State.WriteRPS,
 		Nonce: nonce, Policy: policy,
--- a/internal/config/limits.go
+++ b/internal/config/limits.go
@@ -2,9 +2,11 @@
 
 import (
 	"fmt"
+	"math"
 	"strings"
 
 	"github.com/micahill/micahill/internal/bounds"
+	"github.com/micahill/micahill/internal/core"
 )
 
 const (
@@ -81,10 +83,11 @@
 		tight = append(tight, finding{"deployment.workers.lease_s", d.Workers.LeaseS,
 			"leaves no time for a lost report", fmt.Sprintf("more than %g would do", least)})
 	}
-	if d.Workers.CancelS < d.Workers.LeaseS {
+	s := core.Settings{Cancel: core.Seconds(d.Workers.CancelS), Lease: core.Seconds(d.Workers.LeaseS)}
+	if short := s.Horizon().Short(); short > 0 {
 		tight = append(tight, finding{"deployment.workers.cancel_s", d.Workers.CancelS,
-			fmt.Sprintf("is less than lease_s (%g): a cancelled task on a machine out of reach is gone only after its lease", d.Workers.LeaseS),
-			fmt.Sprintf("%g would do", d.Workers.LeaseS+answerS)})
+			fmt.Sprintf("leaves no time beside lease_s (%g): on a machine out of reach, and while the state service is away, a cancelled task may last up to %.1f s too long", d.Workers.LeaseS, short.Seconds()),
+			fmt.Sprintf("%.0f would do", math.Ceil((s.Cancel+short).Seconds())+1)})
 	}
 	if least := renewals * nodes; d.State.RPS <= least {
 		wrong = append(wrong, finding{"deployment.state.rps", d.State.RPS,
--- a/internal/core/effects.go
+++ b/internal/core/effects.go
@@ -116,6 +116,10 @@
 	Quotes []TeamQuotes
 	// Came are reports of the receiver's machines that came to the sender.
 	Came []Came
+	// Cancelled are jobs that the sender, or another before it, has told their users are
+	// cancelled, and CancelsHeard those of which it has heard from the receiver.
+	Cancelled    []CancelNews
+	CancelsHeard []string
 }
 
 // Came is a report that came to a controller which does not own its machine.
--- a/internal/core/hear.go
+++ b/internal/core/hear.go
@@ -30,7 +30,6 @@
 // passedOver deals with reports that prove nothing, and says whether this is one.
 func passedOver(n *Node, m *machine, c *WorkerReport) bool {
 	r := &c.Report
-	until := n.sess.sureUntil.Add(n.grace())
 	switch {
 	case m.heard && m.older(r):
 		// A copy, or overtaken: it was sent before what is known came, so that nobody
@@ -41,15 +40,13 @@
 			n.emit(ReportReply{Reply: c.Reply, Status: 503})
 			break
 		}
-		m.leaseEnd = later(m.leaseEnd, n.leaseAfter(n.now))
-		n.emit(ReportReply{Reply: c.Reply, Until: until, Status: 200, Epoch: m.epoch})
+		renewOnly(n, m, c.Reply)
 	case m.anew != 0 && r.Epoch <= m.anew:
 		// Perhaps of the time before its worker began anew. Its own answers tell, until
 		// its reports show an epoch that it can only have seen since.
-		m.leaseEnd = later(m.leaseEnd, n.leaseAfter(n.now))
 		m.probed = time.Time{}
 		n.contact(m)
-		n.emit(ReportReply{Reply: c.Reply, Until: until, Status: 200, Epoch: m.epoch})
+		renewOnly(n, m, c.Reply)
 	case !m.heard && r.Epoch < m.epoch:
 		if m.addr == "" {
 			n.describe(m, r.Addr, r.Flavour, r.Zone, r.Spot)
@@ -58,8 +55,7 @@
 			n.emit(ReportReply{Reply: c.Reply, Status: 503})
 		} else {
 			m.unheard++
-			m.leaseEnd = later(m.leaseEnd, n.leaseAfter(n.now))
-			n.emit(ReportReply{Reply: c.Reply, Until: until, Status: 200, Epoch: m.epoch})
+			renewOnly(n, m, c.Reply)
 		}
 		// If the answer arrives, the worker shows that with its next report, half a second
 		// later. Shown the epoch directly, it answers sooner.
--- /dev/null
+++ b/internal/core/horizon_test.go
@@ -0,0 +1,205 @@
+package core
+
+import (
+	"testing"
+	"time"
+)
+
+// reportOf has the worker of m report tasks, and gives the answer.
+func (n *Node) reportOf(m *machine, tasks ...TaskReport) ReportReply {
+	r := n.poolReport(0)
+	r.Machine, r.Tick, r.Epoch, r.Tasks = m.id, m.tick+1, m.epoch, tasks
+	n.out = nil
+	n.workerReport(WorkerReport{Reply: 1, Report: *r})
+	for _, e := range n.out {
+		if a, ok := e.(ReportReply); ok {
+			return a
+		}
+	}
+	return ReportReply{}
+}
+
+// cancelled writes that a job was cancelled by a change that was sent at a moment.
+func (n *Node) cancelled(j *job, at time.Time) {
+	rec := j.Spec.record(j.at)
+	rec.Cancelled, rec.CancelledAt = true, at.UnixMilli()
+	n.users.mirror.open[j.ID] = living{j.stamp + 1, rec}
+	if n.owner.jobs[j.ID] != nil {
+		n.jobRecord(j, j.stamp+1, &rec)
+	}
+}
+
+// TestHorizon: leases are prolonged for a window after the sending of the newest read, and
+// what is decided before is judged when it leaves. Other answers of the state service, and
+// late ones, move nothing.
+func TestHorizon(t *testing.T) {
+	n := largePool(12)
+	n.users.mirror.open = map[string]living{}
+	m, j := firstWork(n)
+	running := TaskReport{Job: j.ID, Index: 0, Try: 1, Status: Running}
+	n.users.mirror.asOf = time.Time{}
+	if a := n.reportOf(m, running); a.Status != 503 {
+		t.Errorf("answered %d by an owner that has read nothing", a.Status)
+	}
+	sent := n.now
+	n.now = n.now.Add(5 * time.Second)
+	n.mirrorNews(StateDone{Sent: sent})
+	n.mirrorNews(StateDone{Sent: sent.Add(-time.Minute)})
+	last := sent.Add(n.set.Horizon().Window())
+	if least := 25 * time.Second; last.Sub(sent) < least {
+		t.Fatalf("a window of %v, want %v at the least", last.Sub(sent), least)
+	}
+	a := n.reportOf(m, running)
+	if a.Status != 200 || !a.Until.Equal(last) {
+		t.Errorf("answered %d until %v, want 200 until %v after the read was sent", a.Status, a.Until.Sub(sent), last.Sub(sent))
+	}
+	if _, x, late := Late(a, last.Add(time.Millisecond)); !late || x.(ReportReply).Status != 503 {
+		t.Error("it leaves when its time is over")
+	}
+	n.now = last.Add(time.Millisecond)
+	end := m.leaseEnd
+	if a := n.reportOf(m, running); a.Status != 503 || m.leaseEnd != end {
+		t.Errorf("answered %d behind the window, lease put off by %v", a.Status, m.leaseEnd.Sub(end))
+	}
+}
+
+// TestCancelledUnproven: halts may be lost and starts be on their way. A machine that may
+// have a cancelled job's tasks is answered only in the time that these have, counted from
+// the sending of the change with both clocks wrong, and again as soon as they are gone.
+func TestCancelledUnproven(t *testing.T) {
+	n := largePool(12)
+	n.set.ClockBound = time.Second
+	n.users.mirror.open = map[string]living{}
+	m, j := firstWork(n)
+	running := TaskReport{Job: j.ID, Index: 0, Try: 1, Status: Running}
+	at := n.now.Add(-10 * time.Second)
+	last := at.Add(n.set.Horizon().Window() - 2*time.Second)
+	n.cancelled(j, at)
+	a := n.reportOf(m, running)
+	if a.Status != 200 || !a.Until.Equal(last) || len(a.Orders) != 1 || a.Orders[0].Verb != Halt {
+		t.Errorf("answered %+v, want a halt until %v", a, last)
+	}
+	// A start that was sent and is not seen counts as one that runs.
+	if a := n.reportOf(m); a.Status == 200 && !a.Until.Equal(last) && len(m.attempts) > 0 {
+		t.Errorf("with a start on its way answered until %v", a.Until)
+	}
+	n.now = last.Add(time.Millisecond)
+	m.replyTick, m.unacked = 0, m.epoch // an order without an answer
+	n.onMachine("job-000901", m)
+	j2 := n.owner.jobs["job-000901"]
+	n.cancelled(j2, at)
+	if a := n.reportOf(m); a.Status != 503 {
+		t.Errorf("answered %d behind the time of a cancelled job whose start may be on its way", a.Status)
+	}
+	m.unacked = 0
+	if a := n.reportOf(m); a.Status != 200 {
+		t.Errorf("answered %d after the proof that it is gone", a.Status)
+	}
+	// One of another owner's job, and a record that does not say when.
+	k := newJob(Spec{ID: "job-000902", Team: "lab", Tasks: 1}, n.now, 1, 4096)
+	n.cancelled(k, time.UnixMilli(0))
+	if a := n.reportOf(m, TaskReport{Job: k.ID, Index: 0, Try: 1, Status: Running}); a.Status != 503 {
+		t.Errorf("answered %d with a task that may have been cancelled long ago", a.Status)
+	}
+}
+
+// TestHaltsBeforeReading: an owner that has not read which attempts there should be halts
+// what it knows to be cancelled, and prolongs no lease beyond that job's time.
+func TestHaltsBeforeReading(t *testing.T) {
+	n := largePool(12)
+	n.users.mirror.open = map[string]living{}
+	m, j := firstWork(n)
+	n.owner.ready = false
+	task := func(job string) TaskReport { return TaskReport{Job: job, Index: 0, Try: 1, Status: Running} }
+	at := n.now.Add(-10 * time.Second)
+	delete(n.owner.jobs, j.ID)
+	n.cancelled(j, at)
+	a := n.reportOf(m, task(j.ID), task("job-000903"))
+	if last := at.Add(n.set.Horizon().Window()); a.Status != 200 || !a.Until.Equal(last) {
+		t.Errorf("answered %d until %v, want until %v", a.Status, a.Until, last)
+	}
+	if len(a.Orders) != 1 || a.Orders[0] != (Order{Verb: Halt, Job: j.ID, Try: 1}) {
+		t.Errorf("ordered %v", a.Orders)
+	}
+	n.now = n.now.Add(n.set.Horizon().Window())
+	if a := n.reportOf(m, task(j.ID)); a.Status != 503 {
+		t.Errorf("answered %d behind the time of a cancelled job", a.Status)
+	}
+}
+
+// TestToldOfCancellations: who has confirmed a cancellation tells its peers until they
+// have heard, the job's owner halts its tasks by that alone, and one that does not own the
+// job passes it on. What does not fit the job is passed over; nothing of it moves the
+// horizon.
+func TestToldOfCancellations(t *testing.T) {
+	n := largePool(12)
+	n.users.mirror.open = map[string]living{}
+	m, j := firstWork(n)
+	open := j.Spec.record(j.at)
+	n.users.mirror.open[j.ID] = living{j.stamp, open}
+	rec := open
+	rec.Cancelled, rec.CancelledAt = true, n.now.UnixMilli()
+	horizon := n.users.mirror.asOf
+	heard := func(r openRecord, stamp uint64) (acks, passed int) {
+		n.out = nil
+		takeCancelled(n, "b", []CancelNews{{ID: j.ID, Record: encode(r), Stamp: stamp}})
+		for _, e := range n.out {
+			if p, ok := e.(PeerSend); ok && p.To == "b" {
+				acks += len(p.News.CancelsHeard)
+			}
+		}
+		return acks, len(n.cancels.told)
+	}
+	for name, bad := range map[string]func(*openRecord) uint64{
+		"another time":  func(r *openRecord) uint64 { r.At++; return j.stamp + 1 },
+		"another team":  func(r *openRecord) uint64 { r.Team = "lab"; return j.stamp + 1 },
+		"other tasks":   func(r *openRecord) uint64 { r.Tasks++; return j.stamp + 1 },
+		"an old stamp":  func(*openRecord) uint64 { return j.stamp },
+		"not cancelled": func(r *openRecord) uint64 { r.Cancelled = false; return j.stamp + 1 },
+	} {
+		r := rec
+		stamp := bad(&r)
+		if acks, _ := heard(r, stamp); acks != 1 || j.cancelled {
+			t.Errorf("%s: acknowledged %d times, taken %v", name, acks, j.cancelled)
+		}
+	}
+	n.users.mirror.rev = j.stamp
+	heard(rec, j.stamp+1)
+	if a := n.reportOf(m, TaskReport{Job: j.ID, Index: 0, Try: 1, Status: Running}); len(a.Orders) != 1 || a.Orders[0].Verb != Halt {
+		t.Errorf("ordered %v, want a halt", a.Orders)
+	}
+	if n.users.mirror.asOf != horizon {
+		t.Error("a peer's word moves the horizon")
+	}
+	// Not its owner: it goes on to whoever is.
+	n.users.mirror.open["job-000904"] = living{1, rec}
+	delete(n.owner.jobs, j.ID)
+	n.users.mirror.open[j.ID] = living{j.stamp, open}
+	n.sess.book.Team("ops").Host = "c"
+	if _, passed := heard(rec, j.stamp+1); passed != 1 {
+		t.Errorf("passed on %d, want 1", passed)
+	}
+	sends := func() (out []string) {
+		for _, e := range n.out {
+			if p, ok := e.(PeerSend); ok && len(p.News.Cancelled) > 0 {
+				out = append(out, p.To)
+			}
+		}
+		n.out = nil
+		return out
+	}
+	for i, want := range []int{1, 0, 1} {
+		n.out = nil
+		n.now = n.now.Add([]time.Duration{cancelGather, cancelAgain / 2, cancelAgain}[i])
+		n.runTimers()
+		if got := sends(); len(got) != want || want == 1 && got[0] != "c" {
+			t.Errorf("round %d: sent to %v, want %d", i, got, want)
+		}
+	}
+	cancelsHeard(n, "c", []string{j.ID, "job-000999"})
+	n.now = n.now.Add(time.Minute)
+	n.runTimers()
+	if got := sends(); len(got) > 0 || len(n.cancels.told) > 0 {
+		t.Errorf("sent again to %v, %d kept", got, len(n.cancels.told))
+	}
+}
--- a/internal/core/loans.go
+++ b/internal/core/loans.go
@@ -292,7 +292,7 @@
 			return
 		}
 		rec := l.rec
-		rec.Cancelled = true
+		rec.Cancelled, rec.CancelledAt = true, n.now.UnixMilli()
 		g := guestRecord{Job: c.Job, Cause: c.Cause}
 		op.When = append(op.When, Cond{open, l.stamp})
 		op.Apply = append(op.Apply, Change{Key: jobPrefix + c.Job, Value: encode(overRecord(n, c.Job, Cancelled, &l))},
--- a/internal/core/mirror.go
+++ b/internal/core/mirror.go
@@ -11,7 +11,8 @@
 	// between share the next one, so that the number of polls, which grows with
 	// that of living jobs, is none for the state service.
 	freshEvery = 150 * time.Millisecond
-	// freshAtLeast keeps the picture from falling far behind when nobody asks.
+	// freshAtLeast keeps the picture from falling far behind when nobody asks. An owner
+	// reads more often; see internal/horizon.
 	freshAtLeast = 10 * time.Second
 )
 
@@ -21,8 +22,9 @@
 type mirror struct {
 	loaded  bool
 	loading bool
-	// rev: the picture is exact as of this revision, and at least as new as a moment
-	// asOf.
+	// rev: the picture is exact as of this revision. asOf is this node's horizon: all
+	// that was written before it is in the picture. It is the sending of the newest read
+	// or watch that was answered; see horizon.go.
 	rev  uint64
 	asOf time.Time
 	open map[string]living
@@ -54,8 +56,12 @@
 }
 
 func (n *Node) mirrorKeep() {
-	n.after(freshAtLeast, n.mirrorKeep)
-	if m := &n.users.mirror; m.loaded && n.now.Sub(m.readAt) >= freshAtLeast {
+	every := freshAtLeast
+	if n.owner != nil {
+		every = min(every, n.set.Horizon().ReadEvery())
+	}
+	n.after(every, n.mirrorKeep)
+	if m := &n.users.mirror; m.loaded && n.now.Sub(m.readAt) >= every {
 		n.freshen(func(bool) {})
 	}
 }
@@ -65,6 +71,7 @@
 	m.loading, m.loaded = true, false
 	open, pages := map[string]living{}, m.pages.Anew()
 	var rev uint64
+	var began time.Time
 	var list func(from string)
 	list = func(from string) {
 		n.ask(StateOp{Kind: OpList, Prio: PrioUser, Key: openPrefix, From: from}, func(d StateDone) {
@@ -73,7 +80,7 @@
 				return
 			}
 			if from == "" {
-				rev = d.Rev
+				rev, began = d.Rev, d.Sent
 			}
 			for _, it := range d.Items {
 				if !pageItem(n, &pages, it) {
@@ -87,6 +94,7 @@
 			// Later pages tell of later changes, which the next read, from the
 			// revision of the first, brings again in order.
 			m.open, m.pages, m.rev, m.loaded, m.loading = open, pages, rev, true, false
+			m.asOf = later(m.asOf, began)
 			ownerReads(n)
 			n.freshNext()
 			n.mirrorWatch()
@@ -108,6 +116,7 @@
 		}
 	}
 	m.rev = max(m.rev, d.Rev)
+	m.asOf = later(m.asOf, d.Sent)
 }
 
 // mirrorWatch lets an owner hear of new jobs at once.
@@ -167,7 +176,6 @@
 		return
 	}
 	m.asking, m.next, m.busy, m.readAt = m.next, nil, true, n.now
-	began := n.now
 	n.ask(StateOp{Kind: OpFollow, Prio: PrioUser, Key: openPrefix, Rev: m.rev}, func(d StateDone) {
 		m.busy = false
 		fns := m.asking
@@ -175,7 +183,6 @@
 		ok := d.Status == StateOK
 		if ok && m.loaded {
 			n.mirrorNews(d)
-			m.asOf = began
 		}
 		if d.Status == StateGone || ok && !m.loaded {
 			// Too far behind: read it all again. Who asked waits for that.
--- a/internal/core/node.go
+++ b/internal/core/node.go
@@ -78,6 +78,8 @@
 	complaints sane.Minute
 	// guests are the loans this cluster has taken, as far as this node has read.
 	guests guests
+	// cancels are the cancellations that peers are told of; see cancelnews.go.
+	cancels cancelNews
 	// promises is what is known of promised dates beside the jobs.
 	promises promises
 }
@@ -99,6 +101,7 @@
 		returned: map[string]bool{}, inherited: map[loadKey]Load{}, heirloom: map[string]HostNews{}, away: map[string]time.Time{},
 	}
 	n.malformed = map[uint64]bool{}
+	n.cancels.told = map[string]*cancelTelling{}
 	n.boots = map[kind]*boots.Kind{}
 	n.budgets.others = map[string]told{}
 	n.users.init()
@@ -192,6 +195,10 @@
 		if !n.current(&c) {
 			break
 		}
+		if len(c.Cancelled) > 0 {
+			takeCancelled(n, c.From, c.Cancelled)
+		}
+		cancelsHeard(n, c.From, c.CancelsHeard)
 		for _, p := range c.Progress {
 			n.display[p.ID] = p
 		}
--- a/internal/core/record.go
+++ b/internal/core/record.go
@@ -96,6 +96,9 @@
 	Due       float64  `msgpack:"d,omitempty"`
 	At        int64    `msgpack:"at"`
 	Cancelled bool     `msgpack:"x,omitempty"`
+	// CancelledAt is when the change that cancelled it was sent, in Unix milliseconds by
+	// the sender's clock: nobody can have been told before.
+	CancelledAt int64 `msgpack:"xa,omitempty"`
 	// Lent names the peer that has the job, LentN how often it was lent, and LentStop
 	// the peer's bound in milliseconds.
 	// Wanted: its user wants it cancelled, which the peer has to hear first.
--- a/internal/core/reports.go
+++ b/internal/core/reports.go
@@ -11,7 +11,6 @@
 // workerReport takes a report that waits for its answer.
 func (n *Node) workerReport(c WorkerReport) {
 	o := n.owner
-	s := &n.sess
 	r := &c.Report
 	reportCame(n, r)
 	x, mine := n.mine(r.Machine)
@@ -36,12 +35,11 @@
 		}
 		n.emit(ReportReply{Reply: c.Reply, Status: 421})
 		return
-	case n.now.After(s.sureUntil.Add(n.grace())):
+	case n.now.After(n.renewUntil()):
 		n.emit(ReportReply{Reply: c.Reply, Status: 503})
 		return
 	case !o.ready:
-		// Renew the lease, order nothing: what runs there is not known yet.
-		n.emit(ReportReply{Reply: c.Reply, Until: s.sureUntil.Add(n.grace()), Status: 200, Epoch: x.Epoch})
+		renewUnread(n, &c, x.Epoch)
 		return
 	case n.returned[r.Machine]:
 		// Never given work again, and about to go.
@@ -56,7 +54,10 @@
 	was := m.seen()
 	n.hear(m, r, true)
 	signs(n, m, r, was)
-	m.leaseEnd = later(m.leaseEnd, n.leaseAfter(n.now))
+	until, renews := renewal(n, m, c.Reply)
+	if !renews {
+		return
+	}
 	orders := n.reconcile(m)
 	for _, or := range orders {
 		if or.Verb == Start {
@@ -64,7 +65,7 @@
 		}
 	}
 	expectSign(m, orders)
-	n.emit(ReportReply{Reply: c.Reply, Until: s.sureUntil.Add(n.grace()), StartsUntil: startsUntil(n, m), Status: 200, Epoch: m.epoch, Orders: orders})
+	n.emit(ReportReply{Reply: c.Reply, Until: until, StartsUntil: startsUntil(n, m), Status: 200, Epoch: m.epoch, Orders: orders})
 }
 
 // hear takes in what a worker says, unless something newer was heard.
--- a/internal/core/sane.go
+++ b/internal/core/sane.go
@@ -77,6 +77,7 @@
 	for _, x := range c.Came {
 		k.Name("came.id", x.ID, true)
 	}
+	badCancels(&k, c)
 	for _, a := range c.Wards {
 		k.Name("wards.machine", a.Machine, true)
 		for _, t := range a.Attempts {
--- a/internal/core/types.go
+++ b/internal/core/types.go
@@ -90,6 +90,10 @@
 
 	ReportEvery time.Duration
 	Lease       time.Duration
+	// Cancel is how long after its confirmation a cancelled job's tasks may last.
+	Cancel time.Duration
+	// ClockBound is how far a controller's time of day is off at the most.
+	ClockBound time.Duration
 
 	// StateRequests and StateWrites are the state service's limits of requests and
 	// of changes a second, which all controllers share.
--- a/internal/core/users.go
+++ b/internal/core/users.go
@@ -494,7 +494,7 @@
 		// What its tasks take stays known: until they are gone they count for
 		// their team's limit, under whatever owner.
 		rec := f.open
-		rec.Cancelled = true
+		rec.Cancelled, rec.CancelledAt = true, n.now.UnixMilli()
 		open := encode(rec)
 		// Both records change together: the stamp of open/ guards starts.
 		n.ask(StateOp{Kind: OpTxn, Prio: PrioUser, When: []Cond{{openPrefix + id, f.stamp}},
@@ -506,6 +506,7 @@
 			case StateOK:
 				n.setFinal(id, Cancelled)
 				n.ownerSees(Item{Key: openPrefix + id, Value: open, Stamp: d.Rev})
+				tellCancelled(n, CancelNews{ID: id, Record: open, Stamp: d.Rev}, n.set.Peers)
 				n.finish(w, n.known(id, Cancelled))
 			case StateConflict:
 				// Done or cancelled in between: look again.
--- a/internal/peer/wire.go
+++ b/internal/peer/wire.go
@@ -14,6 +14,10 @@
 		From: n.From, Life: n.Life, Asks: n.Asks, Seq: n.Seq, Wants: wireWants(n.Wants), Idle: n.Idle,
 		Tells: n.Tells, Blocked: wireWants(n.Blocked), ToSpare: n.ToSpare, Spare: wireWants(n.Spare), StateAway: n.StateAway,
 	}
+	for _, x := range n.Cancelled {
+		m.Cancelled = append(m.Cancelled, &Cancelled{Id: x.ID, Record: x.Record, Stamp: x.Stamp})
+	}
+	m.CancelsHeard = n.CancelsHeard
 	for _, x := range n.Came {
 		m.Came = append(m.Came, &Came{Id: x.ID, Epoch: x.Epoch, Tenure: x.Tenure, Tick: x.Tick})
 	}
@@ -94,6 +98,10 @@
 		From: m.From, Life: m.Life, Asks: m.Asks, Seq: m.Seq, Wants: coreWants(m.Wants), Idle: m.Idle,
 		Tells: m.Tells, Blocked: coreWants(m.Blocked), ToSpare: m.ToSpare, Spare: coreWants(m.Spare), StateAway: m.StateAway,
 	}
+	for _, x := range m.Cancelled {
+		n.Cancelled = append(n.Cancelled, core.CancelNews{ID: x.Id, Record: x.Record, Stamp: x.Stamp})
+	}
+	n.CancelsHeard = m.CancelsHeard
 	for _, x := range m.Came {
 		n.Came = append(n.Came, core.Came{ID: x.Id, Epoch: x.Epoch, Tenure: x.Tenure, Tick: x.Tick})
 	}
--- a/internal/peer/wire_test.go
+++ b/internal/peer/wire_test.go
@@ -67,6 +67,7 @@
 		{From: "b", Loads: []core.Load{{Workload: "w", Rate: math.Inf(1), Samples: -4}}, Asks: true, Wants: []core.Want{{Flavour: "box", Count: -1}}},
 		{From: "b", Quotes: []core.TeamQuotes{{Team: "ops", Value: []byte("x")}, {}}},
 		{From: "b", Came: []core.Came{{ID: "", Epoch: math.MaxUint64}}},
+		{From: "b", Cancelled: []core.CancelNews{{ID: "job-1", Record: []byte{0x81, 0xa1, 'x', 0xc3}, Stamp: math.MaxUint64}, {}}, CancelsHeard: []string{"", "job-1"}},
 		{From: "b", Tells: true, Rentals: []core.RentalNews{{ID: "vm", Age: -time.Hour}}, Progress: []core.Progress{{ID: "job-1", Done: -1}}},
 	} {
 		b, err := proto.Marshal(wire(n))
--- /dev/null
+++ b/internal/standin/meeting_test.go
@@ -0,0 +1,158 @@
+package standin
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/micahill/micahill/internal/core"
+)
+
+// elsewhere is a day on which the state service is away for an owner alone, another
+// controller confirms cancellations, and then it is away for all, for longer than the
+// cancelled tasks may last, while the workers go on reporting to the owner.
+type elsewhere struct {
+	lease, cancel time.Duration
+	nodes, teams  int
+	// how the owner loses the state service: refused, held (what is sent comes later) or
+	// lost.
+	how string
+	// links: the controllers reach each other meanwhile.
+	links bool
+	// alone is how long the owner is alone with its loss. The grant it holds lives for 3
+	// to 4 s more, so that when the outage begins a successor has taken over, is about to,
+	// or has not.
+	alone time.Duration
+	// outage is how long it lasts, in times of cancel.
+	outage float64
+	// ends are the controllers that end in between, and back how soon they are back.
+	ends string
+	back time.Duration
+}
+
+func (e elsewhere) String() string {
+	return fmt.Sprintf("lease=%v cancel=%v nodes=%d teams=%d %s links=%v alone=%v outage=%g ends=%s back=%v",
+		e.lease, e.cancel, e.nodes, e.teams, e.how, e.links, e.alone, e.outage, e.ends, e.back)
+}
+
+// grantLeast is how long an owner's grant lives at the least after it has lost the state
+// service: the last of its renewals was a second ago at most.
+const grantLeast = 3 * time.Second
+
+// play plays the day and says what broke, and whether the meeting came about: before the
+// outage jobs were confirmed as cancelled without their owner, and where nobody can have
+// told it or succeeded it they still ran.
+func (e elsewhere) play(seed uint64) (broken []string, met bool) {
+	set := testSettings()
+	set.Lease, set.Teams = e.lease, nil
+	for i := range e.teams {
+		set.Teams = append(set.Teams, core.Team{Name: fmt.Sprintf("team-%d", i)})
+	}
+	types, room := testTypes()
+	w := NewWorld(seed, e.nodes, set, e.cancel, types, room)
+	w.Run(3 * time.Second)
+	var ids []string
+	for i := range 8 * e.teams {
+		id := fmt.Sprintf("job-%03d", i)
+		ids = append(ids, id)
+		w.Submit(core.Spec{
+			ID: id, Workload: "batch", Team: set.Teams[i%e.teams].Name, Urgency: core.Normal, Tasks: 2,
+			Need: core.Resources{CPU: 1, Memory: 1}, Image: "img", ImageGB: 1, Expected: 15 * time.Minute,
+		}, 15*time.Minute, false)
+	}
+	w.Run(90 * time.Second)
+	i := w.ownerOf(set.Teams[0].Name)
+	owner := w.nodes[i]
+	switch e.how {
+	case "refused":
+		owner.stateNo = true
+		w.after(e.alone+2*time.Second, func() { owner.stateNo = false })
+	default:
+		w.Cut(owner.name, "state", e.alone+2*time.Second, e.how == "held")
+	}
+	if !e.links {
+		for _, p := range w.nodes {
+			if p != owner {
+				w.Cut(owner.name, p.name, e.alone+time.Duration(e.outage*float64(e.cancel)), false)
+			}
+		}
+	}
+	for k, id := range ids {
+		w.after(time.Duration(k)*e.alone/time.Duration(len(ids)), func() { w.Abort(id) })
+	}
+	w.Run(e.alone)
+	for k, id := range ids {
+		// Told by the others, or by a successor, it may have been halted by now.
+		unheard := !e.links && e.alone < grantLeast
+		met = met || k%e.teams == 0 && w.jobs[id].told == "cancelled" && (!unheard || w.live(id) > 0)
+	}
+	w.Outage(time.Duration(e.outage * float64(e.cancel)))
+	w.after(time.Second, func() {
+		for k, p := range w.nodes {
+			if p == owner && (e.ends == "owner" || e.ends == "both") || p != owner && (e.ends == "confirmers" || e.ends == "both") {
+				w.Crash(k, e.back)
+			}
+		}
+	})
+	w.Run(time.Duration((e.outage + 1) * float64(e.cancel)))
+	w.Run(time.Minute)
+	for _, id := range ids {
+		if w.jobs[id].told != "cancelled" {
+			broken = append(broken, id+" is "+w.jobs[id].told+" in the end")
+		}
+	}
+	return append(broken, w.Broken...), met
+}
+
+// elsewheres are all days of that kind: both sites' ratio of lease to cancellation, one
+// with hardly any room between, and everything that may differ besides.
+func elsewheres() []elsewhere {
+	var all []elsewhere
+	for _, r := range [][2]time.Duration{{24 * time.Second, 54 * time.Second}, {34 * time.Second, 64 * time.Second}, {24 * time.Second, 28 * time.Second}} {
+		for _, how := range []string{"refused", "held", "lost"} {
+			for _, links := range []bool{true, false} {
+				for _, alone := range []time.Duration{2900 * time.Millisecond, 3500 * time.Millisecond, 4500 * time.Millisecond} {
+					for _, outage := range []float64{1, 1.2, 3} {
+						for _, ends := range []string{"none", "owner", "confirmers", "both"} {
+							for _, size := range [][2]int{{3, 1}, {5, 4}} {
+								e := elsewhere{lease: r[0], cancel: r[1], how: how, links: links, alone: alone, outage: outage, ends: ends, nodes: size[0], teams: size[1], back: 50 * time.Millisecond}
+								if len(all)%3 == 0 {
+									e.back = 5 * time.Second
+								}
+								all = append(all, e)
+							}
+						}
+					}
+				}
+			}
+		}
+	}
+	return all
+}
+
+// TestConfirmedElsewhere: tasks whose cancellation their owner can't hear of are gone in
+// time all the same.
+func TestConfirmedElsewhere(t *testing.T) {
+	all := elsewheres()
+	// Every so many: by a step that shares no factor with the number of values, all of
+	// them come up.
+	step := max(1, len(all)/int(drawnDays(t, 36, 12)))
+	for step > 1 && (step%2 == 0 || step%3 == 0) {
+		step++
+	}
+	met := 0
+	for i := 0; i < len(all); i += step {
+		broken, is := all[i].play(uint64(i))
+		if is {
+			met++
+		}
+		slices.Sort(broken)
+		if broken = slices.Compact(broken); len(broken) > 0 {
+			t.Errorf("%d, %v: %d broken: %v", i, all[i], len(broken), broken[0])
+		}
+	}
+	if played := (len(all) + step - 1) / step; met*10 < played*9 {
+		t.Errorf("the meeting came about on %d of %d days", met, played)
+	}
+}
--- a/internal/standin/scenario_test.go
+++ b/internal/standin/scenario_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"os"
 	"slices"
@@ -516,7 +517,8 @@
 			}
 		}},
 		{"ran_cancelled", func(w *World) {
-			// Stops get lost.
+			// Stops get lost, and answers prolong leases all the same: an owner that has
+			// no proof would let the lease run out.
 			drop := func(os []core.Order) []core.Order {
 				var out []core.Order
 				for _, o := range os {
@@ -532,6 +534,9 @@
 					x.Orders = drop(x.Orders)
 					return x
 				case core.ReportReply:
+					if x.Status == 503 {
+						x.Status, x.Epoch = 200, math.MaxUint64
+					}
 					x.Orders = drop(x.Orders)
 					return x
 				}
--- a/internal/standin/world.go
+++ b/internal/standin/world.go
@@ -308,6 +308,7 @@
 	set := p.w.set
 	set.Host, set.Nonce = p.name, fmt.Sprintf("%s.%d", p.name, p.life)
 	set.Peers = nil
+	set.Cancel = p.w.cancel
 	if p.w.coreLease > 0 {
 		set.Lease = p.w.coreLease
 	}
@@ -509,7 +510,7 @@
 		w.state.Do(w.now, e, func(d core.StateDone) {
 			d.Sent = sent
 			w.ranked.look()
-			answer(d)
+			p.whenServed(func() { answer(d) })
 		})
 	}, core.StateDone{ID: e.ID, Status: core.StateUnknown}, func() {
 		pause := state.TooMany + time.Duration(w.rng.Int64N(int64(state.TooManySpread)))
@@ -525,6 +526,16 @@
 	})
 }
 
+// whenServed calls fn now, or once the state service serves this controller again: what an
+// open watch would have brought waits while it is refused, alone or with all.
+func (p *proc) whenServed(fn func()) {
+	if p.w.outage || p.stateNo {
+		p.w.after(tick, func() { p.whenServed(fn) })
+		return
+	}
+	fn()
+}
+
 func (p *proc) do(e core.Effect) {
 	w := p.w
 	w.ranked.leaves(p, e)
