The grace has a test of its own beside the horizon

Cause: with the grid's settings the horizon ends answers about when the grace does, and only a long test noticed the grace taken out.

--- a/internal/core/horizon_test.go
+++ b/internal/core/horizon_test.go
@@ -61,6 +61,16 @@
 	if a := n.reportOf(m, running); a.Status != 503 || m.leaseEnd != end {
 		t.Errorf("answered %d behind the window, lease put off by %v", a.Status, m.leaseEnd.Sub(end))
 	}
+	// The grace holds beside it: successors count on no more.
+	n.users.mirror.asOf = n.now.Add(time.Hour)
+	n.sess.sureUntil = n.now.Add(-n.grace())
+	if a := n.reportOf(m, running); a.Status != 200 || !a.Until.Equal(n.now) {
+		t.Errorf("answered %d until %v at the end of the grace", a.Status, a.Until)
+	}
+	n.now = n.now.Add(time.Millisecond)
+	if a := n.reportOf(m, running); a.Status != 503 {
+		t.Errorf("answered %d behind the grace", a.Status)
+	}
 }
 
 // TestCancelledUnproven: halts may be lost and starts be on their way. A machine that may
