A late lending or end changes nothing that came after it

Cause, of two writes that may be carried out seconds after they got no answer: - A lending named the lead, the share and open/<id>. A start leaves all three as they are. Without an answer the job was free again, was started at home, and the late lending still held: a peer would have run it as well. - After an end without an answer, while it waited to be repeated, the job could get another date. The late end then carried the older one, and a date that a user had been told went back.

Change: a lending also names that the first task's record is absent, which the first start of any job writes. No date is decided once all tasks are done. The scenario runner prints at "deliver say" what became of held requests.

--- a/internal/core/loans.go
+++ b/internal/core/loans.go
@@ -251,7 +251,9 @@
 		rec := j.record0()
 		rec.Lent, rec.LentN, rec.LentStop = c.Peer, c.N, c.Stop.Milliseconds()
 		j.lending = true
-		op.When = append(append(op.When, n.shareConds(j.Team)...), Cond{open, j.stamp})
+		// Without an answer it may be carried out when the job has been started here,
+		// which leaves open/ as it is: the first task's record must not be there either.
+		op.When = append(append(op.When, n.shareConds(j.Team)...), Cond{open, j.stamp}, Cond{(&chunk{}).key(c.Job), 0})
 		item = Item{Key: open, Value: encode(rec)}
 	case LoanBack:
 		if !there || l.rec.Lent == "" || l.rec.LentN != c.N {
--- a/internal/core/promises.go
+++ b/internal/core/promises.go
@@ -413,11 +413,13 @@
 	}
 }
 
-// watchDate gives a job its first date, or a new one where it would be missed.
+// watchDate gives a job its first date, or a new one where it would be missed. Once its
+// tasks are all done it has the date that it ends with: an end without an answer may be
+// carried out later, and must not take back a date that was told since.
 func watchDate(n *Node, j *job) {
 	o := n.owner
 	b := o.dates.books[j.Team]
-	if b == nil || j.cancelled || j.ending || j.elsewhere() || j.guest != "" || j.blind || j.Workload == "" {
+	if b == nil || j.cancelled || j.done == len(j.tasks) || j.elsewhere() || j.guest != "" || j.blind || j.Workload == "" {
 		return
 	}
 	q, pj := quotesFor(n, j.Team, true), promiseJob(n, &j.Spec)
--- a/internal/core/promises_test.go
+++ b/internal/core/promises_test.go
@@ -177,6 +177,28 @@
 	}
 }
 
+// TestDateOfAnEnd: an end of which the outcome is unknown may be carried out later with
+// the date that it carries. No other date is decided after it.
+func TestDateOfAnEnd(t *testing.T) {
+	n, team := promiser(t)
+	n.sess.sureUntil = n.now.Add(time.Hour)
+	j := n.newJob(Spec{ID: "job-1", Workload: "w", Team: team, Tasks: 1, Need: Resources{CPU: 1}, Expected: time.Minute}, n.now, 3)
+	j.promised, j.made = promise.Date{After: 5 * time.Minute, Rev: 1}, n.now
+	j.fresh, j.done, j.tasks[0].done = 1, 1, true
+	n.now = n.now.Add(290 * time.Second)
+	n.out = nil
+	n.endJob(j)
+	n.state[ops(n)[0].ID](StateDone{Status: StateUnknown})
+	for range 60 {
+		n.now = n.now.Add(lookAtDates)
+		n.runTimers()
+		promisesTick(n)
+	}
+	if j.ending || j.promised.Rev != 1 {
+		t.Errorf("ending %v, its date is revision %d, its late end carries 1", j.ending, j.promised.Rev)
+	}
+}
+
 // TestTotalsAreReadAgain: after a write of totals without an answer the leader reads the
 // record before it counts on: it may have been written or not.
 func TestTotalsAreReadAgain(t *testing.T) {
--- a/internal/core/safety_test.go
+++ b/internal/core/safety_test.go
@@ -9,7 +9,9 @@
 	"time"
 
 	"github.com/cockroachdb/datadriven"
+	"github.com/micahill/micahill/internal/bounds"
 	"github.com/micahill/micahill/internal/core"
+	"github.com/micahill/micahill/internal/division"
 	"github.com/micahill/micahill/internal/standin"
 	"github.com/vmihailenco/msgpack/v5"
 )
@@ -44,7 +46,7 @@
 	queue []core.Command
 	// rules say what becomes of requests to the state service.
 	rules  []benchRule
-	held   []func()
+	held   []benchHeld
 	txns   []string
 	direct []benchOrder
 	news   bool
@@ -57,6 +59,13 @@
 // and answered at deliver), "gone" (once: the watch is too far behind).
 type benchRule struct{ mode, only string }
 
+// benchHeld is a request that is executed at deliver; what becomes of a transaction
+// then is what say prints.
+type benchHeld struct {
+	text string
+	exec func(done func(core.StateDone))
+}
+
 // benchOrder is a direct order, and when it was sent.
 type benchOrder struct {
 	core.WorkerOp
@@ -276,13 +285,18 @@
 		n.txns = append(n.txns, text)
 	}
 	sent, life := b.now, n.life
-	exec := func(answer bool) {
+	exec := func(answer bool, done func(core.StateDone)) {
 		b.state.Do(b.now, op, func(d core.StateDone) {
 			if d.Sent = sent; answer && n.life == life {
 				n.push(d)
 			}
+			done(d)
 		})
 	}
+	hold := func(answer bool) {
+		n.held = append(n.held, benchHeld{text, func(done func(core.StateDone)) { exec(answer, done) }})
+	}
+	nobody := func(core.StateDone) {}
 	mode := "ok"
 	if i := slices.IndexFunc(n.rules, func(r benchRule) bool { return strings.Contains(text, r.only) }); i >= 0 {
 		if mode = n.rules[i].mode; mode == "gone" {
@@ -291,17 +305,17 @@
 	}
 	switch mode {
 	case "ok":
-		exec(true)
+		exec(true, nobody)
 	case "refuse":
 		n.push(core.StateDone{ID: op.ID, Status: core.StateRefused, Sent: sent})
 	case "lose":
-		exec(false)
+		exec(false, nobody)
 		n.push(core.StateDone{ID: op.ID, Status: core.StateUnknown, Sent: sent})
 	case "late":
-		n.held = append(n.held, func() { exec(false) })
+		hold(false)
 		n.push(core.StateDone{ID: op.ID, Status: core.StateUnknown, Sent: sent})
 	case "hold":
-		n.held = append(n.held, func() { exec(true) })
+		hold(true)
 	case "gone":
 		n.push(core.StateDone{ID: op.ID, Status: core.StateGone, Sent: sent})
 	default:
@@ -518,10 +532,22 @@
 			n.rules = nil
 		}
 	case "deliver":
+		// say: prints what became of each, which shows that there was one.
 		held := n.held
 		n.held = nil
-		for _, fn := range held {
-			fn()
+		for _, h := range held {
+			h.exec(func(r core.StateDone) {
+				kind, text, txn := strings.Cut(h.text, ": ")
+				switch {
+				case !d.HasArg("say"):
+				case !txn:
+					b.out = append(b.out, fmt.Sprintf("%s tells of %d", kind, len(r.Items)))
+				case r.Status == core.StateOK:
+					b.out = append(b.out, "applied "+text)
+				default:
+					b.out = append(b.out, fmt.Sprintf("refused %s, as of another stamp: %s", text, strings.Join(r.Failed, ", ")))
+				}
+			})
 		}
 		if !d.HasArg("nowait") {
 			b.run(200 * time.Millisecond)
@@ -628,6 +654,33 @@
 			t.Fatal(err)
 		}
 		b.state.Do(b.now, core.StateOp{Kind: core.OpTxn, Apply: []core.Change{{Key: first(), Value: raw}}}, func(core.StateDone) {})
+	case "teams":
+		// A leader gives shares these teams, in one change: a=(ops) b=(lab).
+		op := core.StateOp{Kind: core.OpTxn}
+		for _, a := range d.CmdArgs {
+			key, share := "ctl/share/"+a.Key, map[string]any{}
+			b.state.Do(b.now, core.StateOp{Kind: core.OpGet, Key: key}, func(g core.StateDone) {
+				if err := msgpack.Unmarshal(g.Items[0].Value, &share); err != nil {
+					t.Fatal(err)
+				}
+			})
+			share["teams"] = a.Vals
+			raw, err := msgpack.Marshal(share)
+			if err != nil {
+				t.Fatal(err)
+			}
+			op.Apply = append(op.Apply, core.Change{Key: key, Value: raw})
+		}
+		b.state.Do(b.now, op, func(core.StateDone) {})
+		b.run(core.Seconds(number("for", 0.5)))
+	case "lot":
+		// A leader names machines for a share: lot name share=b machines=(vm-1).
+		var share string
+		d.ScanArgs(t, "share", &share)
+		i := slices.IndexFunc(d.CmdArgs, func(a datadriven.CmdArg) bool { return a.Key == "machines" })
+		w, _ := division.Raise(bounds.Limits{ValueBytes: 4096}, first(), &division.Share{Name: share}, d.CmdArgs[i].Vals)
+		b.state.Do(b.now, core.StateOp{Kind: core.OpTxn, Apply: []core.Change{{Key: "ctl/lot/" + w.Name, Value: w.Value}}}, func(core.StateDone) {})
+		b.run(core.Seconds(number("for", 0.5)))
 	case "keys":
 		b.state.Do(b.now, core.StateOp{Kind: core.OpList, Key: first()}, func(d core.StateDone) {
 			for _, it := range d.Items {
