A team that was another owner's in between is read anew

Cause: an owner compared its teams with the division once for each answer of its watch. An answer may tell of several revisions: that a team went and that it came back. The owner then kept its books, though the other had started tasks and written their records. Its own write failed, it read the record, took it for an earlier write of its own and wrote over it: a task ran on two machines.

Change: teams are compared after each revision that ctl/ is brought to. One that was another's at any of them is let go and its records are read again. After ctl/ itself was read anew, only a share whose stamp is the same has kept its teams. Machines had this already, by their epoch.

--- a/internal/core/session.go
+++ b/internal/core/session.go
@@ -340,10 +340,12 @@
 			}
 			s.lead, s.leadStamp, s.drain = leadRecord{}, 0, drainRecord{}
 			clear(s.nodes)
+			before := s.book
 			s.book = division.NewBook()
 			for _, it := range items {
 				n.ctlItem(it)
 			}
+			teamsReread(n, before)
 			rankRead(n, items)
 			rankKnown(n, began)
 			s.rev = first
@@ -390,10 +392,13 @@
 func (n *Node) ctlNews(d StateDone) {
 	s := &n.sess
 	some := false
-	for _, it := range d.Items {
+	for i, it := range d.Items {
 		if it.Stamp > s.rev {
 			n.ctlItem(it)
 			some = true
+			if i+1 == len(d.Items) || d.Items[i+1].Stamp != it.Stamp {
+				teamsAway(n)
+			}
 		}
 	}
 	s.rev = max(s.rev, d.Rev)
--- a/internal/core/tenure.go
+++ b/internal/core/tenure.go
@@ -19,6 +19,33 @@
 	readyAt time.Time
 	// term tells this time from others that the team was here.
 	term int
+	// away: it has been another's since it came, even if it is back by now. That other
+	// has written of its jobs, so that what is in the books is not what stands there.
+	away bool
+}
+
+// teamsAway notes which teams are another's as of the revision that ctl/ has just been
+// brought to. One answer may tell of many: that a team went and that it came back.
+func teamsAway(n *Node) {
+	if n.owner == nil {
+		return
+	}
+	for t, h := range n.owner.teams {
+		s := n.sess.book.Team(t)
+		h.away = h.away || s == nil || s.Host != n.set.Host || s.Nonce != n.life()
+	}
+}
+
+// teamsReread does the same when ctl/ has been read anew and what happened in between
+// is not told: only a share that has not been written since has kept its teams.
+func teamsReread(n *Node, before *division.Book) {
+	if n.owner == nil {
+		return
+	}
+	for t, h := range n.owner.teams {
+		was, is := before.Team(t), n.sess.book.Team(t)
+		h.away = h.away || was == nil || is == nil || was.Stamp != is.Stamp
+	}
 }
 
 // ownerCheck brings the owner's books in step with ctl/.
@@ -70,7 +97,7 @@
 		}
 	}
 	for _, t := range sortedKeys(o.teams) {
-		if !now[t] {
+		if !now[t] || o.teams[t].away {
 			n.info("a team goes", "team", t)
 			letTeamGo(n, t)
 		}
