A machine that has just come from another owner is not taken for lost

Cause: silence of a machine that was not heard here counted from when this owner was ready, and "never came up" from when the machine was rented. A machine that came later, by a lot or back by a late raise, had both behind it at once: it was returned in the same look at the fleet, before its first report could come, with the tasks that ran on it.

Change: both count from when the machine came into this owner's books. What comes with a takeover is judged as before.

Run: TestSafety/late_raise (a raise without an answer is carried out when the machine has gone to another owner and runs its task; before: the machine was returned) and TestSafety/handed_over (before: returned before it was asked twice). With either condition taken out its scenario fails. internal/core and internal/standin: ok.

--- a/internal/core/contact.go
+++ b/internal/core/contact.go
@@ -177,9 +177,10 @@
 func (m *machine) reports() bool { return m.heard || !m.empty() }
 
 // quietFor is how long nothing has been heard of a machine; after a takeover
-// the count begins when this owner was ready to hear.
+// the count begins when this owner was ready to hear, and of a machine that comes
+// later, perhaps with work, when it came.
 func (n *Node) quietFor(m *machine) time.Duration {
-	return n.now.Sub(later(m.lastHeard, n.owner.readyAt))
+	return n.now.Sub(later(later(m.lastHeard, m.here), n.owner.readyAt))
 }
 
 // silent says that a machine has missed reports and does not answer. One that
--- a/internal/core/fleet.go
+++ b/internal/core/fleet.go
@@ -598,7 +598,9 @@
 		case r.status == "failed":
 			why = "failed"
 		case m == nil:
-		case !m.heard && settled && n.givenUp(r) && m.empty():
+		case !m.heard && settled && n.givenUp(r) && m.empty() && n.now.Sub(m.here) > min(settleTime, m.here.Sub(o.since)):
+			// Not one that has just come from another owner, however long ago it was
+			// rented. What came with the takeover is settled with it.
 			why = "never came up"
 		case lost[id] && settled:
 			why = "silent"
--- a/internal/core/machines.go
+++ b/internal/core/machines.go
@@ -38,6 +38,8 @@
 	afar   bool
 	epoch  uint64
 	former time.Time
+	// here is since when it has been in this owner's books.
+	here time.Time
 
 	attempts map[taskKey]*task
 	used     Resources
@@ -126,7 +128,7 @@
 	o := n.owner
 	m := o.machines[id]
 	if m == nil {
-		m = &machine{id: id, attempts: map[taskKey]*task{}, images: map[string]*image{}, idleSince: n.now, former: n.now.Add(n.former())}
+		m = &machine{id: id, attempts: map[taskKey]*task{}, images: map[string]*image{}, idleSince: n.now, here: n.now, former: n.now.Add(n.former())}
 		if x, ok := n.mine(id); ok {
 			m.epoch = x.Epoch
 		}
