--- a/internal/core/safety_test.go
+++ b/internal/core/safety_test.go
@@ -475,7 +475,13 @@
 	}
 	switch d.Cmd {
 	case "boot":
-		b.boot(first())
+		// late=(text): requests with that text get no answer until deliver.
+		booted := b.boot(first())
+		if d.HasArg("late") {
+			r := benchRule{mode: "late"}
+			d.ScanArgs(t, "late", &r.only)
+			booted.rules = append(booted.rules, r)
+		}
 		b.run(core.Seconds(number("for", 1)))
 	case "end":
 		// The process ends; what it sent may still be applied.
@@ -544,6 +550,8 @@
 					b.out = append(b.out, fmt.Sprintf("%s tells of %d", kind, len(r.Items)))
 				case r.Status == core.StateOK:
 					b.out = append(b.out, "applied "+text)
+				case r.Status == core.StateNoGrant:
+					b.out = append(b.out, "refused "+text+", its grant has ended")
 				default:
 					b.out = append(b.out, fmt.Sprintf("refused %s, as of another stamp: %s", text, strings.Join(r.Failed, ", ")))
 				}
