A copy of a report is no sign of life of a machine that was dropped

Cause: reports are ordered by what the books of their machine say. Empty machines that fall silent together are dropped when their leases are over, and stay under the epoch that they had; a copy of an earlier report then looked like the first of a machine that lives, and work was placed there. And a machine whose newest reports came to another controller looked alive to its owner when copies of these came: each put the end of its lease off.

A worker that has begun anew is not held to what it told others before.

The scenario runner learns "as" and "late" (a copy of a report), "deaf", "from", "anew" and "refused"; a refused order shows its epoch to nobody.

--- a/internal/core/hear.go
+++ b/internal/core/hear.go
@@ -160,7 +160,7 @@
 	if old := (machine{tenure: was.tenure, tick: was.tick, seenEpoch: was.epoch}); was.heard && old.older(r) {
 		n.info("a worker has begun anew", "machine", m.id, "tenure", r.Tenure)
 		m.tenure, m.tick, m.seenEpoch = r.Tenure, r.Tick-min(r.Tick, 1), 0
-		m.anew = m.epoch
+		m.anew, m.came = m.epoch, Came{}
 		m.leaseEnd = later(m.leaseEnd, n.leaseAfter(later(n.now, m.former)))
 		if m.replyTick != 0 {
 			m.replyTick = r.Tick
--- a/internal/core/hear_test.go
+++ b/internal/core/hear_test.go
@@ -161,8 +161,12 @@
 		t.Fatal("a copy of its first report is taken for a new beginning")
 	}
 	n.out, m.questioned, m.probed = nil, false, time.Time{}
+	m.came = Came{m.id, m.epoch, m.tenure, 900}
 	n.contact(m)
 	n.ask1(t, m, first)
+	if m.came != (Came{}) {
+		t.Error("what it told others before is held against its reports")
+	}
 	if m.anew != m.epoch || j.live != 1 {
 		t.Fatalf("begun anew under %d, %d tasks live", m.anew, j.live)
 	}
--- a/internal/core/machines.go
+++ b/internal/core/machines.go
@@ -154,6 +154,7 @@
 		o.byID = slices.Delete(o.byID, i, i+1)
 	}
 	m.forgotten = true
+	o.remember(m)
 	o.blame.MachineGone(m.id)
 }
 
--- a/internal/core/node.go
+++ b/internal/core/node.go
@@ -141,7 +141,9 @@
 	case Abort:
 		n.abort(c)
 	case WorkerReport:
-		n.workerReport(c)
+		if !comesLate(n, &c) {
+			n.workerReport(c)
+		}
 	case StateDone:
 		if c.Status != StateUnknown && c.Status != StateRefused {
 			n.sess.stateBad = time.Time{}
--- a/internal/core/owner.go
+++ b/internal/core/owner.go
@@ -51,7 +51,9 @@
 	gathered time.Time
 	// byID are the machines in the order of their names, and dirty those for
 	// which orders may be due.
-	byID  []*machine
+	byID []*machine
+	// past is the newest that was heard of machines that were dropped; see past.go.
+	past  map[string]lastWord
 	dirty []*machine
 	// deafBack is when a machine that hears nothing was last given back.
 	deafBack time.Time
--- a/internal/core/safety_test.go
+++ b/internal/core/safety_test.go
@@ -32,8 +32,10 @@
 	bookings map[string]bool
 	// silence are reports whose answers nobody wants to read.
 	silence map[uint64]*benchVM
-	out     []string
-	shown   map[string]bool
+	// copies are reports by the names that a scenario gave them.
+	copies map[string]core.Report
+	out    []string
+	shown  map[string]bool
 }
 
 type benchNode struct {
@@ -76,9 +78,11 @@
 	failed       bool
 	gone         bool
 	unlisted     bool
-	keep         func()
-	kept         *datadriven.TestData
-	keptAt       time.Time
+	// deaf: what a kept worker says arrives, and no answer and no order reaches it.
+	deaf   bool
+	keep   func()
+	kept   *datadriven.TestData
+	keptAt time.Time
 	// again sends its report once more.
 	again func() *datadriven.TestData
 	// said is what it reports, while it reports a higher epoch.
@@ -88,7 +92,7 @@
 func newBench(t *testing.T) *bench {
 	return &bench{
 		t: t, now: time.Unix(1_750_000_000, 0), state: standin.NewStateService(),
-		nodes: map[string]*benchNode{}, vms: map[string]*benchVM{}, room: 2, bookings: map[string]bool{}, silence: map[uint64]*benchVM{}, shown: map[string]bool{},
+		nodes: map[string]*benchNode{}, vms: map[string]*benchVM{}, room: 2, bookings: map[string]bool{}, silence: map[uint64]*benchVM{}, copies: map[string]core.Report{}, shown: map[string]bool{},
 	}
 }
 
@@ -173,7 +177,7 @@
 		if vm.said != nil {
 			said = vm.said
 		}
-		if said != nil && len(e.Orders) == 0 {
+		if said != nil && len(e.Orders) == 0 && !vm.deaf {
 			// A kept worker answers questions by itself, and so does one that has just
 			// learnt a higher epoch.
 			vm.epoch = max(vm.epoch, e.Epoch)
@@ -187,6 +191,10 @@
 	case core.ReportReply:
 		if vm := b.silence[e.Reply]; vm != nil {
 			delete(b.silence, e.Reply)
+			if vm.deaf {
+				b.once(fmt.Sprintf("%s %d in vain", vm.id, e.Status))
+				return
+			}
 			vm.epoch = max(vm.epoch, e.Epoch)
 			if text := orders(e.Orders); strings.Contains(text, " start ") {
 				b.once(vm.id + text)
@@ -197,6 +205,8 @@
 		text := fmt.Sprint(e.Status)
 		if e.Status == 200 {
 			switch {
+			case vm == nil:
+				// A copy: nobody waits for its answer.
 			case e.Epoch < vm.epoch:
 				text += " dropped"
 			case e.Epoch > vm.epoch && vm.again != nil:
@@ -551,6 +561,10 @@
 			d.ScanArgs(t, "zone", &vm.zone)
 		}
 		vm.failed, vm.unlisted = d.HasArg("failed"), d.HasArg("unlisted")
+		if d.HasArg("anew") {
+			// Its worker begins anew under the same name, knowing nothing.
+			vm.tenure, vm.tick, vm.epoch = 1, 0, 0
+		}
 	case "returns":
 		b.returns = first()
 		clear(b.shown)
@@ -569,9 +583,22 @@
 		if d.HasArg("once") {
 			vm.again = nil
 		}
+		if d.HasArg("as") {
+			var name string
+			d.ScanArgs(t, "as", &name)
+			b.copies[name] = r
+		}
 		send()
 		b.run(0)
 		vm.again, vm.said = nil, nil
+	case "late":
+		// A copy of a report arrives, as it was sent, at whoever is asked for.
+		r, ok := b.copies[first()]
+		if !ok {
+			d.Fatalf(t, "late: no report was sent as %s", first())
+		}
+		b.ask(n, "late "+first(), func(id uint64) core.Command { return core.WorkerReport{Reply: id, Report: r} })
+		b.run(0)
 	case "keep":
 		// The worker goes on reporting the same, to whoever is asked for.
 		vm, node, said := vm(), n, *d // datadriven uses d again
@@ -580,9 +607,9 @@
 			b.ask(node, "", func(id uint64) core.Command { return core.WorkerReport{Reply: id, Report: r} })
 			b.silence[node.next] = vm
 		}
-		vm.kept = &said
+		vm.kept, vm.deaf = &said, d.HasArg("deaf")
 		if d.HasArg("off") {
-			vm.keep, vm.kept = nil, nil
+			vm.keep, vm.kept, vm.deaf = nil, nil, false
 		}
 	case "direct":
 		// The direct orders that wait for their answer.
@@ -614,7 +641,13 @@
 		if d.HasArg("lost") {
 			n.push(core.WorkerDone{ID: op.ID})
 		} else {
-			if !op.Ask && op.Epoch >= vm.epoch {
+			if d.HasArg("from") {
+				// Another machine has its address by now.
+				var other string
+				d.ScanArgs(t, "from", &other)
+				vm = b.vms[other]
+			}
+			if !op.Ask && !d.HasArg("refused") && op.Epoch >= vm.epoch {
 				vm.epoch = op.Epoch
 			}
 			r := b.report(d, vm)
