Only a machine's own answer shows which epoch it has seen

Cause: an order that was carried out counted as seen by the machine it was meant for before it was looked at who had answered. Where another machine had the address by then, a successor took its list without the task for proof, while the former owner's start could still be carried out: a second start before proof.

Change: the epoch is taken from the answer's report alone, which shows at least that of the order, and only if it is the machine's.

Run: other_at_its_address, red before (the cancelled job's record was gone with the start still on its way), green now; the condition that an answer names its machine taken out: noticed. internal/core, internal/lab/conditions: ok.

--- a/internal/core/contact.go
+++ b/internal/core/contact.go
@@ -80,9 +80,6 @@
 		if m.forgotten {
 			return
 		}
-		if d.OK {
-			m.seenEpoch = max(m.seenEpoch, epoch)
-		}
 		if !d.NotSent && answered(n, m, d.Report, was) {
 			n.mark(m)
 		}
--- a/internal/core/reconcile.go
+++ b/internal/core/reconcile.go
@@ -211,9 +211,6 @@
 			n.mark(m)
 			return
 		}
-		if d.OK {
-			m.seenEpoch = max(m.seenEpoch, epoch)
-		}
 		if !answered(n, m, d.Report, was) {
 			m.noDirect = true
 			if starts {
