A higher epoch keeps an order of before back only once it was seen

Cause: when a worker has begun anew, an order without an answer may find a tenure of its number again, so a later tenure is no proof. That was forgotten as soon as the higher epoch had been given: the worker has not seen it then, the order could still be carried out, and the task's next attempt was started.

Change: a later tenure proves nothing while an order of before the new beginning is without an answer and the report shows no higher epoch than the order's.

--- a/internal/core/reports.go
+++ b/internal/core/reports.go
@@ -74,8 +74,9 @@
 	}
 	n.describe(m, r.Addr, r.Flavour, r.Zone, r.Spot)
 	// After the worker has begun anew, an order from before that got no answer may be
-	// carried out in a later tenure of the same number.
-	lapsed := m.heard && r.Tenure > m.tenure && !(m.anew == m.epoch && m.unacked != 0)
+	// carried out in a later tenure of the same number, until the worker has seen a
+	// higher epoch. That one was given since says nothing.
+	lapsed := m.heard && r.Tenure > m.tenure && !(m.unacked != 0 && m.anew >= m.unacked && r.Epoch <= m.unacked)
 	if lapsed {
 		// A later tenure: the worker has killed and forgotten everything.
 		n.debug("lease ran out", "machine", m.id, "tenure", r.Tenure)
