--- a/cmd/micahill-lab/days.go
+++ b/cmd/micahill-lab/days.go
@@ -34,6 +34,10 @@
 the last job came. Time in which the cloud gives hardly anything, late boots leave
 nothing to use, or the state service or all controllers are away counts for neither.
 
+With --meetings two or three troubles of all lists overlap while users cancel most of
+a class. Tasks of a cancelled job have to be gone in time from the first answer that
+leaves a controller, heard or not, on every machine whose lease has not ended.
+
 --seed N plays one day and prints its log, --shrink cuts a broken one down to the
 troubles that it takes.`,
 		RunE: func(cmd *cobra.Command, _ []string) error {
@@ -82,6 +86,7 @@
 	f.IntVar(&p.Hot, "hot", 0, "how many times the work of another team the first has")
 	f.BoolVar(&p.Unlisted, "unlisted", false, "with troubles that were on no list: late boots, storms of polls, mistakes, guests, ends in a row, links that are half there")
 	f.BoolVar(&p.Product, "product", false, "as --unlisted, also with machines that nothing reaches, late copies of reports, controllers that have only their workers, and processes and machines back at once")
+	f.BoolVar(&p.Meetings, "meetings", false, "two or three troubles of all lists meet, and users cancel most of a class around them; with --unlisted, --product or --faults also those")
 	f.IntVar(&p.Models, "models", 0, "so many hosts with eight GPUs, and models of one GPU to a whole host")
 	f.StringSliceVar(&p.On, "on", nil, "what is switched on: ranking, promises, models, or all")
 	f.Uint64Var(&seeds, "seeds", 10, "how many days")
@@ -173,6 +178,9 @@
 			for _, f := range all[i].Day.Faults {
 				fmt.Fprintf(w, "%s\n", f)
 			}
+			if c := all[i].Cancels; c != nil {
+				fmt.Fprintln(w, c)
+			}
 			for _, b := range all[i].Broken {
 				fmt.Fprintf(w, "%s\n", b)
 			}
--- a/internal/standin/day.go
+++ b/internal/standin/day.go
@@ -31,6 +31,9 @@
 	// Product adds those of the protocol's addition, and implies Unlisted; see
 	// product.go.
 	Product bool `json:"product,omitempty"`
+	// Meetings has two or three troubles of all lists meet, and users cancel many jobs
+	// around them; see meetings.go. They stand in the place of drawn listed ones.
+	Meetings bool `json:"meetings,omitempty"`
 	// Models is how many hosts with eight GPUs there are, for models; see models.go.
 	Models int `json:"models,omitempty"`
 	// On names what is switched on: ranking, promises, models, or all.
@@ -54,6 +57,10 @@
 	Late time.Duration `json:"late_ns,omitempty"`
 	// Zone is the only one that a trouble of machines meets.
 	Zone string `json:"zone,omitempty"`
+	// Times is how many times as slow something is.
+	Times float64 `json:"times,omitempty"`
+	// Busiest: instead of Node it meets the controller that most machines report to.
+	Busiest bool `json:"busiest,omitempty"`
 }
 
 func (f DayFault) String() string {
@@ -61,11 +68,17 @@
 	if f.Link != "" {
 		s += " from " + f.Link
 	}
-	if f.Kind == "machines" || f.Share > 0 {
+	switch {
+	case f.Kind == "machines" || f.Share > 0:
 		s += fmt.Sprintf(" %.0f%%", 100*f.Share)
-	} else {
+	case f.Busiest:
+		s += " busiest"
+	default:
 		s += fmt.Sprintf(" node-%d", f.Node)
 	}
+	if f.Late > 0 {
+		s += fmt.Sprintf(" late=%.1fs", f.Late.Seconds())
+	}
 	return fmt.Sprintf("%s for %.0fs hold=%v", s, f.For.Seconds(), f.Hold)
 }
 
@@ -74,7 +87,9 @@
 	DayParams
 	Settings core.Settings `json:"-"`
 	Faults   []DayFault    `json:"troubles"`
-	classes  []dayClass
+	// Cancels is there on days of meetings.
+	Cancels *MassCancel `json:"cancels,omitempty"`
+	classes []dayClass
 	// mistakes is the part of the jobs that fail on every machine, until their users
 	// cancel them, and guest a team that comes in the middle of the day.
 	mistakes float64
@@ -97,9 +112,13 @@
 // faultKinds are the troubles a day may have, the likelier the oftener they stand.
 var faultKinds = []string{"crash", "crash", "crash_all", "cut", "cut", "cut", "refused", "outage", "cloud", "still", "die", "hang", "hang", "machine_cut", "machine_cut", "taken", "slow_state", "roll"}
 
+// slowTimes is how many times as slow a slow state service is, if nothing else is said.
+const slowTimes = 20.0
+
 // DrawDay draws a day.
 func DrawDay(p DayParams) Day {
 	rng := rand.New(rand.NewPCG(p.Seed, 4711))
+	listed := p.Faults > 0 || !p.Meetings
 	pick := func(v *int, draw func() int) {
 		if d := draw(); *v == 0 {
 			*v = d
@@ -163,6 +182,9 @@
 		d.Faults = append(d.Faults, f)
 	}
 	slices.SortFunc(d.Faults, func(a, b DayFault) int { return cmp.Compare(a.At, b.At) })
+	if !listed {
+		d.Faults = nil
+	}
 	d.Unlisted = p.Unlisted || p.Product
 	if d.Unlisted {
 		drawUnlisted(&d)
@@ -170,6 +192,9 @@
 	if p.Product {
 		drawProduct(&d)
 	}
+	if p.Meetings {
+		drawMeeting(&d)
+	}
 	if p.Models > 0 {
 		drawModels(&d)
 	}
@@ -280,18 +305,20 @@
 // play is PlayDay with a core made wrong on purpose, if there is a sabotage.
 func (d Day) play(trace string, sabotage func(*World, core.Effect) core.Effect) DayResult {
 	types, room := d.cloud()
-	w := NewWorld(d.Seed, d.Controllers, d.Settings, d.Settings.Lease+30*time.Second, types, room)
+	w := NewWorld(d.Seed, d.Controllers, d.Settings, d.cancelWithin(), types, room)
 	w.trace = trace
 	if sabotage != nil {
 		w.sabotage = func(e core.Effect) core.Effect { return sabotage(w, e) }
 	}
 	calm := d.calm()
 	w.calm = w.began.Add(calm)
-	if d.Unlisted {
+	w.keeps = d.Meetings
+	if d.Unlisted || d.Meetings {
 		w.weather = &weather{}
 	}
 	rng := rand.New(rand.NewPCG(d.Seed, 815))
 	mistakes := rand.New(rand.NewPCG(d.Seed, 816))
+	cancels := rand.New(rand.NewPCG(d.Seed, 817))
 	span := time.Duration(d.Minutes) * time.Minute
 	weights := 0.0
 	for i := range d.Settings.Teams {
@@ -323,6 +350,9 @@
 		if broken {
 			w.after(at+30*time.Second+time.Duration(mistakes.IntN(120))*time.Second, func() { w.Abort(spec.ID) })
 		}
+		if t, ok := d.Cancels.when(c.name, at, cancels); ok {
+			w.after(t, func() { w.Abort(spec.ID) })
+		}
 		if rng.IntN(25) == 0 {
 			w.after(span/2, func() {
 				if w.jobs[spec.ID] != nil {
@@ -369,7 +399,10 @@
 
 // trouble lets a fault begin.
 func (w *World) trouble(f DayFault, rng *rand.Rand) {
-	if w.unlisted(f, rng) || w.newTrouble(f, rng) {
+	if f.Busiest {
+		f.Node = w.busiest()
+	}
+	if w.unlisted(f, rng) || w.newTrouble(f, rng) || w.meetingTrouble(f) {
 		return
 	}
 	p := w.nodes[f.Node%len(w.nodes)]
@@ -396,12 +429,11 @@
 			}
 		}
 	case "refused":
-		p.stateNo = true
-		w.after(f.For, func() { p.stateNo = false })
+		w.refuse(p, f.For)
 	case "outage":
 		w.Outage(min(f.For, 30*time.Second))
 	case "slow_state":
-		w.slowState = w.now.Add(f.For)
+		w.slowState, w.slowBy = w.now.Add(f.For), cmp.Or(f.Times, slowTimes)
 	case "cloud":
 		w.cloudOut = true
 		w.after(f.For, func() { w.cloudOut = false })
--- a/internal/standin/half.go
+++ b/internal/standin/half.go
@@ -69,8 +69,7 @@
 func (w *World) CutAlone(i int, d time.Duration, refused, hold bool) {
 	p := w.nodes[i]
 	if refused {
-		p.stateNo = true
-		w.after(d, func() { p.stateNo = false })
+		w.refuse(p, d)
 	} else {
 		w.Cut(p.name, "state", d, hold)
 	}
--- a/internal/standin/judge.go
+++ b/internal/standin/judge.go
@@ -43,6 +43,10 @@
 		end = f.At + time.Duration(controllers)*15*time.Second + 5*time.Second
 	case "copies":
 		end += f.Late
+	case "refused_outage":
+		end += f.Late
+	case "late_writes":
+		end += lateWriteMost
 	case "election":
 		end = f.At + 2*f.Late + f.Back
 	}
@@ -60,7 +64,7 @@
 
 // silence breaks a rule if no question about a job was answered for too long.
 func (w *World) silence(j *userJob) {
-	if w.calm.IsZero() || !j.accepted || j.told == "cancelled" || j.silent {
+	if w.calm.IsZero() || !j.accepted || j.silent {
 		return
 	}
 	since := w.calm
@@ -78,7 +82,7 @@
 // time; no start can be recorded; nobody is there.
 func (f DayFault) noRoom(controllers int) time.Duration {
 	switch f.Kind {
-	case "cloud", "capacity", "outage", "crash_all", "again_all":
+	case "cloud", "capacity", "outage", "refused_outage", "crash_all", "again_all":
 		return f.ends(controllers)
 	case "boots":
 		if f.Share >= 1 {
@@ -88,6 +92,14 @@
 	return 0
 }
 
+// noRoomFrom is since when it is one.
+func (f DayFault) noRoomFrom() time.Duration {
+	if f.Kind == "refused_outage" {
+		return f.At + f.Late
+	}
+	return f.At
+}
+
 // later is the end of a time that begins at from and takes so long, where what troubles
 // without any room take of it is given back.
 func (d *Day) later(from, long time.Duration) time.Duration {
@@ -95,7 +107,7 @@
 	for range d.Faults {
 		more, till := from+long, from
 		for _, f := range d.Faults { // in the order of their begin
-			a, b := max(f.At, till), min(f.noRoom(d.Controllers), end)
+			a, b := max(f.noRoomFrom(), till), min(f.noRoom(d.Controllers), end)
 			if b > a {
 				more, till = more+b-a, b
 			}
--- a/internal/standin/scenario_test.go
+++ b/internal/standin/scenario_test.go
@@ -216,9 +216,7 @@
 	case "cut":
 		w.Cut(w.nodes[node()].name, arg(t, d, "from", "*"), dur, d.HasArg("hold"))
 	case "refused":
-		p := w.nodes[node()]
-		p.stateNo = true
-		w.after(dur, func() { p.stateNo = false })
+		w.refuse(w.nodes[node()], dur)
 	case "still":
 		// In the middle of something, or at once; the owner, or whoever comes first.
 		who := func(p *proc) bool { return !d.HasArg("owner") || p.node.IsOwner() }
--- a/internal/standin/users.go
+++ b/internal/standin/users.go
@@ -31,6 +31,9 @@
 	rev      int
 	// firstDate: the first answer told a date.
 	firstDate bool
+	// cancelled is when the first answer left a controller that says so: from then on
+	// its user could have been told, also if it came late or never.
+	cancelled time.Time
 	// heard is when a question was last answered, and silent: that none was for too
 	// long was told.
 	heard  time.Time
@@ -59,6 +62,11 @@
 
 // userCall sends a request to a random living controller, with a deadline.
 func (w *World) userCall(mk func(uint64) core.Command, deadline time.Duration, tell func(*core.UserReply)) {
+	w.userCallTo(-1, mk, deadline, tell)
+}
+
+// userCallTo is userCall to one controller, unless that is -1.
+func (w *World) userCallTo(to int, mk func(uint64) core.Command, deadline time.Duration, tell func(*core.UserReply)) {
 	asked := w.now
 	fn := func(r *core.UserReply) {
 		if r != nil && w.answered != nil {
@@ -70,6 +78,9 @@
 		tell(r)
 	}
 	p := w.nodes[w.rng.IntN(len(w.nodes))]
+	if to >= 0 {
+		p = w.nodes[to]
+	}
 	over := false
 	finish := func(r *core.UserReply) {
 		if !over {
@@ -107,7 +118,7 @@
 }
 
 func (w *World) poll(j *userJob) {
-	w.userCall(func(r uint64) core.Command { return core.Query{Reply: r, ID: j.spec.ID} }, 2*time.Second, func(r *core.UserReply) {
+	w.userCallTo(w.keepsTo(j), func(r uint64) core.Command { return core.Query{Reply: r, ID: j.spec.ID} }, 2*time.Second, func(r *core.UserReply) {
 		if r != nil && (r.Status == 200 || r.Status == 404) {
 			w.hear(j, r)
 		}
@@ -220,11 +231,23 @@
 	if s.Apart && zones[m.Zone]+1 > (s.Tasks+1)/2 {
 		w.broke("wrong_place", "%s too many in %s", name, m.Zone)
 	}
-	if j.told == "cancelled" && w.now.Sub(j.toldAt) > w.cancel {
+	if w.overdue(j) {
 		w.broke("ran_cancelled", "%s started", name)
 	}
 }
 
+// confirmed notes that an answer leaves that says that a job is cancelled.
+func (w *World) confirmed(r core.UserReply) {
+	if j := w.jobs[r.ID]; j != nil && r.Status == 200 && r.State == "cancelled" && j.cancelled.IsZero() {
+		j.cancelled = w.now
+	}
+}
+
+// overdue says that a job's tasks have to be gone by now.
+func (w *World) overdue(j *userJob) bool {
+	return !j.cancelled.IsZero() && w.now.Sub(j.cancelled) > w.cancel
+}
+
 // onMachines calls fn with the tasks of a job that are on machines: those with an
 // index, or all where the zones of the others matter.
 func (w *World) onMachines(j *userJob, fn func(int, *Worker, *workerTask), index int) {
@@ -278,14 +301,14 @@
 	orderBytes = len(`{"verb": "start", "piece": "/100000", "try": 1000, "wind_down_s": 10.0}, `)
 )
 
-// checkAll judges cancellations.
+// checkAll judges cancellations, on all machines that are there: also on those that are
+// silent, hang or hear nothing, until their leases end. A task whose image came while its
+// machine hung is on it as well.
 func (w *World) checkAll() {
 	for _, m := range w.fleet {
 		for _, t := range m.tasks {
-			if !t.onMachine() {
-				continue
-			}
-			if t.job.told == "cancelled" && w.now.Sub(t.job.toldAt) > w.cancel {
+			fetched := t.status == core.Fetching && !t.ready.After(w.now)
+			if (t.onMachine() || fetched) && w.overdue(t.job) {
 				w.broke("ran_cancelled", "%s on %s", taskName(t.job.spec.ID, t.index), m.ID)
 			}
 		}
--- a/internal/standin/world.go
+++ b/internal/standin/world.go
@@ -59,8 +59,17 @@
 	copies      float64
 	copyLongest time.Duration
 	copyTill    time.Time
-	// slowState: the state service answers slowly until then.
+	// slowState: the state service answers slowly until then, slowBy times as slowly.
 	slowState time.Time
+	slowBy    float64
+	// lateWrites is the share of transactions that get no answer and are carried out
+	// later, until lateWriteTill.
+	lateWrites    float64
+	lateWriteTill time.Time
+	// outageTill is when the last outage that has begun is over.
+	outageTill time.Time
+	// keeps: some users ask the same controller again and again once all is over.
+	keeps bool
 	// Refused counts users' requests that were refused for now.
 	Refused int
 	// LostToLease counts tasks that a worker killed when its lease ran out.
@@ -144,7 +153,9 @@
 	replies map[uint64]func(core.Effect)
 	next    uint64
 	stateNo bool
-	gate    *state.Gate
+	// refusedTill is when the last time is over in which it alone is refused.
+	refusedTill time.Time
+	gate        *state.Gate
 	// stillTill: the process stands still until then; its clock runs on. held is
 	// what it had decided and not sent yet.
 	stillTill time.Time
@@ -270,7 +281,7 @@
 	}
 	d := time.Duration(1+w.rng.IntN(6)) * time.Millisecond
 	if w.now.Before(w.slowState) && (a == "state" || b == "state") {
-		d *= 20
+		d = time.Duration(float64(d) * w.slowBy)
 	}
 	if w.weather != nil && w.now.Before(w.weather.slowTill) && (a == "state" || a == "cloud") {
 		d += time.Duration(w.rng.Int64N(int64(w.weather.slow)))
@@ -501,16 +512,27 @@
 func (p *proc) stateOp(e core.StateOp, until time.Time) {
 	w, life := p.w, p.life
 	sent := p.clock()
-	p.callUnless(e.Kind == core.OpTxn, until.Sub(w.now), func(answer func(core.Command)) {
-		if (w.outage || p.stateNo) && (e.Kind != core.OpFollow || e.Hold == 0) {
-			answer(core.StateDone{ID: e.ID, Status: core.StateRefused, Sent: sent})
-			return
-		}
-		w.state.Do(w.now, e, func(d core.StateDone) {
+	done := func(answer func(core.Command)) func(core.StateDone) {
+		return func(d core.StateDone) {
 			d.Sent = sent
 			w.ranked.look()
 			answer(d)
-		})
+		}
+	}
+	exec := func(answer func(core.Command)) {
+		switch {
+		case !w.outage && !p.stateNo || e.Kind == core.OpFollow && e.Hold > 0:
+			w.state.Do(w.now, e, done(answer))
+		default:
+			answer(core.StateDone{ID: e.ID, Status: core.StateRefused, Sent: sent})
+		}
+	}
+	p.callUnless(e.Kind == core.OpTxn, until.Sub(w.now), func(answer func(core.Command)) {
+		if d, ok := w.writeLate(e); ok {
+			w.after(d, func() { exec(func(core.Command) {}) })
+			return
+		}
+		exec(answer)
 	}, core.StateDone{ID: e.ID, Status: core.StateUnknown}, func() {
 		pause := state.TooMany + time.Duration(w.rng.Int64N(int64(state.TooManySpread)))
 		w.after(pause, func() {
@@ -560,6 +582,7 @@
 			}
 		}, core.WorkerDone{ID: e.ID})
 	case core.UserReply:
+		w.confirmed(e)
 		p.reply(e.Reply, e)
 	case core.ReportReply:
 		p.reply(e.Reply, e)
@@ -612,8 +635,13 @@
 // full time again.
 func (w *World) Outage(d time.Duration) {
 	w.outage = true
+	if till := w.now.Add(d); till.After(w.outageTill) {
+		w.outageTill = till
+	}
 	w.after(d, func() {
-		w.outage = false
+		if w.outage = w.now.Before(w.outageTill); w.outage {
+			return
+		}
 		w.state.Extend(w.now)
 	})
 }
@@ -656,8 +684,7 @@
 	case 4:
 		w.Cut(p.name, "workers", dur, hold)
 	case 5:
-		p.stateNo = true
-		w.after(dur, func() { p.stateNo = false })
+		w.refuse(p, dur)
 	case 6:
 		w.Outage(dur)
 	case 7:
