A refused controller's watches tell nothing; many small jobs before a meeting

Cause: the stand-in answered an open watch of the controller that the state service refused alone, so a refused leader heard of every cancellation at once, and a watch opened in an outage let leases run out. The protocol has such watches wait.

Change: a watch waits while its service is away or refuses its process, and is looked at anew afterwards. The time from the refusal to the outage is drawn from 1 to 12 s.

--- a/internal/standin/day.go
+++ b/internal/standin/day.go
@@ -362,11 +362,12 @@
 		}
 	}
 	d.guestJobs(w, rng, span)
+	d.manyJobs(w)
 	d.modelJobs(w)
 	for _, f := range d.Faults {
 		w.after(f.At, func() { w.trouble(f, rng) })
 	}
-	counted := max(d.later(0, span+servedAfter), calm+servedCalm)
+	counted := max(d.later(0, span+servedAfter+d.longRun()), calm+servedCalm)
 	w.Run(counted)
 	r := d.result(w)
 	w.Run(max(0, calm+SilentMost+askEnded-counted))
--- a/internal/standin/meetings.go
+++ b/internal/standin/meetings.go
@@ -65,6 +65,18 @@
 	return t, t > at
 }
 
+// importRun is how long the tasks of those classes take that outlast cancel_s.
+const importRun = 110 * time.Second
+
+// longRun is how much later than on other days is counted what was served: the long
+// tasks that came last are to have their time.
+func (d *Day) longRun() time.Duration {
+	if d.Meetings {
+		return importRun
+	}
+	return 0
+}
+
 // meetingClasses are those of other days and one whose tasks outlast cancel_s.
 func meetingClasses(classes []dayClass) []dayClass {
 	out := slices.Clone(classes)
@@ -72,7 +84,30 @@
 	for i := range out {
 		out[i].part *= 1 - part
 	}
-	return append(out, dayClass{"import", 2, 4, 110 * time.Second, 1, core.Normal, 0, part})
+	return append(out, dayClass{"import", 2, 4, importRun, 1, core.Normal, 0, part})
+}
+
+// manyJobs has many small jobs of long tasks come in the time before users cancel, so
+// that there is always much to be stopped when troubles meet: one for every two machines.
+func (d *Day) manyJobs(w *World) {
+	if d.Cancels == nil {
+		return
+	}
+	rng := rand.New(rand.NewPCG(d.Seed, 818))
+	const before = time.Minute
+	for range d.Machines / 2 {
+		w.names++
+		at := max(0, d.Cancels.At-time.Duration(rng.Float64()*float64(before)))
+		run := time.Duration(float64(importRun) * (0.75 + rng.Float64()/2))
+		spec := core.Spec{
+			ID: fmt.Sprintf("job-%06d", w.names), Workload: "import", Team: d.Settings.Teams[rng.IntN(d.Teams)].Name, Urgency: core.Normal,
+			Tasks: 1 + rng.IntN(3), Need: core.Resources{CPU: 1, Memory: 2}, Image: "import", ImageGB: 0.5, Spot: true, Expected: importRun,
+		}
+		w.after(at, func() { w.Submit(spec, run, false) })
+		if t, ok := d.Cancels.when(spec.Workload, at, rng); ok {
+			w.after(t, func() { w.Abort(spec.ID) })
+		}
+	}
 }
 
 // drawMeeting draws two or three troubles that overlap, and whose jobs are cancelled
@@ -155,7 +190,7 @@
 	case "late_writes":
 		f.Share = part(0.05, 0.2, 0.5)
 	case "refused_outage":
-		f.Late, f.For = between(2*time.Second, 12*time.Second), between(cancel, 3*cancel)
+		f.Late, f.For = between(time.Second, 12*time.Second), between(cancel, 3*cancel)
 	}
 	return f
 }
--- a/internal/standin/world.go
+++ b/internal/standin/world.go
@@ -521,10 +521,12 @@
 	}
 	exec := func(answer func(core.Command)) {
 		switch {
-		case !w.outage && !p.stateNo || e.Kind == core.OpFollow && e.Hold > 0:
-			w.state.Do(w.now, e, done(answer))
-		default:
+		case e.Kind == core.OpFollow && e.Hold > 0:
+			p.watch(e, until, done(answer))
+		case w.outage || p.stateNo:
 			answer(core.StateDone{ID: e.ID, Status: core.StateRefused, Sent: sent})
+		default:
+			w.state.Do(w.now, e, done(answer))
 		}
 	}
 	p.callUnless(e.Kind == core.OpTxn, until.Sub(w.now), func(answer func(core.Command)) {
@@ -547,6 +549,29 @@
 	})
 }
 
+// watch opens a watch. While the service is away, or refuses the process alone, it tells
+// nothing: it waits until that is over, or the process has given it up.
+func (p *proc) watch(e core.StateOp, until time.Time, answer func(core.StateDone)) {
+	w := p.w
+	silent := func() bool {
+		if !w.outage && !p.stateNo {
+			return false
+		}
+		if w.now.Before(until) {
+			w.after(tick, func() { p.watch(e, until, answer) })
+		}
+		return true
+	}
+	if silent() {
+		return
+	}
+	w.state.Do(w.now, e, func(d core.StateDone) {
+		if !silent() {
+			answer(d)
+		}
+	})
+}
+
 func (p *proc) do(e core.Effect) {
 	w := p.w
 	w.ranked.leaves(p, e)
