--- a/internal/standin/judge.go
+++ b/internal/standin/judge.go
@@ -47,6 +47,8 @@
 		end += f.Late
 	case "late_writes":
 		end += lateWriteMost
+	case "loss", "twice":
+		end += lateMost
 	case "election":
 		end = f.At + 2*f.Late + f.Back
 	}
--- a/internal/standin/meetings.go
+++ b/internal/standin/meetings.go
@@ -14,7 +14,8 @@
 
 // meetings.go has days on which two or three troubles meet while users cancel most of a
 // class, and the troubles that only such days have: transactions that are carried out
-// late, and a state service that refuses one controller and then is away for all.
+// late, a state service that refuses one controller and then is away for all, and
+// messages that are lost, held or carried out twice here and there.
 
 // meetingKinds are all troubles that there are, the likelier the oftener they stand:
 // those twice that we know as partners of others.
@@ -23,7 +24,7 @@
 	"machine_cut", "machine_cut", "taken", "slow_state", "slow_state",
 	"boots", "polls", "again", "again_all", "one_way", "one_way", "slow_answers", "lazy", "capacity", "price", "faulty",
 	"deaf_machine", "deaf_machine", "copies", "copies", "cut_alone", "cut_alone", "election", "election", "back_machine",
-	"late_writes", "late_writes", "refused_outage", "refused_outage",
+	"late_writes", "late_writes", "refused_outage", "refused_outage", "loss", "loss", "twice",
 }
 
 const (
@@ -187,6 +188,8 @@
 		f.Late, f.Back = between(5*time.Millisecond, 5*time.Second), back
 	case "back_machine":
 		f.Share, f.Back = part(1e-9, 0.1, 0.3), back
+	case "loss", "twice":
+		f.Share = part(0.01, 0.05, 0.2)
 	case "late_writes":
 		f.Share = part(0.05, 0.2, 0.5)
 	case "refused_outage":
@@ -206,6 +209,12 @@
 	case "refused_outage":
 		w.refuse(w.nodes[f.Node%len(w.nodes)], f.Late+min(refusedAlone, f.For))
 		w.after(f.Late, func() { w.Outage(f.For) })
+	case "loss":
+		w.loss = f.Share
+		w.after(f.For, func() { w.loss = 0 })
+	case "twice":
+		w.twice = f.Share
+		w.after(f.For, func() { w.twice = 0 })
 	default:
 		return false
 	}
--- a/internal/standin/users.go
+++ b/internal/standin/users.go
@@ -308,7 +308,8 @@
 	for _, m := range w.fleet {
 		for _, t := range m.tasks {
 			fetched := t.status == core.Fetching && !t.ready.After(w.now)
-			if (t.onMachine() || fetched) && w.overdue(t.job) {
+			if (t.onMachine() || fetched) && !t.blamed && w.overdue(t.job) {
+				t.blamed = true
 				w.broke("ran_cancelled", "%s on %s", taskName(t.job.spec.ID, t.index), m.ID)
 			}
 		}
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -64,6 +64,8 @@
 	ready  time.Time
 	left   time.Duration
 	flush  time.Time
+	// blamed: that it is still there was told; others are to find room in the list.
+	blamed bool
 }
 
 func taskName(job string, i int) string { return fmt.Sprintf("%s/%d", job, i) }
--- a/internal/standin/world.go
+++ b/internal/standin/world.go
@@ -301,6 +301,9 @@
 // late is how much later than usual a message comes that was held somewhere.
 func (w *World) late() time.Duration { return time.Duration(5+w.rng.IntN(100)) * time.Second }
 
+// lateMost bounds that.
+const lateMost = 105 * time.Second
+
 // checkLead: nobody rents or returns but the leader. What a deposed one would send
 // has no conditions that could stop it.
 func (p *proc) checkLead(e core.CloudOp) {
