--- a/internal/standin/meetings_test.go
+++ b/internal/standin/meetings_test.go
@@ -192,3 +192,54 @@
 		}
 	}
 }
+
+// TestLateWrites: a transaction that is carried out late comes after newer ones of the
+// same controller.
+func TestLateWrites(t *testing.T) {
+	w := newTestWorld(1)
+	w.Run(20 * time.Second)
+	value := []byte{0x80}
+	w.LateWrites(1, time.Second)
+	p := w.nodes[0]
+	write := func(key string) {
+		p.stateOp(core.StateOp{ID: 1 << 40, Kind: core.OpTxn, Apply: []core.Change{{Key: key, Value: value}}}, w.now.Add(time.Minute))
+	}
+	there := func(key string) bool { return w.state.rows[key] != nil }
+	write("x/old")
+	w.Run(time.Second)
+	write("x/new")
+	w.Run(900 * time.Millisecond)
+	if there("x/old") || !there("x/new") {
+		t.Errorf("after 1.9 s: old %v, new %v", there("x/old"), there("x/new"))
+	}
+	w.Run(lateWriteMost)
+	if !there("x/old") || w.state.rows["x/old"].stamp < w.state.rows["x/new"].stamp {
+		t.Errorf("the old one is not there, or not after the new one")
+	}
+}
+
+// TestRefusedOutage: one controller alone is refused and its watches tell nothing, then
+// the service is away for all, and every lease is there afterwards.
+func TestRefusedOutage(t *testing.T) {
+	w := newTestWorld(1)
+	w.Run(20 * time.Second)
+	p := w.nodes[w.leader(0)]
+	told := 0
+	p.watch(core.StateOp{Kind: core.OpFollow, Key: "x/", Rev: w.state.rev, Hold: time.Hour}, w.now.Add(time.Hour), func(core.StateDone) { told++ })
+	w.meetingTrouble(DayFault{Kind: "refused_outage", Node: p.index, Late: 2 * time.Second, For: time.Minute})
+	w.Run(time.Second)
+	if !p.stateNo || w.outage {
+		t.Error("not the one alone")
+	}
+	w.state.txn(core.StateOp{Apply: []core.Change{{Key: "x/1", Value: []byte{0x80}}}}, &core.StateDone{})
+	w.Run(time.Second)
+	grants := len(w.state.grants)
+	w.Run(50 * time.Second)
+	if !w.outage || told > 0 || len(w.state.grants) != grants {
+		t.Errorf("outage %v, %d answers of the watch, %d leases of %d", w.outage, told, len(w.state.grants), grants)
+	}
+	w.Run(15 * time.Second)
+	if w.outage || p.stateNo || told != 1 {
+		t.Errorf("outage %v, refused %v, %d answers of the watch", w.outage, p.stateNo, told)
+	}
+}
--- a/internal/standin/scenario_test.go
+++ b/internal/standin/scenario_test.go
@@ -226,6 +226,11 @@
 			break
 		}
 		w.StillIn(dur, is, who)
+	case "refused_outage":
+		// It alone at first, then all.
+		w.meetingTrouble(DayFault{Kind: "refused_outage", Node: node(), Late: seconds(t, d, "late", 2), For: dur})
+	case "late_writes":
+		w.LateWrites(arg(t, d, "share", 0.5), dur)
 	case "outage":
 		w.Outage(dur)
 	case "cloud":
