--- a/internal/standin/meeting_test.go
+++ b/internal/standin/elsewhere_test.go
@@ -66,8 +66,7 @@
 	owner := w.nodes[i]
 	switch e.how {
 	case "refused":
-		owner.stateNo = true
-		w.after(e.alone+2*time.Second, func() { owner.stateNo = false })
+		w.refuse(owner, e.alone+2*time.Second)
 	default:
 		w.Cut(owner.name, "state", e.alone+2*time.Second, e.how == "held")
 	}
--- a/internal/standin/scenario_test.go
+++ b/internal/standin/scenario_test.go
@@ -219,9 +219,7 @@
 	case "cut":
 		w.Cut(w.nodes[node()].name, arg(t, d, "from", "*"), dur, d.HasArg("hold"))
 	case "refused":
-		p := w.nodes[node()]
-		p.stateNo = true
-		w.after(dur, func() { p.stateNo = false })
+		w.refuse(w.nodes[node()], dur)
 	case "still":
 		// In the middle of something, or at once; the owner, or whoever comes first.
 		who := func(p *proc) bool { return !d.HasArg("owner") || p.node.IsOwner() }
@@ -231,6 +229,11 @@
 			break
 		}
 		w.StillIn(dur, is, who)
+	case "refused_outage":
+		// It alone at first, then all.
+		w.meetingTrouble(DayFault{Kind: "refused_outage", Node: node(), Late: seconds(t, d, "late", 2), For: dur})
+	case "late_writes":
+		w.LateWrites(arg(t, d, "share", 0.5), dur)
 	case "outage":
 		w.Outage(dur)
 	case "cloud":
