--- a/internal/core/hear_test.go
+++ b/internal/core/hear_test.go
@@ -281,3 +281,26 @@
 		t.Error("bad news is taken")
 	}
 }
+
+// TestReportUnderEarlierEpoch: a newer report under an epoch of before, of a machine that
+// is known, tells what was there, and not that the machine lives now.
+func TestReportUnderEarlierEpoch(t *testing.T) {
+	n := largePool(12)
+	m, _ := firstWork(n)
+	was := m.epoch
+	n.lotOf(t, n.set.Host, 9, m.id)
+	n.ownerCheck()
+	n.now = n.now.Add(5 * n.silentAfter(m))
+	n.sess.sureUntil = n.now.Add(time.Second)
+	r := n.poolReport(0)
+	r.Tick, r.Epoch, r.Tasks = m.tick+1, was, m.last
+	n.workerReport(WorkerReport{Reply: 1, Report: *r})
+	if m.tick != r.Tick || !n.silent(m) {
+		t.Errorf("known up to tick %d, silent %v", m.tick, n.silent(m))
+	}
+	r.Tick, r.Epoch = m.tick+1, m.epoch
+	n.workerReport(WorkerReport{Reply: 1, Report: *r})
+	if n.silent(m) {
+		t.Error("a report under the epoch of now is no sign of life")
+	}
+}
--- a/internal/core/owner_test.go
+++ b/internal/core/owner_test.go
@@ -103,6 +103,25 @@
 	}
 }
 
+// TestLeaseCountsAnew: a machine that is this owner's under a new epoch may have been
+// another's in between, and one that was never heard of and has others' work may have been
+// answered by whoever had it: their leases count from the last answer that was possible.
+func TestLeaseCountsAnew(t *testing.T) {
+	n := two(t)
+	m := n.owner.byID[0]
+	m.former, m.leaseEnd = time.Time{}, n.leaseAfter(n.now)
+	n.lotOf(t, "a", 4, m.id, "vm-000088")
+	n.ownerCheck()
+	least := n.now.Add(sessionTTL + n.grace() + n.set.Lease)
+	if m.epoch != 4 || m.leaseEnd.Before(least) {
+		t.Errorf("under epoch %d its lease counts as over after %v, want %v at least", m.epoch, m.leaseEnd.Sub(n.now), least.Sub(n.now))
+	}
+	takeAsks(n, "b", []custody.Ask{{Machine: "vm-000088", Attempts: []custody.Asked{{Attempt: custody.Attempt{Job: "job-000900", Index: 0, Try: 1}}}}})
+	if m = n.owner.machines["vm-000088"]; m == nil || m.heard || m.leaseEnd.Before(least) {
+		t.Errorf("a machine with others' work: %+v", m)
+	}
+}
+
 // TestOthersWorkIsLeftAlone: what runs on a machine for another controller's job is
 // not stopped before that controller has asked for it.
 func TestOthersWorkIsLeftAlone(t *testing.T) {
