A cancelled job's attempts are stopped by a successor in all of its records

Cause: a record of tasks beyond the first made room for tasks by moving them all. The books of the machines went on pointing to the old ones, which nothing stopped: a successor that had read the job as cancelled, with all 64 attempts marked, started those of the first record again.

Change: room is made only where the job's record does not say how many tasks there are, and the machines' books follow.

--- a/internal/core/jobs.go
+++ b/internal/core/jobs.go
@@ -124,6 +124,18 @@
 	}
 }
 
+// grow makes room for more tasks, where a record of an earlier form did not say how many
+// there are. The machines' books point to the tasks: what they hold must not be left
+// behind, or a cancelled job's attempts would be looked after in a copy that nobody stops.
+func (j *job) grow(tasks int) {
+	j.tasks = append(j.tasks, make([]task, tasks-len(j.tasks))...)
+	for i := range j.tasks {
+		if t := &j.tasks[i]; t.m != nil {
+			t.m.attempts[taskKey{j.ID, i}] = t
+		}
+	}
+}
+
 func (j *job) progress() Progress {
 	return Progress{ID: j.ID, Done: j.done, Running: j.running}
 }
--- a/internal/core/restore.go
+++ b/internal/core/restore.go
@@ -16,8 +16,8 @@
 		return
 	}
 	c := &chunk{n: k, stamp: it.Stamp, ver: 1, saved: 1, writing: 1, rank: r.Rank}
-	if j.cancelled && len(j.tasks) < (k+1)*j.per {
-		j.tasks = append(j.tasks, make([]task, (k+1)*j.per-len(j.tasks))...)
+	if k*j.per >= len(j.tasks) {
+		j.grow((k + 1) * j.per)
 	}
 	j.chunks[k] = c
 	for i := 0; i+1 < len(r.Runs); i += 2 {
