--- a/internal/standin/scenario_test.go
+++ b/internal/standin/scenario_test.go
@@ -276,6 +276,9 @@
 	case "cut_alone":
 		// It loses the state service and the other controllers, but not its workers.
 		w.CutAlone(node(), dur, d.HasArg("refused"), d.HasArg("hold"))
+	case "unanswered":
+		// What the state service answers a controller is lost, and nothing else.
+		w.cutOneWay("state", w.nodes[node()].name, dur)
 	case "mute":
 		// What a controller sends to workers is lost, and nothing else.
 		w.cutOneWay(w.nodes[node()].name, "workers", dur)
@@ -323,6 +326,13 @@
 			case "world":
 				s.w = newTestWorldOf(arg(t, d, "seed", uint64(1)), arg(t, d, "nodes", 3))
 				s.w.trace = os.Getenv("MICAHILL_TRACE")
+				if d.HasArg("lease") {
+					// cancel_s as far behind it as on all sites, if nothing else is said.
+					set := testSettings()
+					set.Lease, set.ReportEvery = seconds(t, d, "lease", 0), seconds(t, d, "lease", 0)/6
+					types, room := testTypes()
+					s.w = NewWorld(arg(t, d, "seed", uint64(1)), arg(t, d, "nodes", 3), set, seconds(t, d, "cancel", set.Lease.Seconds()+30), types, room)
+				}
 				if d.HasArg("ranking") {
 					s.w = rankedWorld(arg(t, d, "seed", uint64(1)), arg(t, d, "nodes", 3))
 				}
