--- a/internal/standin/elsewhere_test.go
+++ b/internal/standin/elsewhere_test.go
@@ -2,7 +2,7 @@
 
 import (
 	"fmt"
-	"slices"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -140,18 +140,20 @@
 	for step > 1 && (step%2 == 0 || step%3 == 0) {
 		step++
 	}
-	met := 0
-	for i := 0; i < len(all); i += step {
-		broken, is := all[i].play(uint64(i))
-		if is {
-			met++
-		}
-		slices.Sort(broken)
-		if broken = slices.Compact(broken); len(broken) > 0 {
-			t.Errorf("%d, %v: %d broken: %v", i, all[i], len(broken), broken[0])
+	var met atomic.Int64
+	t.Run("days", func(t *testing.T) {
+		for i := 0; i < len(all); i += step {
+			t.Run(fmt.Sprint(i), func(t *testing.T) {
+				t.Parallel()
+				broken, is := all[i].play(uint64(i))
+				met.Add(int64(boolInt(is)))
+				if len(broken) > 0 {
+					t.Errorf("%v: %d broken: %v", all[i], len(broken), broken[0])
+				}
+			})
 		}
-	}
-	if played := (len(all) + step - 1) / step; met*10 < played*9 {
-		t.Errorf("the meeting came about on %d of %d days", met, played)
+	})
+	if played := (len(all) + step - 1) / step; int(met.Load())*10 < played*9 {
+		t.Errorf("the meeting came about on %d of %d days", met.Load(), played)
 	}
 }
--- a/internal/standin/ranking_test.go
+++ b/internal/standin/ranking_test.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"slices"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -351,35 +352,40 @@
 // meets a start, so that several days count together.
 func TestRankingStorm(t *testing.T) {
 	const days = 6
-	all := 0
-	for seed := range uint64(days) {
-		w := rankedWorld(31+seed, 5)
-		w.Run(10 * time.Second)
-		held := 0
-		for k := range 60 {
-			text := []string{rushFirst, reprintFirst}[k%2]
-			w.after(time.Duration(k)*time.Second, func() {
-				w.Rank(k%5, core.RankSet{Record: mustRank(t, text, "somebody"), AnyRev: true}, func(r core.RankReply) { held += boolInt(r.Status == 200) })
+	var all atomic.Int64
+	t.Run("days", func(t *testing.T) {
+		for seed := range uint64(days) {
+			t.Run(fmt.Sprint(31+seed), func(t *testing.T) {
+				t.Parallel()
+				w := rankedWorld(31+seed, 5)
+				w.Run(10 * time.Second)
+				held := 0
+				for k := range 60 {
+					text := []string{rushFirst, reprintFirst}[k%2]
+					w.after(time.Duration(k)*time.Second, func() {
+						w.Rank(k%5, core.RankSet{Record: mustRank(t, text, "somebody"), AnyRev: true}, func(r core.RankReply) { held += boolInt(r.Status == 200) })
+					})
+				}
+				flood(w, "reprint-a", 30, 5*time.Second)
+				flood(w, "rush-rx", 30, 5*time.Second)
+				w.Run(58 * time.Second)
+				done := 0
+				for _, j := range w.jobs {
+					done += boolInt(j.finished != time.Time{})
+				}
+				w.finish()
+				for _, b := range w.Broken {
+					t.Error(b)
+				}
+				if held < 50 || done < 15 {
+					t.Errorf("%d rankings were set, %d jobs done meanwhile", held, done)
+				}
+				all.Add(int64(done))
 			})
 		}
-		flood(w, "reprint-a", 30, 5*time.Second)
-		flood(w, "rush-rx", 30, 5*time.Second)
-		w.Run(58 * time.Second)
-		done := 0
-		for _, j := range w.jobs {
-			done += boolInt(j.finished != time.Time{})
-		}
-		w.finish()
-		for _, b := range w.Broken {
-			t.Error(b)
-		}
-		if held < 50 || done < 15 {
-			t.Errorf("seed %d: %d rankings were set, %d jobs done meanwhile", 31+seed, held, done)
-		}
-		all += done
-	}
-	if all < 40*days {
-		t.Errorf("%d jobs done meanwhile on %d days", all, days)
+	})
+	if all.Load() < 40*days {
+		t.Errorf("%d jobs done meanwhile on %d days", all.Load(), days)
 	}
 }
 
--- a/internal/standin/scenario_test.go
+++ b/internal/standin/scenario_test.go
@@ -347,6 +347,7 @@
 // TestScenarios runs the scenario files under testdata.
 func TestScenarios(t *testing.T) {
 	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
+		t.Parallel()
 		s := &scenario{w: newTestWorld(1)}
 		s.w.trace = os.Getenv("MICAHILL_TRACE")
 		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
