An ordinary report looks once whether its machine is settled

Cause: the bound on answers asked it before the orders did, and went through all attempts of the machine once more.

Change: a report's answer looks once and tells both. Behaviour is unchanged.

--- a/internal/core/horizon.go
+++ b/internal/core/horizon.go
@@ -29,10 +29,10 @@
 
 // renewUntilOn is the same for one machine: as long as tasks of a cancelled job may be on
 // it or begin there, their time counts too. They were told to stop, but what was told may
-// never arrive, and a start that was sent before may yet.
-func (n *Node) renewUntilOn(m *machine) time.Time {
+// never arrive, and a start that was sent before may yet. settled: see machine.settled.
+func (n *Node) renewUntilOn(m *machine, settled bool) time.Time {
 	until := n.renewUntil()
-	if m.settled() && !m.warded {
+	if settled && !m.warded {
 		return until
 	}
 	for k := range m.attempts {
@@ -75,8 +75,8 @@
 // renewal is until when a report of m may be answered so that its lease goes on, which is
 // noted. When that is over it is refused, the lease is to run out, and what has to stop is
 // ordered directly.
-func renewal(n *Node, m *machine, reply uint64) (until time.Time, renews bool) {
-	until = n.renewUntilOn(m)
+func renewal(n *Node, m *machine, settled bool, reply uint64) (until time.Time, renews bool) {
+	until = n.renewUntilOn(m, settled)
 	if n.now.After(until) {
 		n.mark(m)
 		n.emit(ReportReply{Reply: reply, Status: 503})
@@ -88,7 +88,7 @@
 
 // renewOnly answers a report that proves nothing: it orders nothing.
 func renewOnly(n *Node, m *machine, reply uint64) {
-	if until, renews := renewal(n, m, reply); renews {
+	if until, renews := renewal(n, m, m.settled(), reply); renews {
 		n.emit(ReportReply{Reply: reply, Until: until, Status: 200, Epoch: m.epoch})
 	}
 }
--- a/internal/core/reconcile.go
+++ b/internal/core/reconcile.go
@@ -69,10 +69,13 @@
 // reconcile is what the worker has to be told, from its newest report and what
 // should be there. Repeating an order does no harm but for a start after its
 // clear, so clear waits until no start can be on its way.
-func (n *Node) reconcile(m *machine) []Order {
+func (n *Node) reconcile(m *machine) []Order { return n.ordersDue(m, m.settled()) }
+
+// ordersDue is reconcile for who has looked already whether the machine is settled.
+func (n *Node) ordersDue(m *machine, settled bool) []Order {
 	o := n.owner
 	m.dirty, m.fresh = false, false
-	if m.settled() {
+	if settled {
 		return nil
 	}
 	// Clearing up comes last, with the room that is left: thousands of short tasks may
--- a/internal/core/reports.go
+++ b/internal/core/reports.go
@@ -54,11 +54,13 @@
 	was := m.seen()
 	n.hear(m, r, true)
 	signs(n, m, r, was)
-	until, renews := renewal(n, m, c.Reply)
+	// Looked at once for both: nearly all reports are of machines that are settled.
+	settled := m.settled()
+	until, renews := renewal(n, m, settled, c.Reply)
 	if !renews {
 		return
 	}
-	orders := n.reconcile(m)
+	orders := n.ordersDue(m, settled)
 	for _, or := range orders {
 		if or.Verb == Start {
 			m.replyTick = r.Tick
