--- a/internal/standin/judge_test.go
+++ b/internal/standin/judge_test.go
@@ -10,22 +10,24 @@
 	"github.com/micahill/micahill/internal/core"
 )
 
-// noStarts takes the starts that a test picks out of whatever goes to workers.
-func noStarts(e core.Effect, which func(core.Order) bool) core.Effect {
-	drop := func(os []core.Order) []core.Order {
-		return slices.DeleteFunc(slices.Clone(os), func(o core.Order) bool { return o.Verb == core.Start && which(o) })
-	}
+// withoutOrders takes the orders that a test picks out of whatever goes to workers.
+func withoutOrders(e core.Effect, which func(core.Order) bool) core.Effect {
 	switch x := e.(type) {
 	case core.WorkerOp:
-		x.Orders = drop(x.Orders)
+		x.Orders = slices.DeleteFunc(slices.Clone(x.Orders), which)
 		return x
 	case core.ReportReply:
-		x.Orders = drop(x.Orders)
+		x.Orders = slices.DeleteFunc(slices.Clone(x.Orders), which)
 		return x
 	}
 	return e
 }
 
+// noStarts does so with starts.
+func noStarts(e core.Effect, which func(core.Order) bool) core.Effect {
+	return withoutOrders(e, func(o core.Order) bool { return o.Verb == core.Start && which(o) })
+}
+
 // TestDaysNoticeWhatIsWrong: each condition on a day fails on a core made wrong on
 // purpose, and none of them on the same day with the core as it is.
 func TestDaysNoticeWhatIsWrong(t *testing.T) {
--- a/internal/standin/meetings.go
+++ b/internal/standin/meetings.go
@@ -3,7 +3,6 @@
 import (
 	"cmp"
 	"fmt"
-	"math"
 	"math/rand/v2"
 	"slices"
 	"strings"
@@ -146,14 +145,10 @@
 
 // drawTrouble draws one of all troubles, but for when it begins.
 func (d *Day) drawTrouble(rng *rand.Rand) DayFault {
-	// between draws a time between two, as often in each tenfold of it.
-	between := func(a, b time.Duration) time.Duration {
-		return time.Duration(float64(a) * math.Pow(float64(b)/float64(a), rng.Float64()))
-	}
 	part := func(of ...float64) float64 { return of[rng.IntN(len(of))] }
 	cancel := d.cancelWithin()
 	f := DayFault{
-		Kind: meetingKinds[rng.IntN(len(meetingKinds))], For: between(8*time.Second, 90*time.Second),
+		Kind: meetingKinds[rng.IntN(len(meetingKinds))], For: between(rng, 8*time.Second, 90*time.Second),
 		Node: rng.IntN(d.Controllers), Busiest: rng.IntN(3) > 0, Hold: rng.IntN(2) == 0,
 	}
 	back := []time.Duration{50, 200, 500, 1000}[rng.IntN(4)] * time.Millisecond
@@ -176,16 +171,16 @@
 		f.Back = back
 	case "deaf_machine":
 		// One, a tenth, or a whole zone's.
-		f.For, f.Share = between(8*time.Second, 5*time.Minute), part(1e-9, 0.1, 1)
+		f.For, f.Share = between(rng, 8*time.Second, 5*time.Minute), part(1e-9, 0.1, 1)
 		if f.Share == 1 {
 			f.Zone = d.Settings.Zones[len(d.Settings.Zones)-1]
 		}
 	case "copies":
-		f.Late, f.Share = between(2*time.Second, 5*d.Settings.Lease), part(0.05, 0.3, 1)
+		f.Late, f.Share = between(rng, 2*time.Second, 5*d.Settings.Lease), part(0.05, 0.3, 1)
 	case "cut_alone":
 		f.Link = []string{"", "", "refused"}[rng.IntN(3)]
 	case "election":
-		f.Late, f.Back = between(5*time.Millisecond, 5*time.Second), back
+		f.Late, f.Back = between(rng, 5*time.Millisecond, 5*time.Second), back
 	case "back_machine":
 		f.Share, f.Back = part(1e-9, 0.1, 0.3), back
 	case "loss", "twice":
@@ -193,7 +188,7 @@
 	case "late_writes":
 		f.Share = part(0.05, 0.2, 0.5)
 	case "refused_outage":
-		f.Late, f.For = between(time.Second, 12*time.Second), between(cancel, 3*cancel)
+		f.Late, f.For = between(rng, time.Second, 12*time.Second), between(rng, cancel, 3*cancel)
 	}
 	return f
 }
--- a/internal/standin/meetings_test.go
+++ b/internal/standin/meetings_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -12,18 +11,7 @@
 
 // noHalts takes the stops out of whatever goes to workers.
 func noHalts(e core.Effect) core.Effect {
-	drop := func(os []core.Order) []core.Order {
-		return slices.DeleteFunc(slices.Clone(os), func(o core.Order) bool { return o.Verb == core.Halt })
-	}
-	switch x := e.(type) {
-	case core.WorkerOp:
-		x.Orders = drop(x.Orders)
-		return x
-	case core.ReportReply:
-		x.Orders = drop(x.Orders)
-		return x
-	}
-	return e
+	return withoutOrders(e, func(o core.Order) bool { return o.Verb == core.Halt })
 }
 
 // TestCancelledInTime: the checker of cancellations counts from the answer that leaves a
--- a/internal/standin/product.go
+++ b/internal/standin/product.go
@@ -18,10 +18,6 @@
 // drawProduct adds them to a day, from its own numbers.
 func drawProduct(d *Day) {
 	rng := rand.New(rand.NewPCG(d.Seed, 2236))
-	// between draws a time between two, as often in each tenfold of it.
-	between := func(a, b time.Duration) time.Duration {
-		return time.Duration(float64(a) * math.Pow(float64(b)/float64(a), rng.Float64()))
-	}
 	for range 1 + rng.IntN(4) {
 		f := DayFault{
 			Kind: productKinds[rng.IntN(len(productKinds))], At: time.Duration(10+rng.IntN(d.Minutes*60-20)) * time.Second,
@@ -30,17 +26,17 @@
 		switch f.Kind {
 		case "deaf_machine":
 			// One, a tenth, or a whole zone's.
-			f.For, f.Share, f.Back = between(5*time.Second, 10*time.Minute), []float64{1e-9, 0.1, 1}[rng.IntN(3)], 0
+			f.For, f.Share, f.Back = between(rng, 5*time.Second, 10*time.Minute), []float64{1e-9, 0.1, 1}[rng.IntN(3)], 0
 			if f.Share == 1 {
 				f.Zone = d.Settings.Zones[len(d.Settings.Zones)-1]
 			}
 		case "copies":
-			f.For, f.Late = time.Duration(10+rng.IntN(110))*time.Second, between(time.Second, 5*d.Settings.Lease)
+			f.For, f.Late = time.Duration(10+rng.IntN(110))*time.Second, between(rng, time.Second, 5*d.Settings.Lease)
 			f.Share, f.Back = []float64{0.05, 0.3, 1}[rng.IntN(3)], 0
 		case "cut_alone":
-			f.For, f.Back, f.Link = between(5*time.Second, 2*time.Minute), 0, []string{"", "", "refused"}[rng.IntN(3)]
+			f.For, f.Back, f.Link = between(rng, 5*time.Second, 2*time.Minute), 0, []string{"", "", "refused"}[rng.IntN(3)]
 		case "election":
-			f.Late = between(5*time.Millisecond, 5*time.Second)
+			f.Late = between(rng, 5*time.Millisecond, 5*time.Second)
 		case "back_machine":
 			f.Share = []float64{1e-9, 0.1, 0.3}[rng.IntN(3)]
 		}
@@ -49,6 +45,11 @@
 	slices.SortStableFunc(d.Faults, func(a, b DayFault) int { return int(a.At - b.At) })
 }
 
+// between draws a time between two, as often in each tenfold of it.
+func between(rng *rand.Rand, a, b time.Duration) time.Duration {
+	return time.Duration(float64(a) * math.Pow(float64(b)/float64(a), rng.Float64()))
+}
+
 // newTrouble lets one of them begin, and says whether it is one.
 func (w *World) newTrouble(f DayFault, rng *rand.Rand) bool {
 	p := w.nodes[f.Node%len(w.nodes)]
--- a/internal/standin/scenario_test.go
+++ b/internal/standin/scenario_test.go
@@ -313,14 +313,12 @@
 	case "copies":
 		w.Copies(arg(t, d, "share", 0.3), seconds(t, d, "longest", 120), dur)
 	case "twice":
-		w.twice = arg(t, d, "share", 0.2)
-		w.after(dur, func() { w.twice = 0 })
+		w.meetingTrouble(DayFault{Kind: what, Share: arg(t, d, "share", 0.2), For: dur})
 	case "damage":
 		// Somebody writes what no version understands.
 		w.state.txn(core.StateOp{Apply: []core.Change{{Key: arg(t, d, "key", ""), Value: []byte{0x81, 0xa1, 'v', 99}}}}, &core.StateDone{})
 	case "loss":
-		w.loss = arg(t, d, "share", 0.02)
-		w.after(dur, func() { w.loss = 0 })
+		w.meetingTrouble(DayFault{Kind: what, Share: arg(t, d, "share", 0.02), For: dur})
 	default:
 		d.Fatalf(t, "unknown fault %s", what)
 	}
@@ -562,28 +560,12 @@
 		{"ran_cancelled", func(w *World) {
 			// Stops get lost, and answers prolong leases all the same: an owner that has
 			// no proof would let the lease run out.
-			drop := func(os []core.Order) []core.Order {
-				var out []core.Order
-				for _, o := range os {
-					if o.Verb != core.Halt {
-						out = append(out, o)
-					}
-				}
-				return out
-			}
 			w.sabotage = func(e core.Effect) core.Effect {
-				switch x := e.(type) {
-				case core.WorkerOp:
-					x.Orders = drop(x.Orders)
-					return x
-				case core.ReportReply:
-					if x.Status == 503 {
-						x.Status, x.Epoch = 200, math.MaxUint64
-					}
-					x.Orders = drop(x.Orders)
-					return x
+				if x, ok := e.(core.ReportReply); ok && x.Status == 503 {
+					x.Status, x.Epoch = 200, math.MaxUint64
+					e = x
 				}
-				return e
+				return noHalts(e)
 			}
 		}},
 		{"not_done", func(w *World) {
