--- a/internal/horizon/horizon_test.go
+++ b/internal/horizon/horizon_test.go
@@ -4,6 +4,7 @@
 	"testing"
 	"time"
 
+	_ "github.com/micahill/micahill/internal/testseed"
 	"pgregory.net/rapid"
 )
 
