--- a/internal/api/api.go
+++ b/internal/api/api.go
@@ -17,7 +17,7 @@
 	"github.com/labstack/echo/v4"
 	"github.com/micahill/micahill/internal/core"
 	"github.com/micahill/micahill/internal/ports"
-	"github.com/micahill/micahill/internal/sane"
+	"github.com/micahill/micahill/internal/validate"
 	"github.com/micahill/micahill/internal/worker"
 	"github.com/vmihailenco/msgpack/v5"
 )
@@ -47,7 +47,7 @@
 	core  Core
 	conns *conns
 	mu    sync.Mutex
-	told  sane.Minute
+	told  validate.Minute
 }
 
 // connKey finds a request's connection in its context.
--- a/internal/api/fuzz_test.go
+++ b/internal/api/fuzz_test.go
@@ -4,7 +4,7 @@
 	"testing"
 
 	"github.com/micahill/micahill/internal/core"
-	"github.com/micahill/micahill/internal/sane"
+	"github.com/micahill/micahill/internal/validate"
 	"github.com/micahill/micahill/internal/worker"
 	"github.com/vmihailenco/msgpack/v5"
 )
@@ -22,7 +22,7 @@
 	f.Add([]byte{0xdf, 0xff, 0xff, 0xff, 0xff})
 	f.Fuzz(func(t *testing.T, b []byte) {
 		spec, bad := parseRun(b)
-		if bad == "" && (spec.Tasks < 1 || spec.Tasks > 100000 || !sane.IsAmount(spec.Need.CPU) || spec.Expected < 0 || spec.ID == "") {
+		if bad == "" && (spec.Tasks < 1 || spec.Tasks > 100000 || !validate.IsAmount(spec.Need.CPU) || spec.Expected < 0 || spec.ID == "") {
 			t.Fatalf("taken: %+v", spec)
 		}
 	})
--- a/internal/api/run.go
+++ b/internal/api/run.go
@@ -7,7 +7,7 @@
 
 	"github.com/go-playground/validator/v10"
 	"github.com/micahill/micahill/internal/core"
-	"github.com/micahill/micahill/internal/sane"
+	"github.com/micahill/micahill/internal/validate"
 	"github.com/vmihailenco/msgpack/v5"
 )
 
@@ -44,7 +44,7 @@
 	for tag, fn := range map[string]validator.Func{
 		"runid":  func(fl validator.FieldLevel) bool { return idForm.MatchString(fl.Field().String()) },
 		"whole":  func(fl validator.FieldLevel) bool { f := fl.Field().Float(); return f == math.Trunc(f) },
-		"amount": func(fl validator.FieldLevel) bool { return sane.IsAmount(fl.Field().Float()) },
+		"amount": func(fl validator.FieldLevel) bool { return validate.IsAmount(fl.Field().Float()) },
 	} {
 		if err := v.RegisterValidation(tag, fn); err != nil {
 			panic("api: " + err.Error())
--- a/internal/boots/boots.go
+++ b/internal/boottime/boottime.go
@@ -1,9 +1,9 @@
-// Package boots learns how long machines of a kind take to come up, in both
+// Package boottime learns how long machines of a kind take to come up, in both
 // directions: up within a second, many times as late as told, or never. It says how
 // much longer one that is not up yet most likely takes, so that another is rented when
 // waiting is the worse bet, when it is to be given up, and whether its kind has stopped
 // coming up at all. The package has no clock and sends nothing.
-package boots
+package boottime
 
 import (
 	"slices"
--- a/internal/boots/boots_test.go
+++ b/internal/boottime/boottime_test.go
@@ -1,4 +1,4 @@
-package boots
+package boottime
 
 import (
 	"testing"
--- a/internal/core/boot.go
+++ b/internal/core/boot.go
@@ -4,16 +4,16 @@
 	"iter"
 	"time"
 
-	"github.com/micahill/micahill/internal/boots"
+	"github.com/micahill/micahill/internal/boottime"
 )
 
-// boot.go joins the core to internal/boots: how long machines take to come up, learnt
+// boot.go joins the core to internal/boottime: how long machines take to come up, learnt
 // for each kind.
 
-func (n *Node) bootsOf(k kind) *boots.Kind {
+func (n *Node) bootsOf(k kind) *boottime.Kind {
 	b := n.boots[k]
 	if b == nil {
-		b = &boots.Kind{}
+		b = &boottime.Kind{}
 		n.boots[k] = b
 	}
 	b.Fade(n.now, n.types[k.flavour].Ready)
@@ -73,10 +73,10 @@
 // stuckKinds are the kinds of which machines have stopped coming up.
 func (n *Node) stuckKinds() map[kind]bool {
 	o := n.owner
-	by := map[kind][]boots.Booting{}
+	by := map[kind][]boottime.Booting{}
 	for id, r := range o.view.rentals {
 		if m := o.machines[id]; (m == nil || !m.heard) && !r.returning && r.status == "booting" && r.since.After(o.readyAt) {
-			by[r.kind] = append(by[r.kind], boots.Booting(r.since))
+			by[r.kind] = append(by[r.kind], boottime.Booting(r.since))
 		}
 	}
 	out := map[kind]bool{}
--- a/internal/core/cancelnews.go
+++ b/internal/core/cancelnews.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"github.com/micahill/micahill/internal/sane"
+	"github.com/micahill/micahill/internal/validate"
 )
 
 // cancelnews.go has controllers tell each other of cancellations. The record in the state
@@ -132,7 +132,7 @@
 }
 
 // badCancels judges what a peer tells of cancellations.
-func badCancels(k *sane.Check, c *PeerNews) {
+func badCancels(k *validate.Check, c *PeerNews) {
 	k.Count("cancelled", len(c.Cancelled), 0, cancelNewsMost)
 	for _, x := range c.Cancelled {
 		k.Name("cancelled.id", x.ID, true)
--- a/internal/core/contact.go
+++ b/internal/core/contact.go
@@ -96,7 +96,7 @@
 		}
 	}
 	for _, m := range slices.Clone(o.byID) {
-		if m.reports() && (n.quietFor(m) > time.Duration(probeReports*float64(n.longestReport())) || !m.ear.Hears()) {
+		if m.reports() && (n.quietFor(m) > time.Duration(probeReports*float64(n.longestReport())) || !m.reach.Hears()) {
 			n.contact(m)
 		}
 		if !m.leaseEnd.IsZero() && n.now.After(m.leaseEnd) {
--- a/internal/core/deaf.go
+++ b/internal/core/deaf.go
@@ -46,7 +46,7 @@
 
 // reportCame notes that a report has reached this controller at all.
 func reportCame(n *Node, r *Report) {
-	n.ears.Heard(n.now)
+	n.selfMonitor.Heard(n.now)
 	switch {
 	case !n.sess.deaf(n.now):
 	case !n.sess.mute:
@@ -146,7 +146,7 @@
 			continue
 		}
 		m.cameAt, m.came = n.now, x
-		m.ear.Elsewhere(n.now)
+		m.reach.Elsewhere(n.now)
 		probe(n, m)
 	}
 }
@@ -176,7 +176,7 @@
 	if !it.Removed && decode(it.Value, &r) && r.Of == n.set.Host && r.Nonce == n.life() {
 		if n.now.Sub(n.sess.othersHear) > hearsFresh {
 			// What was asked before says nothing of now.
-			n.ears.Arrived()
+			n.selfMonitor.Arrived()
 		}
 		n.sess.othersHear = n.now
 	}
@@ -194,11 +194,11 @@
 			reporting++
 		}
 	}
-	deaf := n.ears.Deaf(n.now, o.readyAt, reporting, n.longestReport())
+	deaf := n.selfMonitor.Deaf(n.now, o.readyAt, reporting, n.longestReport())
 	if !deaf {
 		askLatest(n)
 	}
-	if !deaf && (reporting < 2 || !n.ears.Mute(n.now)) {
+	if !deaf && (reporting < 2 || !n.selfMonitor.Mute(n.now)) {
 		return
 	}
 	n.info("workers and this controller don't hear each other, and others do: the share is given up", "machines", reporting, "reports come", !deaf)
--- a/internal/core/effects.go
+++ b/internal/core/effects.go
@@ -3,8 +3,8 @@
 import (
 	"time"
 
-	"github.com/micahill/micahill/internal/custody"
 	"github.com/micahill/micahill/internal/division"
+	"github.com/micahill/micahill/internal/ownership"
 )
 
 // Command is an input to the core. Effect is an output.
@@ -101,8 +101,8 @@
 	Release []division.Ask
 	// Wards are attempts of the sender's jobs on the receiver's machines, and Told
 	// what the sender knows of those of the receiver's jobs on its own.
-	Wards []custody.Ask
-	Told  []custody.Tell
+	Wards []ownership.Ask
+	Told  []ownership.Tell
 	// Rates is what the sender asks of the state service.
 	Rates *Rates
 	// StateAway: the state service does not answer here.
--- a/internal/core/hear.go
+++ b/internal/core/hear.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"github.com/micahill/micahill/internal/hearing"
+	"github.com/micahill/micahill/internal/reachability"
 )
 
 // hear.go says what a message of a worker proves. A report may be late, or a copy of one
@@ -86,12 +86,12 @@
 	m.shown = false
 	if !was.heard {
 		if shown {
-			m.ear.Shown()
+			m.reach.Shown()
 		}
 		return
 	}
 	if r.Tenure > was.tenure {
-		m.ear.Tenure(n.now)
+		m.reach.Tenure(n.now)
 		probe(n, m)
 		return
 	}
@@ -104,17 +104,17 @@
 		}
 	}
 	if shown {
-		m.ear.Shown()
-		n.ears.Arrived()
+		m.reach.Shown()
+		n.selfMonitor.Arrived()
 		return
 	}
-	m.ear.Report(n.now, r.Tick > was.tick+1, n.leaseAfter(n.now).Sub(n.now))
+	m.reach.Report(n.now, r.Tick > was.tick+1, n.leaseAfter(n.now).Sub(n.now))
 	probe(n, m)
 }
 
 // probe asks a machine at once of which it is not sure that it hears.
 func probe(n *Node, m *machine) {
-	if !m.ear.Hears() {
+	if !m.reach.Hears() {
 		m.probed = time.Time{}
 		n.contact(m)
 	}
@@ -123,11 +123,11 @@
 // expectSign notes what an answer to a report will have to show.
 func expectSign(m *machine, orders []Order) {
 	if m.seenEpoch < m.epoch {
-		m.ear.Expects()
+		m.reach.Expects()
 	}
 	for _, o := range orders {
 		if o.Verb != Halt {
-			m.ear.Expects()
+			m.reach.Expects()
 			return
 		}
 	}
@@ -145,14 +145,14 @@
 		m.unanswered++
 		if was.heard {
 			// Before that it may not have been up.
-			m.ear.Unanswered(n.now)
+			m.reach.Unanswered(n.now)
 		}
-		n.ears.Unanswered(n.now)
+		n.selfMonitor.Unanswered(n.now)
 		return false
 	}
-	m.ear.Answered()
+	m.reach.Answered()
 	m.questioned = false
-	n.ears.Arrived()
+	n.selfMonitor.Arrived()
 	if old := (machine{tenure: was.tenure, tick: was.tick, seenEpoch: was.epoch}); was.heard && old.older(r) {
 		n.info("a worker has begun anew", "machine", m.id, "tenure", r.Tenure)
 		m.tenure, m.tick, m.seenEpoch = r.Tenure, r.Tick-min(r.Tick, 1), 0
@@ -168,7 +168,7 @@
 			}
 			m.attempts[k].seen, m.attempts[k].started = false, time.Time{}
 		}
-		n.countWards(m)
+		n.countForeign(m)
 	}
 	n.hear(m, r, false)
 	m.shown = false
@@ -178,20 +178,20 @@
 // unhearing names the machines that report and hear nothing, and are to be given back.
 func unhearing(n *Node, reporting int) []string {
 	o := n.owner
-	var deaf []hearing.Machine
+	var deaf []reachability.Machine
 	for _, m := range o.byID {
 		if !m.heard || m.returning || n.silent(m) {
 			continue
 		}
-		if d, is := m.ear.Deaf(n.now); is {
-			deaf = append(deaf, hearing.Machine{ID: m.id, Tasks: len(m.attempts) + o.desk.Count(m.id), For: d})
+		if d, is := m.reach.Deaf(n.now); is {
+			deaf = append(deaf, reachability.Machine{ID: m.id, Tasks: len(m.attempts) + o.registry.Count(m.id), For: d})
 		}
 	}
 	if len(deaf) == 0 {
 		return nil
 	}
-	p := hearing.Patience{Alone: probesSilent*probeEvery + n.longestReport(), Lease: n.leaseAfter(n.now).Sub(n.now), Returned: o.deafBack}
-	back := hearing.GiveBack(n.now, p, reporting, deaf)
+	p := reachability.Patience{Alone: probesSilent*probeEvery + n.longestReport(), Lease: n.leaseAfter(n.now).Sub(n.now), Returned: o.deafBack}
+	back := reachability.GiveBack(n.now, p, reporting, deaf)
 	if len(back) > 0 {
 		o.deafBack = n.now
 		n.info("machines report and hear nothing", "machines", len(deaf), "of", reporting, "given back", len(back))
--- a/internal/core/horizon.go
+++ b/internal/core/horizon.go
@@ -32,7 +32,7 @@
 // never arrive, and a start that was sent before may yet. settled: see machine.settled.
 func (n *Node) renewUntilOn(m *machine, settled bool) time.Time {
 	until := n.renewUntil()
-	if settled && !m.warded {
+	if settled && !m.hasForeign {
 		return until
 	}
 	for k := range m.attempts {
@@ -43,7 +43,7 @@
 			until = earlier(until, n.cancelBound(k.job))
 		}
 	}
-	for _, a := range n.owner.desk.Living(m.id) {
+	for _, a := range n.owner.registry.Living(m.id) {
 		until = earlier(until, n.cancelBound(a.Job))
 	}
 	return until
--- a/internal/core/huge_test.go
+++ b/internal/core/huge_test.go
@@ -10,7 +10,7 @@
 	"time"
 
 	"github.com/micahill/micahill/internal/bounds"
-	"github.com/micahill/micahill/internal/sane"
+	"github.com/micahill/micahill/internal/validate"
 )
 
 // hugeDay is an owner with one job, its machines and a state service that answers all
@@ -31,7 +31,7 @@
 	txns, changes, bytes, most, widest int
 }
 
-const hugeTasks = sane.MostTasks
+const hugeTasks = validate.MostTasks
 
 // newHuge has a job of so many tasks accepted on so many machines, each with room for
 // eight tasks of it at a time.
--- a/internal/core/lost.go
+++ b/internal/core/lost.go
@@ -25,7 +25,7 @@
 		if !n.silent(m) {
 			continue
 		}
-		x := loss.Machine{ID: m.id, Tasks: len(m.attempts) + n.owner.desk.Count(m.id), Over: n.quietFor(m) - n.silentAfter(m)}
+		x := loss.Machine{ID: m.id, Tasks: len(m.attempts) + n.owner.registry.Count(m.id), Over: n.quietFor(m) - n.silentAfter(m)}
 		for k := range m.attempts {
 			j := n.owner.jobs[k.job]
 			if l, u := n.latest(j), rankHeight(n, j); u > x.Urgency || x.Latest.IsZero() || u == x.Urgency && l.Before(x.Latest) {
@@ -34,7 +34,7 @@
 		}
 		silent = append(silent, x)
 	}
-	p.Deaf = n.ears.Deaf(n.now, n.owner.readyAt, p.Reporting, n.longestReport())
+	p.Deaf = n.selfMonitor.Deaf(n.now, n.owner.readyAt, p.Reporting, n.longestReport())
 	if p.Reporting > 1 && len(silent) == p.Reporting {
 		// When all fall silent together, the fault is likely ours.
 		return nil
--- a/internal/core/machines.go
+++ b/internal/core/machines.go
@@ -6,7 +6,7 @@
 	"strings"
 	"time"
 
-	"github.com/micahill/micahill/internal/hearing"
+	"github.com/micahill/micahill/internal/reachability"
 )
 
 const (
@@ -47,10 +47,10 @@
 	held Resources
 	// gift: it is held to be emptied for another owner.
 	gift bool
-	// foreign is the room that attempts of others' jobs take, and warded says that
+	// foreign is the room that attempts of others' jobs take, and hasForeign says that
 	// there are any.
-	foreign Resources
-	warded  bool
+	foreign    Resources
+	hasForeign bool
 	// asking: open/ is being read to tell what becomes of a piece.
 	asking bool
 	// pieces is the newest report's list, and last the same as it came.
@@ -99,10 +99,10 @@
 	// checking: its lease is over by the clock, and the division is being read to
 	// tell whether it was this owner's all the time.
 	checking time.Time
-	// ear is whether it hears this owner, shown that something has just shown it, and
+	// reach is whether it hears this owner, shown that something has just shown it, and
 	// unheard how many reports without a sign of this owner's time were answered; see
 	// hear.go. newest is when the newest of its messages came, sign of life or not.
-	ear     hearing.Ear
+	reach   reachability.Detector
 	shown   bool
 	unheard int
 	newest  time.Time
@@ -145,7 +145,7 @@
 }
 
 // empty says that no task is on a machine or may yet begin there.
-func (m *machine) empty() bool { return len(m.attempts) == 0 && !m.warded }
+func (m *machine) empty() bool { return len(m.attempts) == 0 && !m.hasForeign }
 
 func machineID(m *machine, id string) int { return strings.Compare(m.id, id) }
 
--- a/internal/core/node.go
+++ b/internal/core/node.go
@@ -6,11 +6,11 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
-	"github.com/micahill/micahill/internal/boots"
+	"github.com/micahill/micahill/internal/boottime"
 	"github.com/micahill/micahill/internal/bounds"
-	"github.com/micahill/micahill/internal/ears"
 	"github.com/micahill/micahill/internal/pace"
-	"github.com/micahill/micahill/internal/sane"
+	"github.com/micahill/micahill/internal/selfmonitor"
+	"github.com/micahill/micahill/internal/validate"
 )
 
 // Node is one controller. All of its state belongs to the goroutine that
@@ -50,11 +50,11 @@
 	// not answer there.
 	away     map[string]time.Time
 	toldAway time.Time
-	// ears and strays are what this node hears of workers, and which it sent on;
+	// selfMonitor and strays are what this node hears of workers, and which it sent on;
 	// see deaf.go.
-	ears       ears.Own
-	strays     ears.Strays
-	toldStrays time.Time
+	selfMonitor selfmonitor.Monitor
+	strays      selfmonitor.Strays
+	toldStrays  time.Time
 	// askingStrays counts the questions under way to machines that came back.
 	askingStrays int
 	// came are reports of others' machines that these are to be told of.
@@ -62,7 +62,7 @@
 	// askedHears is when a worker was last asked whether it hears this node again.
 	askedHears time.Time
 	// boots is what was learnt of how long machines of each kind take to come up.
-	boots map[kind]*boots.Kind
+	boots map[kind]*boottime.Kind
 	// pace divides planning into slices, and sliced is the work of the last one.
 	pace   pace.Pace
 	sliced int
@@ -75,7 +75,7 @@
 	malformed map[uint64]bool
 	// badInput counts what made no sense, and complaints are what was told of it.
 	badInput   int
-	complaints sane.Minute
+	complaints validate.Minute
 	// guests are the loans this cluster has taken, as far as this node has read.
 	guests guests
 	// cancels are the cancellations that peers are told of; see cancelnews.go.
@@ -102,7 +102,7 @@
 	}
 	n.malformed = map[uint64]bool{}
 	n.cancels.told = map[string]*cancelTelling{}
-	n.boots = map[kind]*boots.Kind{}
+	n.boots = map[kind]*boottime.Kind{}
 	n.budgets.others = map[string]told{}
 	n.users.init()
 	return n
@@ -112,7 +112,7 @@
 func (n *Node) Step(now time.Time, cmds []Command) []Effect {
 	n.now = now
 	n.out = nil
-	n.ears.Run(now)
+	n.selfMonitor.Run(now)
 	if !n.sess.started {
 		n.sessionStart()
 	}
--- a/internal/core/owner.go
+++ b/internal/core/owner.go
@@ -4,8 +4,8 @@
 	"time"
 
 	"github.com/micahill/micahill/internal/blame"
-	"github.com/micahill/micahill/internal/custody"
 	"github.com/micahill/micahill/internal/division"
+	"github.com/micahill/micahill/internal/ownership"
 )
 
 const (
@@ -38,11 +38,11 @@
 	jobs     map[string]*job
 	machines map[string]*machine
 	// afar are machines of other owners on which attempts of these jobs are, and
-	// desk the account of others' attempts on the machines here; see wards.go.
-	afar  map[string]*machine
-	desk  custody.Desk
-	wards wardTimes
-	dates ownerDates
+	// registry the account of others' attempts on the machines here; see remote.go.
+	afar     map[string]*machine
+	registry ownership.Registry
+	remote   remoteTimes
+	dates    ownerDates
 	// higher are machines that have seen an epoch above the one they are owned
 	// under, and raises counts the lots written to raise epochs.
 	higher map[string]time.Time
@@ -325,7 +325,7 @@
 		movesTick(n)
 		n.planFleet(true)
 		n.tellPeers()
-		askWards(n)
+		askRemote(n)
 		promisesTick(n)
 		n.writeWarm()
 		n.tellRooms()
@@ -346,9 +346,9 @@
 		n.writeChunks()
 	}
 	n.directAll()
-	tellWards(n)
-	if o.wards.soon {
-		askWards(n)
+	tellRemote(n)
+	if o.remote.soon {
+		askRemote(n)
 	}
 	o.wake = o.swept.Add(ownerPeriod)
 	if next := o.saved.Add(saveEvery); o.saved != n.now && next.Before(o.wake) {
--- a/internal/core/owner_test.go
+++ b/internal/core/owner_test.go
@@ -4,8 +4,8 @@
 	"testing"
 	"time"
 
-	"github.com/micahill/micahill/internal/custody"
 	"github.com/micahill/micahill/internal/division"
+	"github.com/micahill/micahill/internal/ownership"
 )
 
 // shareOf writes a share into the node's picture of ctl/.
@@ -116,7 +116,7 @@
 	if m.epoch != 4 || m.leaseEnd.Before(least) {
 		t.Errorf("under epoch %d its lease counts as over after %v, want %v at least", m.epoch, m.leaseEnd.Sub(n.now), least.Sub(n.now))
 	}
-	takeAsks(n, "b", []custody.Ask{{Machine: "vm-000088", Attempts: []custody.Asked{{Attempt: custody.Attempt{Job: "job-000900", Index: 0, Try: 1}}}}})
+	takeAsks(n, "b", []ownership.Ask{{Machine: "vm-000088", Attempts: []ownership.Asked{{Attempt: ownership.Attempt{Job: "job-000900", Index: 0, Try: 1}}}}})
 	if m = n.owner.machines["vm-000088"]; m == nil || m.heard || m.leaseEnd.Before(least) {
 		t.Errorf("a machine with others' work: %+v", m)
 	}
@@ -150,7 +150,7 @@
 	}
 	n.users.mirror.open[spec.ID] = living{1, spec.record(n.now)}
 	// Asked to stop it, it does.
-	takeAsks(n, "b", []custody.Ask{{Machine: m.id, Attempts: []custody.Asked{{Attempt: custody.Attempt{Job: spec.ID, Index: 0, Try: 1}, Want: custody.Stop}}}})
+	takeAsks(n, "b", []ownership.Ask{{Machine: m.id, Attempts: []ownership.Asked{{Attempt: ownership.Attempt{Job: spec.ID, Index: 0, Try: 1}, Want: ownership.Stop}}}})
 	if os := n.reconcile(m); len(os) != 1 || os[0].Verb != Halt {
 		t.Errorf("ordered %v, want a stop", os)
 	}
@@ -191,11 +191,11 @@
 	if n.owner.jobs[spec.ID] != nil || m.empty() || m.foreign.CPU != 3 {
 		t.Fatalf("left behind it takes %v, empty %v", m.foreign, m.empty())
 	}
-	ask := []custody.Ask{{Machine: m.id, Attempts: []custody.Asked{{Attempt: custody.Attempt{Job: spec.ID, Index: 0, Try: 1}}}}}
-	told := func() custody.State {
+	ask := []ownership.Ask{{Machine: m.id, Attempts: []ownership.Asked{{Attempt: ownership.Attempt{Job: spec.ID, Index: 0, Try: 1}}}}}
+	told := func() ownership.State {
 		n.now, n.out = n.now.Add(2*time.Second), nil
 		takeAsks(n, "b", ask)
-		tellWards(n)
+		tellRemote(n)
 		for _, e := range n.out {
 			if p, ok := e.(PeerSend); ok && len(p.News.Told) > 0 {
 				return p.News.Told[0].Attempts[0].State
@@ -207,7 +207,7 @@
 	r := n.poolReport(0)
 	r.Tick, r.Epoch = 3, m.epoch
 	n.hear(m, r, true)
-	if s := told(); s != custody.Unknown {
+	if s := told(); s != ownership.Unknown {
 		t.Errorf("told as %v while its start may be on its way", s)
 	}
 	// Under a higher epoch it can't be executed any more.
@@ -216,7 +216,7 @@
 	r = n.poolReport(0)
 	r.Tick, r.Epoch = 4, m.epoch
 	n.hear(m, r, true)
-	if s := told(); s != custody.Gone {
+	if s := told(); s != ownership.Gone {
 		t.Errorf("told as %v, want that it is gone", s)
 	}
 }
@@ -230,7 +230,7 @@
 	j.fresh, j.tasks[0].try, j.tasks[0].sent = 1, 1, true
 	n.attach(j, 0, n.machineOf("vm-000077"))
 	word := func(from string, epoch uint64) {
-		takeTold(n, from, []custody.Tell{{Machine: "vm-000077", Epoch: epoch, Attempts: []custody.Told{{Attempt: custody.Attempt{Job: j.ID, Index: 0, Try: 1}, State: custody.Gone}}}})
+		takeTold(n, from, []ownership.Tell{{Machine: "vm-000077", Epoch: epoch, Attempts: []ownership.Told{{Attempt: ownership.Attempt{Job: j.ID, Index: 0, Try: 1}, State: ownership.Gone}}}})
 	}
 	word("b", 4)
 	word("c", 5)
--- a/internal/core/place.go
+++ b/internal/core/place.go
@@ -292,7 +292,7 @@
 
 // usable says whether tasks may be placed on m now.
 func (n *Node) usable(m *machine) bool {
-	return !n.promised(m.id) && m.heard && !m.recall && !m.returning && !m.bad && !m.strays && m.size.CPU > 0 && m.ear.Hears() && !n.silent(m)
+	return !n.promised(m.id) && m.heard && !m.recall && !m.returning && !m.bad && !m.strays && m.size.CPU > 0 && m.reach.Hears() && !n.silent(m)
 }
 
 // placeAll places what waits, in order.
--- a/internal/core/raise.go
+++ b/internal/core/raise.go
@@ -17,7 +17,7 @@
 	}
 	some := len(o.higher) > 0
 	for _, m := range o.byID {
-		some = some || m.anew != 0 && m.anew == m.epoch || m.unacked != 0 && m.unacked == m.epoch && !m.noDirect && m.stuck(&o.desk)
+		some = some || m.anew != 0 && m.anew == m.epoch || m.unacked != 0 && m.unacked == m.epoch && !m.noDirect && m.stuck(&o.registry)
 	}
 	if !some {
 		return
@@ -46,7 +46,7 @@
 	}
 	for _, m := range o.byID {
 		// While the machine is out of reach a higher epoch does not reach it either.
-		if m.unacked != 0 && m.unacked == m.epoch && !m.noDirect && m.stuck(&o.desk) {
+		if m.unacked != 0 && m.unacked == m.epoch && !m.noDirect && m.stuck(&o.registry) {
 			add(m.id)
 		} else if m.anew != 0 && m.anew == m.epoch {
 			add(m.id)
--- a/internal/core/rank_test.go
+++ b/internal/core/rank_test.go
@@ -204,7 +204,7 @@
 		if anew := len(j.again) == 1; anew != c.anew {
 			t.Errorf("%+v: placed anew %v", c, anew)
 		}
-		if proof := m.stuck(&n.owner.desk); proof != (c.want == 0 && !c.anew) {
+		if proof := m.stuck(&n.owner.registry); proof != (c.want == 0 && !c.anew) {
 			t.Errorf("%+v: a higher epoch is asked for: %v", c, proof)
 		}
 		if got := j.record(j.chunkOf(0)).Rank; got != c.rank {
--- a/internal/core/reconcile.go
+++ b/internal/core/reconcile.go
@@ -5,7 +5,7 @@
 	"strings"
 	"time"
 
-	"github.com/micahill/micahill/internal/custody"
+	"github.com/micahill/micahill/internal/ownership"
 )
 
 // mark notes that orders may be due for m. Going through all machines after
@@ -45,7 +45,7 @@
 }
 
 // stuck says that a start without an answer keeps m from being settled.
-func (m *machine) stuck(d *custody.Desk) bool {
+func (m *machine) stuck(d *ownership.Registry) bool {
 	if d.Unseen(m.id) {
 		return true
 	}
@@ -183,7 +183,7 @@
 	if m.afar {
 		// Its owner is asked.
 		m.dirty = false
-		o.wards.soon = true
+		o.remote.soon = true
 		return
 	}
 	if m.inFlight || m.questioned || m.noDirect || m.returning || m.addr == "" || !m.heard {
--- a/internal/core/wards.go
+++ b/internal/core/remote.go
@@ -3,68 +3,68 @@
 import (
 	"time"
 
-	"github.com/micahill/micahill/internal/custody"
+	"github.com/micahill/micahill/internal/ownership"
 )
 
-// wards.go joins the core to internal/custody: attempts of this owner's jobs on the
+// remote.go joins the core to internal/ownership: attempts of this owner's jobs on the
 // machines of others, and of others' jobs on the machines here. Both arise only when
 // a team or a machine moves while something runs; nothing is started across owners.
 
 const (
-	// wardsEvery is how often the owners of other machines are asked again.
-	wardsEvery = time.Second
-	// wardsMost bounds the attempts in one message.
-	wardsMost = 2000
+	// remoteEvery is how often the owners of other machines are asked again.
+	remoteEvery = time.Second
+	// remoteMost bounds the attempts in one message.
+	remoteMost = 2000
 )
 
-// wardTimes is when others were last asked, and whether to ask before it is time.
-type wardTimes struct {
+// remoteTimes is when others were last asked, and whether to ask before it is time.
+type remoteTimes struct {
 	asked time.Time
 	soon  bool
 	// from is the machine with which the next question begins, if not all fit.
 	from string
 }
 
-// custodyAttempt names a task's attempt.
-func custodyAttempt(k taskKey, try uint64) custody.Attempt {
-	return custody.Attempt{Job: k.job, Index: k.index, Try: try}
+// ownershipAttempt names a task's attempt.
+func ownershipAttempt(k taskKey, try uint64) ownership.Attempt {
+	return ownership.Attempt{Job: k.job, Index: k.index, Try: try}
 }
 
-// askWards asks the owners of other machines for the attempts of this owner's jobs
+// askRemote asks the owners of other machines for the attempts of this owner's jobs
 // there, and says what is wanted of them.
-func askWards(n *Node) {
+func askRemote(n *Node) {
 	o := n.owner
-	if len(o.afar) == 0 || !o.wards.soon && n.now.Sub(o.wards.asked) < wardsEvery {
+	if len(o.afar) == 0 || !o.remote.soon && n.now.Sub(o.remote.asked) < remoteEvery {
 		return
 	}
-	o.wards.soon, o.wards.asked = false, n.now
-	by := map[string][]custody.Ask{}
+	o.remote.soon, o.remote.asked = false, n.now
+	by := map[string][]ownership.Ask{}
 	count := 0
 	ids := sortedKeys(o.afar)
 	// Of more than fit, those after the last that were asked for come next.
 	k := 0
-	for k < len(ids) && ids[k] <= o.wards.from {
+	for k < len(ids) && ids[k] <= o.remote.from {
 		k++
 	}
-	o.wards.from = ""
+	o.remote.from = ""
 	for _, id := range append(ids[k:], ids[:k]...) {
 		a := o.afar[id]
 		x, ok := n.sess.book.Owner(id)
 		if !ok || x.Host == n.set.Host {
 			continue
 		}
-		ask := custody.Ask{Machine: id}
+		ask := ownership.Ask{Machine: id}
 		for _, key := range sortedAttempts(a) {
 			t := a.attempts[key]
-			w := custody.Asked{Attempt: custodyAttempt(key, t.try)}
+			w := ownership.Asked{Attempt: ownershipAttempt(key, t.try)}
 			if t.stop != stopNone {
-				w.Want, w.WindDown = custody.Stop, n.windDown(a, o.jobs[key.job], t)
+				w.Want, w.WindDown = ownership.Stop, n.windDown(a, o.jobs[key.job], t)
 			}
 			ask.Attempts = append(ask.Attempts, w)
 		}
 		by[x.Host] = append(by[x.Host], ask)
-		if count += len(ask.Attempts); count >= wardsMost {
-			o.wards.from = id
+		if count += len(ask.Attempts); count >= remoteMost {
+			o.remote.from = id
 			break
 		}
 	}
@@ -74,16 +74,16 @@
 }
 
 // takeAsks takes in what a jobs' owner asks about machines of this one.
-func takeAsks(n *Node, from string, asks []custody.Ask) {
+func takeAsks(n *Node, from string, asks []ownership.Ask) {
 	o := n.owner
 	for _, a := range asks {
 		if _, mine := n.mine(a.Machine); !mine || !o.ready {
 			continue
 		}
-		changed := o.desk.Ask(n.now, from, a)
+		changed := o.registry.Ask(n.now, from, a)
 		m := o.machines[a.Machine]
 		if m == nil {
-			if o.desk.Count(a.Machine) == 0 {
+			if o.registry.Count(a.Machine) == 0 {
 				// All that was asked for is known to be gone.
 				continue
 			}
@@ -98,18 +98,18 @@
 			n.mark(m)
 		}
 		if m.heard {
-			deskSees(n, m)
+			registrySees(n, m)
 		}
-		n.countWards(m)
+		n.countForeign(m)
 	}
 }
 
-// tellWards tells the others what is known of the attempts of their jobs here.
-func tellWards(n *Node) {
+// tellRemote tells the others what is known of the attempts of their jobs here.
+func tellRemote(n *Node) {
 	o := n.owner
-	tells := o.desk.Tells(n.now, func(id string) (custody.About, bool) {
+	tells := o.registry.Tells(n.now, func(id string) (ownership.About, bool) {
 		x, mine := n.mine(id)
-		about := custody.About{Epoch: x.Epoch, Owner: func(job string) string {
+		about := ownership.About{Epoch: x.Epoch, Owner: func(job string) string {
 			if l, open := n.users.mirror.open[job]; open {
 				if s := n.sess.book.Team(l.rec.Team); s != nil && s.Host != n.set.Host {
 					return s.Host
@@ -133,7 +133,7 @@
 // counts only from whom the division names as the machine's owner now, under the
 // epoch of now: since an earlier one the machine may have been this owner's again,
 // and the attempt may have been started.
-func takeTold(n *Node, from string, tells []custody.Tell) {
+func takeTold(n *Node, from string, tells []ownership.Tell) {
 	o := n.owner
 	for _, tell := range tells {
 		x, ok := n.sess.book.Owner(tell.Machine)
@@ -141,7 +141,7 @@
 			continue
 		}
 		a := o.afar[tell.Machine]
-		var back custody.Ask
+		var back ownership.Ask
 		for _, w := range tell.Attempts {
 			j := o.jobs[w.Job]
 			if j == nil || w.Index < 0 || w.Index >= len(j.tasks) {
@@ -149,11 +149,11 @@
 			}
 			t := &j.tasks[w.Index]
 			if a != nil && t.m == a && t.try == w.Try {
-				wardTold(n, j, a, w)
-			} else if w.State == custody.Ended && j.durable(w.Index) {
-				back.Attempts = append(back.Attempts, custody.Asked{Attempt: w.Attempt, Want: custody.Settled})
-			} else if w.State == custody.Fetching || w.State == custody.Running || w.State == custody.Flushing {
-				back.Attempts = append(back.Attempts, custody.Asked{Attempt: w.Attempt, Want: custody.Stop})
+				remoteTold(n, j, a, w)
+			} else if w.State == ownership.Ended && j.durable(w.Index) {
+				back.Attempts = append(back.Attempts, ownership.Asked{Attempt: w.Attempt, Want: ownership.Settled})
+			} else if w.State == ownership.Fetching || w.State == ownership.Running || w.State == ownership.Flushing {
+				back.Attempts = append(back.Attempts, ownership.Asked{Attempt: w.Attempt, Want: ownership.Stop})
 			}
 		}
 		if a != nil && a.zone == "" && tell.Zone != "" {
@@ -161,25 +161,25 @@
 		}
 		if len(back.Attempts) > 0 {
 			back.Machine = tell.Machine
-			n.emit(PeerSend{To: from, News: PeerNews{From: n.set.Host, Wards: []custody.Ask{back}}})
+			n.emit(PeerSend{To: from, News: PeerNews{From: n.set.Host, Wards: []ownership.Ask{back}}})
 		}
 	}
 }
 
-// wardTold takes in the state of one live attempt on another's machine.
-func wardTold(n *Node, j *job, a *machine, w custody.Told) {
+// remoteTold takes in the state of one live attempt on another's machine.
+func remoteTold(n *Node, j *job, a *machine, w ownership.Told) {
 	k := taskKey{j.ID, w.Index}
 	p := TaskReport{Job: j.ID, Index: w.Index, Try: w.Try, Cause: w.Cause}
 	switch w.State {
-	case custody.Fetching:
+	case ownership.Fetching:
 		p.Status = Fetching
-	case custody.Running:
+	case ownership.Running:
 		p.Status = Running
-	case custody.Flushing:
+	case ownership.Flushing:
 		p.Status = Flushing
-	case custody.Ended:
+	case ownership.Ended:
 		p.Status = Ended
-	case custody.Gone:
+	case ownership.Gone:
 		n.gone(j, w.Index, false)
 		return
 	default:
@@ -188,35 +188,35 @@
 	n.piece(a, k, p)
 }
 
-// pieceState is a reported state in custody's words.
-func pieceState(p TaskReport) custody.Piece {
-	s := [...]custody.State{Fetching: custody.Fetching, Running: custody.Running, Flushing: custody.Flushing, Ended: custody.Ended}[p.Status]
-	return custody.Piece{Attempt: custody.Attempt{Job: p.Job, Index: p.Index, Try: p.Try}, State: s, Cause: p.Cause}
+// pieceState is a reported state in the ownership package's terms.
+func pieceState(p TaskReport) ownership.Piece {
+	s := [...]ownership.State{Fetching: ownership.Fetching, Running: ownership.Running, Flushing: ownership.Flushing, Ended: ownership.Ended}[p.Status]
+	return ownership.Piece{Attempt: ownership.Attempt{Job: p.Job, Index: p.Index, Try: p.Try}, State: s, Cause: p.Cause}
 }
 
-// deskSees hands the newest report of a machine to the desk.
-func deskSees(n *Node, m *machine) {
+// registrySees hands the newest report of a machine to the registry.
+func registrySees(n *Node, m *machine) {
 	o := n.owner
-	var pieces []custody.Piece
+	var pieces []ownership.Piece
 	for _, p := range m.pieces {
 		pieces = append(pieces, pieceState(p))
 	}
 	// Under the epoch that it has shown nothing older can be executed any more; and a
 	// start of this owner's own may be on its way, from before the job went to another.
-	o.desk.Saw(n.now, m.id, pieces, func(job string) bool { return o.jobs[job] != nil }, n.quiet(m))
-	n.countWards(m)
+	o.registry.Saw(n.now, m.id, pieces, func(job string) bool { return o.jobs[job] != nil }, n.quiet(m))
+	n.countForeign(m)
 }
 
-// countWards reckons the room that others' attempts take on a machine.
-func (n *Node) countWards(m *machine) {
+// countForeign reckons the room that others' attempts take on a machine.
+func (n *Node) countForeign(m *machine) {
 	o := n.owner
-	was := m.warded
-	m.foreign, m.warded, m.strays = Resources{}, false, false
-	for _, a := range o.desk.Living(m.id) {
+	was := m.hasForeign
+	m.foreign, m.hasForeign, m.strays = Resources{}, false, false
+	for _, a := range o.registry.Living(m.id) {
 		if o.jobs[a.Job] != nil {
 			continue
 		}
-		m.warded = true
+		m.hasForeign = true
 		if l, open := n.users.mirror.open[a.Job]; open {
 			m.foreign = m.foreign.Plus(Resources{CPU: l.rec.CPU, GPU: l.rec.GPU, Memory: l.rec.Memory}, 1)
 		} else {
@@ -227,7 +227,7 @@
 	for k, p := range m.pieces {
 		m.strays = m.strays || p.Status != Ended && m.attempts[k] == nil && o.jobs[k.job] != nil
 	}
-	if was && !m.warded {
+	if was && !m.hasForeign {
 		o.place = true
 		if len(m.attempts) == 0 {
 			m.idleSince = n.now
@@ -243,7 +243,7 @@
 	}
 	if m.heard {
 		m.last = nil
-		deskSees(n, m)
+		registrySees(n, m)
 	}
 	n.mark(m)
 }
@@ -253,9 +253,9 @@
 // over and it is cleared away.
 func (n *Node) others(m *machine, p TaskReport, quiet bool) (Order, bool) {
 	o := n.owner
-	a := custody.Attempt{Job: p.Job, Index: p.Index, Try: p.Try}
-	since, w, asked := o.desk.Since(m.id, a)
-	stop, over := asked && w.Want == custody.Stop, asked && w.Want == custody.Settled
+	a := ownership.Attempt{Job: p.Job, Index: p.Index, Try: p.Try}
+	since, w, asked := o.registry.Since(m.id, a)
+	stop, over := asked && w.Want == ownership.Stop, asked && w.Want == ownership.Settled
 	_, final := n.users.final[p.Job]
 	switch l, open := n.users.mirror.open[p.Job]; {
 	case final:
--- a/internal/core/reports.go
+++ b/internal/core/reports.go
@@ -4,8 +4,8 @@
 	"slices"
 	"time"
 
-	"github.com/micahill/micahill/internal/custody"
 	"github.com/micahill/micahill/internal/loss"
+	"github.com/micahill/micahill/internal/ownership"
 )
 
 // workerReport takes a report that waits for its answer.
@@ -131,7 +131,7 @@
 		}
 		n.piece(m, k, p)
 	}
-	deskSees(n, m)
+	registrySees(n, m)
 	if report {
 		missStarts(m)
 	}
@@ -171,7 +171,7 @@
 			continue
 		}
 		reporting++
-		if _, deaf := m.ear.Deaf(n.now); deaf {
+		if _, deaf := m.reach.Deaf(n.now); deaf {
 			// It hears nothing of what it is told; see unhearing.
 			continue
 		}
@@ -360,12 +360,12 @@
 		}
 		n.gone(n.owner.jobs[k.job], k.index, false)
 	}
-	n.owner.desk.Lost(n.now, m.id, func(a custody.Attempt) bool {
+	n.owner.registry.Lost(n.now, m.id, func(a ownership.Attempt) bool {
 		return r != nil && slices.ContainsFunc(r.Tasks, func(p TaskReport) bool {
 			return p.Job == a.Job && p.Index == a.Index && p.Try == a.Try
 		})
 	})
 	m.pieces, m.last = nil, nil
-	n.countWards(m)
+	n.countForeign(m)
 	m.images = map[string]*image{}
 }
--- a/internal/core/restore.go
+++ b/internal/core/restore.go
@@ -5,13 +5,13 @@
 	"strings"
 	"time"
 
-	"github.com/micahill/micahill/internal/sane"
+	"github.com/micahill/micahill/internal/validate"
 )
 
 // restore takes in a record of a job's tasks that a former owner wrote.
 func (n *Node) restore(j *job, it Item, r *chunkRecord) {
 	k, err := strconv.Atoi(strings.TrimPrefix(it.Key, taskPrefix+j.ID+"/"))
-	if err != nil || k < 0 || k > sane.MostTasks || !j.cancelled && k*j.per >= len(j.tasks) {
+	if err != nil || k < 0 || k > validate.MostTasks || !j.cancelled && k*j.per >= len(j.tasks) {
 		n.complain("record", it.Key, "its job has no such part")
 		return
 	}
--- a/internal/core/session.go
+++ b/internal/core/session.go
@@ -8,7 +8,7 @@
 	"time"
 
 	"github.com/micahill/micahill/internal/division"
-	"github.com/micahill/micahill/internal/lives"
+	"github.com/micahill/micahill/internal/incarnation"
 )
 
 const (
@@ -134,7 +134,7 @@
 }
 
 // beginLife calls fn when this life may take part, which after several short ones in
-// a row is not at once; see internal/lives.
+// a row is not at once; see internal/incarnation.
 func beginLife(n *Node, fn func()) {
 	key := lifePrefix + n.set.Host
 	n.ask(StateOp{Kind: OpGet, Prio: PrioSession, Key: key}, func(d StateDone) {
@@ -144,7 +144,7 @@
 		}
 		var r lifeRecord
 		known := d.Status == StateOK && len(d.Items) == 1 && decode(d.Items[0].Value, &r)
-		past, wait := lives.Begin(n.now, lives.Past{Born: time.UnixMilli(r.Born), Short: r.Short}, known)
+		past, wait := incarnation.Begin(n.now, incarnation.Past{Born: time.UnixMilli(r.Born), Short: r.Short}, known)
 		// It need not be waited for: lost, it only makes the next life wait less.
 		rec := encode(lifeRecord{Born: past.Born.UnixMilli(), Short: past.Short})
 		n.ask(StateOp{Kind: OpTxn, Prio: PrioSession, Apply: []Change{{Key: key, Value: rec}}}, func(StateDone) {})
@@ -278,7 +278,7 @@
 // young says that a controller began so lately that it gets no duty yet that another
 // can have.
 func (n *Node) young(r nodeRecord) bool {
-	return r.Born != 0 && lives.IsYoung(n.now, time.UnixMilli(r.Born))
+	return r.Born != 0 && incarnation.IsYoung(n.now, time.UnixMilli(r.Born))
 }
 
 // othersGrown says that some other controller has been up for a while.
@@ -490,7 +490,7 @@
 		case s.deaf(n.now):
 			// The others first; see deaf.go.
 			wait = deafWait
-		case lives.IsYoung(n.now, s.born) && n.othersGrown():
+		case incarnation.IsYoung(n.now, s.born) && n.othersGrown():
 			// Others have been up for longer, and may be for longer yet.
 			wait = youngWait
 		}
--- a/internal/core/status.go
+++ b/internal/core/status.go
@@ -132,8 +132,8 @@
 		for _, a := range o.afar {
 			s.Wards.Afar += len(a.attempts)
 		}
-		for _, id := range o.desk.Machines() {
-			s.Wards.Here += o.desk.Count(id)
+		for _, id := range o.registry.Machines() {
+			s.Wards.Here += o.registry.Count(id)
 		}
 		by := map[string]*WorkloadStatus{}
 		for _, j := range o.jobs {
@@ -173,7 +173,7 @@
 		return "booting"
 	case n.silent(m):
 		return "silent"
-	case !m.ear.Hears():
+	case !m.reach.Hears():
 		return "deaf"
 	case m.recall:
 		return "recalled"
--- a/internal/core/tenure.go
+++ b/internal/core/tenure.go
@@ -4,8 +4,8 @@
 	"slices"
 	"time"
 
-	"github.com/micahill/micahill/internal/custody"
 	"github.com/micahill/micahill/internal/division"
+	"github.com/micahill/micahill/internal/ownership"
 )
 
 // tenure.go keeps the owner's books in step with the division: which teams and which
@@ -112,7 +112,7 @@
 }
 
 // letTeamGo takes a team's jobs out of the books. What of them runs here goes on, in
-// the custody of this controller, until their new owner asks for it or it ends.
+// the care of this controller, until their new owner asks for it or it ends.
 func letTeamGo(n *Node, team string) {
 	o := n.owner
 	delete(o.teams, team)
@@ -140,10 +140,10 @@
 			}
 			// It may run or yet begin, and takes room. Whoever owns the job now reads
 			// of it and asks. What was never told to anybody is nowhere.
-			a := custody.Attempt{Job: id, Index: i, Try: t.try}
-			o.desk.Ask(n.now, to, custody.Ask{Machine: m.id, Attempts: []custody.Asked{{Attempt: a}}})
+			a := ownership.Attempt{Job: id, Index: i, Try: t.try}
+			o.registry.Ask(n.now, to, ownership.Ask{Machine: m.id, Attempts: []ownership.Asked{{Attempt: a}}})
 			if !t.sent {
-				o.desk.Nowhere(n.now, m.id, a)
+				o.registry.Nowhere(n.now, m.id, a)
 			}
 			left[m.id] = m
 		}
@@ -152,7 +152,7 @@
 	}
 	// Only now: what belongs to a job in the books is not counted as another's.
 	for _, id := range sortedKeys(left) {
-		n.countWards(left[id])
+		n.countForeign(left[id])
 		n.mark(left[id])
 	}
 	delete(o.used, team)
@@ -193,7 +193,7 @@
 			if !m.leaseEnd.IsZero() {
 				m.leaseEnd = later(m.leaseEnd, n.leaseAfter(m.former))
 			}
-			o.desk.Doubt(m.id)
+			o.registry.Doubt(m.id)
 			n.mark(m)
 		}
 	}
@@ -209,7 +209,7 @@
 func letMachineGo(n *Node, m *machine) {
 	o := n.owner
 	o.forget(m)
-	o.desk.Drop(m.id)
+	o.registry.Drop(m.id)
 	delete(o.higher, m.id)
 	if len(m.attempts) == 0 {
 		return
@@ -228,7 +228,7 @@
 		a.used = a.used.Plus(o.jobs[k.job].Need, 1)
 	}
 	o.dropAfar(a)
-	o.wards.soon = true
+	o.remote.soon = true
 }
 
 // takeMachine takes up a machine on which this owner's jobs have run under another.
@@ -470,7 +470,7 @@
 	}
 	restoreMoves(n, teams, under)
 	o.place = true
-	o.wards.soon = true
+	o.remote.soon = true
 	for _, m := range o.byID {
 		// What runs there may have been another's until now.
 		n.rehear(m)
--- a/internal/core/sane.go
+++ b/internal/core/validate.go
@@ -4,16 +4,16 @@
 	"time"
 
 	"github.com/micahill/micahill/internal/bounds"
-	"github.com/micahill/micahill/internal/sane"
+	"github.com/micahill/micahill/internal/validate"
 )
 
-// sane.go judges what comes from outside: news of other controllers, workers' reports
+// validate.go judges what comes from outside: news of other controllers, workers' reports
 // and records, which may be damaged or written by mistake. What makes no sense is not
 // taken, and told of; nothing ends for it.
 
 // Bad is what is wrong with a report, "" for nothing.
 func (r *Report) Bad() string {
-	var c sane.Check
+	var c validate.Check
 	c.Name("host", r.Machine, true)
 	c.Name("address", r.Addr, false)
 	c.Name("flavour", r.Flavour, false)
@@ -23,19 +23,19 @@
 	}
 	for i := range r.Tasks {
 		c.Name("piece", r.Tasks[i].Job, true)
-		c.Count("piece", r.Tasks[i].Index, 0, sane.MostTasks-1)
+		c.Count("piece", r.Tasks[i].Index, 0, validate.MostTasks-1)
 	}
 	return c.Bad()
 }
 
 // bad is what is wrong with news, "" for nothing.
 func (c *PeerNews) bad() string {
-	var k sane.Check
+	var k validate.Check
 	wants := func(field string, ws []Want) {
 		for _, w := range ws {
 			k.Name(field+".flavour", w.Flavour, false)
 			k.Name(field+".zone", w.Zone, false)
-			k.Count(field+".count", w.Count, 0, sane.MostTasks)
+			k.Count(field+".count", w.Count, 0, validate.MostTasks)
 		}
 	}
 	wants("wants", c.Wants)
@@ -57,8 +57,8 @@
 		k.Count("quotes.value", len(q.Value), 1, bounds.TxnMost)
 	}
 	for _, p := range c.Progress {
-		k.Count("progress.done", p.Done, 0, sane.MostTasks)
-		k.Count("progress.running", p.Running, 0, sane.MostTasks)
+		k.Count("progress.done", p.Done, 0, validate.MostTasks)
+		k.Count("progress.running", p.Running, 0, validate.MostTasks)
 	}
 	for _, t := range c.Teams {
 		k.Amount("teams.cpu", t.CPU)
@@ -81,7 +81,7 @@
 	for _, a := range c.Wards {
 		k.Name("wards.machine", a.Machine, true)
 		for _, t := range a.Attempts {
-			k.Count("wards.index", t.Index, 0, sane.MostTasks-1)
+			k.Count("wards.index", t.Index, 0, validate.MostTasks-1)
 			k.Amount("wards.wind_down", t.WindDown.Seconds())
 		}
 	}
@@ -106,7 +106,7 @@
 	for _, a := range c.Told {
 		k.Name("told.machine", a.Machine, true)
 		for _, t := range a.Attempts {
-			k.Count("told.index", t.Index, 0, sane.MostTasks-1)
+			k.Count("told.index", t.Index, 0, validate.MostTasks-1)
 		}
 	}
 	return k.Bad()
@@ -115,11 +115,11 @@
 // bad is what is wrong with a job's record, "" for nothing. One that is over and was
 // kept by an earlier form says nothing but that.
 func (r *openRecord) bad() string {
-	var c sane.Check
+	var c validate.Check
 	if r.Cancelled && r.Team == "" {
 		return ""
 	}
-	c.Count("n", r.Tasks, 1, sane.MostTasks)
+	c.Count("n", r.Tasks, 1, validate.MostTasks)
 	for _, f := range [...]struct {
 		name string
 		is   float64
--- a/internal/lives/lives.go
+++ b/internal/incarnation/incarnation.go
@@ -1,11 +1,11 @@
-// Package lives is what a controller and the others make of its lives. A process
+// Package incarnation is what a controller and the others make of its lives. A process
 // that ends may be started again within a fraction of a second, and may end again at
 // once, over and over. Two things are decided here: how long a new life waits before
 // it reads and claims anything, when the lives before were short, so that one that
 // can't stay up costs the state service and the others little; and for how long a
 // life counts as young, so that it gets no duty that another can have. The package has
 // no clock and sends nothing.
-package lives
+package incarnation
 
 import "time"
 
--- a/internal/lives/lives_test.go
+++ b/internal/incarnation/incarnation_test.go
@@ -1,4 +1,4 @@
-package lives
+package incarnation
 
 import (
 	"testing"
--- a/internal/custody/custody.go
+++ b/internal/ownership/ownership.go
@@ -1,4 +1,4 @@
-// Package custody is what two controllers tell each other when a job's owner and
+// Package ownership is what two controllers tell each other when a job's owner and
 // the owner of the machine that an attempt of it runs on are not the same: after a
 // team or a machine has moved, what runs goes on where it is.
 //
@@ -10,7 +10,7 @@
 // gone, and words that are lost, late or doubled do no harm. A word is tied to the
 // epoch under which the machine is owned: one from before the machine came back to
 // whoever may start there is not heeded.
-package custody
+package ownership
 
 import (
 	"slices"
@@ -105,9 +105,9 @@
 	Cause string
 }
 
-// Desk is a machine owner's account of the attempts on its machines whose jobs
+// Registry is a machine owner's account of the attempts on its machines whose jobs
 // belong to others. The zero value is empty and ready.
-type Desk struct {
+type Registry struct {
 	machines map[string]*held
 }
 
@@ -133,7 +133,7 @@
 	since time.Time
 }
 
-func (d *Desk) held(machine string) *held {
+func (d *Registry) held(machine string) *held {
 	if d.machines == nil {
 		d.machines = map[string]*held{}
 	}
@@ -147,7 +147,7 @@
 
 // Ask takes in what a job's owner asks. It says whether anything is to be stopped
 // or cleared that was not before.
-func (d *Desk) Ask(now time.Time, from string, a Ask) bool {
+func (d *Registry) Ask(now time.Time, from string, a Ask) bool {
 	h := d.held(a.Machine)
 	changed := false
 	for _, x := range a.Attempts {
@@ -174,7 +174,7 @@
 // another. proof: nothing that was sent under an earlier epoch can be executed there
 // any more, and no start under the current one is on its way, so that what is not
 // listed is nowhere.
-func (d *Desk) Saw(now time.Time, machine string, pieces []Piece, own func(job string) bool, proof bool) {
+func (d *Registry) Saw(now time.Time, machine string, pieces []Piece, own func(job string) bool, proof bool) {
 	h := d.machines[machine]
 	if h == nil {
 		if !slices.ContainsFunc(pieces, func(p Piece) bool { return !own(p.Job) }) {
@@ -208,7 +208,7 @@
 }
 
 // Nowhere notes that one attempt is proven to be nowhere.
-func (d *Desk) Nowhere(now time.Time, machine string, a Attempt) {
+func (d *Registry) Nowhere(now time.Time, machine string, a Attempt) {
 	if h := d.machines[machine]; h != nil && h.asked[a] != nil && h.gone[a].IsZero() {
 		h.gone[a], h.news = now, true
 	}
@@ -216,7 +216,7 @@
 
 // Lost notes that everything on the machine is proven gone, but for what it has begun
 // since.
-func (d *Desk) Lost(now time.Time, machine string, since func(Attempt) bool) {
+func (d *Registry) Lost(now time.Time, machine string, since func(Attempt) bool) {
 	h := d.machines[machine]
 	if h == nil {
 		return
@@ -230,12 +230,12 @@
 }
 
 // Count is how many attempts of others are, or may yet begin, on a machine.
-func (d *Desk) Count(machine string) int { return len(d.Living(machine)) }
+func (d *Registry) Count(machine string) int { return len(d.Living(machine)) }
 
 // Doubt forgets what was seen of a machine under an epoch that has passed: it may have
 // been another's in between, who has started there what was not there before. What is
 // asked for stands.
-func (d *Desk) Doubt(machine string) {
+func (d *Registry) Doubt(machine string) {
 	if h := d.machines[machine]; h != nil {
 		clear(h.gone)
 		clear(h.pieces)
@@ -243,10 +243,10 @@
 }
 
 // Drop forgets a machine that now belongs to another.
-func (d *Desk) Drop(machine string) { delete(d.machines, machine) }
+func (d *Registry) Drop(machine string) { delete(d.machines, machine) }
 
 // Machines names the machines with anything of others on them or asked for there.
-func (d *Desk) Machines() []string {
+func (d *Registry) Machines() []string {
 	out := make([]string, 0, len(d.machines))
 	for id := range d.machines {
 		out = append(out, id)
@@ -257,7 +257,7 @@
 
 // Unseen says that something is asked for on a machine that has not been reported and
 // is not known to be gone.
-func (d *Desk) Unseen(machine string) bool {
+func (d *Registry) Unseen(machine string) bool {
 	h := d.machines[machine]
 	if h == nil {
 		return false
@@ -272,7 +272,7 @@
 
 // Living are the attempts that take room on a machine, in order: those reported and
 // not ended, and those asked for that may yet begin there.
-func (d *Desk) Living(machine string) []Attempt {
+func (d *Registry) Living(machine string) []Attempt {
 	h := d.machines[machine]
 	if h == nil {
 		return nil
@@ -294,7 +294,7 @@
 
 // Since is when a piece was first reported, and what its job's owner wants of it; ok
 // is false when nobody has asked for it.
-func (d *Desk) Since(machine string, a Attempt) (since time.Time, want Asked, ok bool) {
+func (d *Registry) Since(machine string, a Attempt) (since time.Time, want Asked, ok bool) {
 	h := d.machines[machine]
 	if h == nil {
 		return time.Time{}, Asked{}, false
@@ -318,7 +318,7 @@
 
 // Tells are the messages due, by controller. What has changed is told at once, the
 // rest again every second, so that a lost word is said once more.
-func (d *Desk) Tells(now time.Time, about func(machine string) (About, bool)) map[string][]Tell {
+func (d *Registry) Tells(now time.Time, about func(machine string) (About, bool)) map[string][]Tell {
 	var out map[string][]Tell
 	count := map[string]int{}
 	for _, id := range d.Machines() {
--- a/internal/custody/custody_test.go
+++ b/internal/ownership/ownership_test.go
@@ -1,4 +1,4 @@
-package custody
+package ownership
 
 import (
 	"fmt"
@@ -24,12 +24,12 @@
 	// orders are starts on their way, with the epoch they were sent under.
 	orders []order
 	// live are a's attempts that it takes for living, gone those it has proof of.
-	live map[Attempt]bool
-	gone map[Attempt]bool
-	next uint64
-	desk *Desk
-	asks []Ask
-	tell []Tell
+	live     map[Attempt]bool
+	gone     map[Attempt]bool
+	next     uint64
+	registry *Registry
+	asks     []Ask
+	tell     []Tell
 	// without takes one condition out, to show that the model notices.
 	without string
 }
@@ -42,7 +42,7 @@
 func newModel() *model {
 	return &model{
 		now: time.Unix(1_750_000_000, 0), epoch: 1, mine: true, alive: true,
-		on: map[Attempt]State{}, live: map[Attempt]bool{}, gone: map[Attempt]bool{}, desk: &Desk{},
+		on: map[Attempt]State{}, live: map[Attempt]bool{}, gone: map[Attempt]bool{}, registry: &Registry{},
 	}
 }
 
@@ -94,7 +94,7 @@
 		}
 		return
 	}
-	m.desk.Saw(m.now, "vm", ps, func(string) bool { return m.without == "own" }, quiet)
+	m.registry.Saw(m.now, "vm", ps, func(string) bool { return m.without == "own" }, quiet)
 }
 
 func (m *model) told(t *rapid.T, x Tell) {
@@ -153,14 +153,14 @@
 		"move": func(t *rapid.T) {
 			m.epoch++
 			m.mine = !m.mine
-			m.desk.Drop("vm")
+			m.registry.Drop("vm")
 		},
 		"die": func(t *rapid.T) {
 			if rapid.IntRange(0, 9).Draw(t, "seldom") == 0 && !m.mine {
 				// Its return is answered: nothing there comes back.
 				m.alive = false
 				clear(m.on)
-				m.desk.Lost(m.now, "vm", func(Attempt) bool { return false })
+				m.registry.Lost(m.now, "vm", func(Attempt) bool { return false })
 			}
 		},
 		"ask": func(t *rapid.T) {
@@ -172,7 +172,7 @@
 		},
 		"asked": func(t *rapid.T) {
 			if len(m.asks) > 0 && !m.mine {
-				m.desk.Ask(m.now, "a", m.asks[rapid.IntRange(0, len(m.asks)-1).Draw(t, "ask")])
+				m.registry.Ask(m.now, "a", m.asks[rapid.IntRange(0, len(m.asks)-1).Draw(t, "ask")])
 			}
 		},
 		"tell": func(t *rapid.T) {
@@ -180,7 +180,7 @@
 			if m.mine {
 				return
 			}
-			out := m.desk.Tells(m.now, func(string) (About, bool) {
+			out := m.registry.Tells(m.now, func(string) (About, bool) {
 				return About{Epoch: m.epoch, Owner: func(string) string { return "a" }}, true
 			})
 			m.tell = append(m.tell, out["a"]...)
@@ -226,9 +226,9 @@
 	late := func(m *model, rt *rapid.T) {
 		m.live[attempt(1)] = true
 		m.epoch, m.mine = 2, false
-		m.desk.Ask(m.now, "a", Ask{Machine: "vm", Attempts: []Asked{{Attempt: attempt(1)}}})
+		m.registry.Ask(m.now, "a", Ask{Machine: "vm", Attempts: []Asked{{Attempt: attempt(1)}}})
 		m.report(rt)
-		old := m.desk.Tells(m.now, func(string) (About, bool) { return About{Epoch: 2, Owner: func(string) string { return "" }}, true })["a"]
+		old := m.registry.Tells(m.now, func(string) (About, bool) { return About{Epoch: 2, Owner: func(string) string { return "" }}, true })["a"]
 		m.epoch, m.mine = 4, false
 		m.on[attempt(1)] = Running // started under epoch 3, when the machine was a's
 		for _, x := range old {
@@ -248,9 +248,9 @@
 	hidden := func(m *model, rt *rapid.T) {
 		m.mine = false
 		m.on[attempt(1)] = Running
-		m.desk.Ask(m.now, "a", Ask{Machine: "vm", Attempts: []Asked{{Attempt: attempt(1)}}})
-		m.desk.Saw(m.now, "vm", []Piece{{Attempt: attempt(1), State: Running}}, func(string) bool { return true }, true)
-		for _, x := range m.desk.Tells(m.now, func(string) (About, bool) { return About{Epoch: m.epoch}, true })["a"] {
+		m.registry.Ask(m.now, "a", Ask{Machine: "vm", Attempts: []Asked{{Attempt: attempt(1)}}})
+		m.registry.Saw(m.now, "vm", []Piece{{Attempt: attempt(1), State: Running}}, func(string) bool { return true }, true)
+		for _, x := range m.registry.Tells(m.now, func(string) (About, bool) { return About{Epoch: m.epoch}, true })["a"] {
 			for _, w := range x.Attempts {
 				if w.State == Gone {
 					m.gone[w.Attempt] = true
@@ -263,12 +263,12 @@
 	}
 }
 
-// TestDesk: what is asked for is stopped once and for all, counts as room, and is
+// TestRegistry: what is asked for is stopped once and for all, counts as room, and is
 // told again until its owner has heard.
-func TestDesk(t *testing.T) {
+func TestRegistry(t *testing.T) {
 	now := time.Unix(1_750_000_000, 0)
 	a, b := Attempt{"j", 0, 1}, Attempt{"j", 1, 1}
-	d := &Desk{}
+	d := &Registry{}
 	about := func(string) (About, bool) {
 		return About{Epoch: 7, Zone: "z", Owner: func(string) string { return "c" }}, true
 	}
@@ -314,7 +314,7 @@
 // while another started there what it then did not see.
 func TestDoubt(t *testing.T) {
 	now := time.Unix(1_750_000_000, 0)
-	d := &Desk{}
+	d := &Registry{}
 	a := Attempt{"j", 0, 1}
 	own := func(string) bool { return false }
 	d.Ask(now, "a", Ask{"vm", []Asked{{Attempt: a, Want: Stop}}})
@@ -333,7 +333,7 @@
 // the next round, and none is left out for ever.
 func TestMessagesAreBounded(t *testing.T) {
 	now := time.Unix(1_750_000_000, 0)
-	d := &Desk{}
+	d := &Registry{}
 	const machines, each = 900, 10
 	for i := range machines {
 		x := Ask{Machine: fmt.Sprintf("vm-%04d", i)}
@@ -362,7 +362,7 @@
 func TestLost(t *testing.T) {
 	now := time.Unix(1_750_000_000, 0)
 	a, b := Attempt{"j", 0, 1}, Attempt{"j", 1, 1}
-	d := &Desk{}
+	d := &Registry{}
 	d.Ask(now, "a", Ask{"vm", []Asked{{Attempt: a}, {Attempt: b}}})
 	d.Lost(now, "vm", func(x Attempt) bool { return x == b })
 	if got := d.Living("vm"); len(got) != 1 || got[0] != b {
--- a/internal/peer/wire.go
+++ b/internal/peer/wire.go
@@ -4,8 +4,8 @@
 	"time"
 
 	"github.com/micahill/micahill/internal/core"
-	"github.com/micahill/micahill/internal/custody"
 	"github.com/micahill/micahill/internal/division"
+	"github.com/micahill/micahill/internal/ownership"
 )
 
 // wire is news in its protobuf form, and core, below, the way back.
@@ -133,16 +133,16 @@
 		n.Release = append(n.Release, division.Ask{Team: r.Team, From: r.From, To: r.To})
 	}
 	for _, a := range m.Wards {
-		x := custody.Ask{Machine: a.Machine}
+		x := ownership.Ask{Machine: a.Machine}
 		for _, t := range a.Attempts {
-			x.Attempts = append(x.Attempts, custody.Asked{Attempt: t.core(), Want: custody.Want(t.Want), WindDown: time.Duration(t.WindDownMs) * time.Millisecond})
+			x.Attempts = append(x.Attempts, ownership.Asked{Attempt: t.core(), Want: ownership.Want(t.Want), WindDown: time.Duration(t.WindDownMs) * time.Millisecond})
 		}
 		n.Wards = append(n.Wards, x)
 	}
 	for _, a := range m.Told {
-		x := custody.Tell{Machine: a.Machine, Epoch: a.Epoch, Zone: a.Zone}
+		x := ownership.Tell{Machine: a.Machine, Epoch: a.Epoch, Zone: a.Zone}
 		for _, t := range a.Attempts {
-			x.Attempts = append(x.Attempts, custody.Told{Attempt: t.core(), State: custody.State(t.State), Cause: t.Cause})
+			x.Attempts = append(x.Attempts, ownership.Told{Attempt: t.core(), State: ownership.State(t.State), Cause: t.Cause})
 		}
 		n.Told = append(n.Told, x)
 	}
@@ -153,8 +153,8 @@
 	return n
 }
 
-func (t *Attempt) core() custody.Attempt {
-	return custody.Attempt{Job: t.Job, Index: int(t.Index), Try: t.Try}
+func (t *Attempt) core() ownership.Attempt {
+	return ownership.Attempt{Job: t.Job, Index: int(t.Index), Try: t.Try}
 }
 
 func coreWants(ws []*Want) []core.Want {
--- a/internal/hearing/hearing.go
+++ b/internal/reachability/reachability.go
@@ -1,4 +1,4 @@
-// Package hearing tells whether a machine hears its controller. A report is a sign of
+// Package reachability tells whether a machine hears its controller. A report is a sign of
 // life of the time when it was sent; that answers and orders arrive, it does not show
 // by coming. What shows it is a report that could not look so without an answer (an
 // epoch that the machine had not seen, a start, a clear, a lease that did not run out),
@@ -6,7 +6,7 @@
 // shown itself and has not, a direct request without an answer, and a tenure that ended
 // while the machine reported. A doubt costs little: nothing is placed there until one
 // question is answered. The package has no clock and sends nothing.
-package hearing
+package reachability
 
 import (
 	"cmp"
@@ -28,9 +28,9 @@
 	hintEvery = 30 * time.Second
 )
 
-// Ear is what shows whether one machine hears its owner. The zero value is one of
+// Detector is what shows whether one machine hears its owner. The zero value is one of
 // which nothing raises a doubt.
-type Ear struct {
+type Detector struct {
 	expects bool
 	misses  int
 	// doubted is since when there is a doubt, and asks how many direct requests have
@@ -48,26 +48,26 @@
 }
 
 // Answered notes the answer to a direct request.
-func (e *Ear) Answered() {
+func (e *Detector) Answered() {
 	e.byReports = false
 	e.clear()
 }
 
 // Shown notes a report that could not look so without an answer or order.
-func (e *Ear) Shown() {
+func (e *Detector) Shown() {
 	e.byReports = e.byReports || e.asks > 0
 	e.clear()
 }
 
-func (e *Ear) clear() {
+func (e *Detector) clear() {
 	e.expects, e.misses, e.asks, e.doubted = false, 0, 0, time.Time{}
 }
 
 // Expects notes that an answer has left which a later report has to show.
-func (e *Ear) Expects() { e.expects = true }
+func (e *Detector) Expects() { e.expects = true }
 
 // Unanswered notes that a direct request had no answer.
-func (e *Ear) Unanswered(now time.Time) {
+func (e *Detector) Unanswered(now time.Time) {
 	e.asks++
 	if !e.byReports {
 		e.doubt(now)
@@ -76,7 +76,7 @@
 
 // Tenure notes a report of a later tenure: the lease ran out. If nothing prolonged it
 // though its reports were answered, they were not heard.
-func (e *Ear) Tenure(now time.Time) {
+func (e *Detector) Tenure(now time.Time) {
 	e.tenureAt = now
 	e.doubt(now)
 }
@@ -84,7 +84,7 @@
 // Report notes a report that shows nothing of our answers. skipped: the machine has
 // sent others in between that came to nobody here. lease is for how long a lease
 // surely runs.
-func (e *Ear) Report(now time.Time, skipped bool, lease time.Duration) {
+func (e *Detector) Report(now time.Time, skipped bool, lease time.Duration) {
 	if e.expects {
 		if e.misses++; e.misses >= missMost {
 			e.doubt(now)
@@ -106,19 +106,19 @@
 }
 
 // Elsewhere notes that it has reported to another controller since it was last heard.
-func (e *Ear) Elsewhere(now time.Time) { e.doubt(now) }
+func (e *Detector) Elsewhere(now time.Time) { e.doubt(now) }
 
-func (e *Ear) doubt(now time.Time) {
+func (e *Detector) doubt(now time.Time) {
 	if e.doubted.IsZero() {
 		e.doubted = now
 	}
 }
 
 // Hears says that nothing speaks against it that answers and orders arrive.
-func (e *Ear) Hears() bool { return e.doubted.IsZero() }
+func (e *Detector) Hears() bool { return e.doubted.IsZero() }
 
 // Deaf says that the doubt has been asked about, and for how long it stands.
-func (e *Ear) Deaf(now time.Time) (time.Duration, bool) {
+func (e *Detector) Deaf(now time.Time) (time.Duration, bool) {
 	if e.Hears() || e.asks < asksMost {
 		return 0, false
 	}
--- a/internal/hearing/hearing_test.go
+++ b/internal/reachability/reachability_test.go
@@ -1,4 +1,4 @@
-package hearing
+package reachability
 
 import (
 	"fmt"
@@ -20,34 +20,34 @@
 func TestDoubts(t *testing.T) {
 	for _, c := range []struct {
 		name string
-		do   func(e *Ear)
+		do   func(e *Detector)
 		want bool
 	}{
-		{"nothing is known", func(*Ear) {}, true},
-		{"an answer was late once", func(e *Ear) { e.Expects(); e.Report(at(1), false, lease) }, true},
-		{"two reports show nothing of it", func(e *Ear) { e.Expects(); e.Report(at(1), false, lease); e.Report(at(2), false, lease) }, false},
-		{"nothing was to be shown", func(e *Ear) { e.Report(at(1), false, lease); e.Report(at(2), false, lease) }, true},
-		{"the lease ran out", func(e *Ear) { e.Tenure(at(1)) }, false},
-		{"an order had no answer", func(e *Ear) { e.Unanswered(at(1)) }, false},
-		{"it answers", func(e *Ear) { e.Unanswered(at(1)); e.Unanswered(at(4)); e.Answered() }, true},
-		{"it went elsewhere", func(e *Ear) { e.Report(at(97), false, lease); e.Report(at(100), true, lease) }, false},
-		{"it has come by way of others", func(e *Ear) { e.Report(at(100), true, lease) }, true},
-		{"reports are lost now and then", func(e *Ear) {
+		{"nothing is known", func(*Detector) {}, true},
+		{"an answer was late once", func(e *Detector) { e.Expects(); e.Report(at(1), false, lease) }, true},
+		{"two reports show nothing of it", func(e *Detector) { e.Expects(); e.Report(at(1), false, lease); e.Report(at(2), false, lease) }, false},
+		{"nothing was to be shown", func(e *Detector) { e.Report(at(1), false, lease); e.Report(at(2), false, lease) }, true},
+		{"the lease ran out", func(e *Detector) { e.Tenure(at(1)) }, false},
+		{"an order had no answer", func(e *Detector) { e.Unanswered(at(1)) }, false},
+		{"it answers", func(e *Detector) { e.Unanswered(at(1)); e.Unanswered(at(4)); e.Answered() }, true},
+		{"it went elsewhere", func(e *Detector) { e.Report(at(97), false, lease); e.Report(at(100), true, lease) }, false},
+		{"it has come by way of others", func(e *Detector) { e.Report(at(100), true, lease) }, true},
+		{"reports are lost now and then", func(e *Detector) {
 			e.Report(at(97), false, lease)
 			e.Report(at(100), true, lease)
 			e.Answered()
 			e.Report(at(107), false, lease)
 			e.Report(at(110), true, lease)
 		}, true},
-		{"its address never answers, its reports show a start", func(e *Ear) { e.Unanswered(at(1)); e.Shown(); e.Unanswered(at(5)) }, true},
-		{"its address never answers, and its lease goes on", func(e *Ear) {
+		{"its address never answers, its reports show a start", func(e *Detector) { e.Unanswered(at(1)); e.Shown(); e.Unanswered(at(5)) }, true},
+		{"its address never answers, and its lease goes on", func(e *Detector) {
 			e.Unanswered(at(1))
 			e.Report(at(20), false, lease)
 			e.Report(at(27), false, lease)
 			e.Unanswered(at(30))
 		}, true},
-		{"its lease is not yet over", func(e *Ear) { e.Unanswered(at(1)); e.Report(at(20), false, lease) }, false},
-		{"its leases run out one after another", func(e *Ear) {
+		{"its lease is not yet over", func(e *Detector) { e.Unanswered(at(1)); e.Report(at(20), false, lease) }, false},
+		{"its leases run out one after another", func(e *Detector) {
 			e.Unanswered(at(1))
 			e.Tenure(at(20))
 			e.Report(at(40), false, lease)
@@ -55,12 +55,12 @@
 			e.Report(at(60), false, lease)
 		}, false},
 	} {
-		var e Ear
+		var e Detector
 		if c.do(&e); e.Hears() != c.want {
 			t.Errorf("%s: hears %v, want %v", c.name, e.Hears(), c.want)
 		}
 	}
-	var e Ear
+	var e Detector
 	e.Unanswered(at(1))
 	if _, deaf := e.Deaf(at(9)); deaf {
 		t.Error("asked once, it counts as deaf")
--- a/internal/ears/ears.go
+++ b/internal/selfmonitor/selfmonitor.go
@@ -1,9 +1,9 @@
-// Package ears tells a controller that is cut off from the workers, or to which alone
+// Package selfmonitor tells a controller that is cut off from the workers, or to which alone
 // they are deaf, from one whose workers are gone. Alone neither can be known: both hear nothing. So two
 // accounts are put together: the owner's own, that no report has come for longer
 // than chance explains, and the others', that machines which they sent to the
 // owner keep coming back. The package has no clock and sends nothing.
-package ears
+package selfmonitor
 
 import "time"
 
@@ -26,8 +26,8 @@
 	remembered = 1 << 14
 )
 
-// Own is what a controller hears itself.
-type Own struct {
+// Monitor is what a controller hears itself.
+type Monitor struct {
 	heard, ran, awake time.Time
 	// unanswered counts direct requests to workers without an answer since anything
 	// showed that one of ours arrived, the first of them at first.
@@ -41,26 +41,26 @@
 const muteLeast = 4
 
 // Arrived notes a sign that something sent to a worker arrived.
-func (o *Own) Arrived() { o.unanswered = 0 }
+func (o *Monitor) Arrived() { o.unanswered = 0 }
 
 // Unanswered notes that a direct request to a worker had no answer.
-func (o *Own) Unanswered(now time.Time) {
+func (o *Monitor) Unanswered(now time.Time) {
 	if o.unanswered++; o.unanswered == 1 {
 		o.first = now
 	}
 }
 
 // Mute says that workers report and nothing sent to them arrives.
-func (o *Own) Mute(now time.Time) bool {
+func (o *Monitor) Mute(now time.Time) bool {
 	return o.unanswered >= muteLeast && now.Sub(o.first) > atLeast && now.Sub(o.awake) > atLeast
 }
 
 // Heard notes a report of any worker, whatever its answer.
-func (o *Own) Heard(now time.Time) { o.heard = now }
+func (o *Monitor) Heard(now time.Time) { o.heard = now }
 
 // Run notes that the controller runs. After it has stood still it has heard
 // nothing for that reason alone.
-func (o *Own) Run(now time.Time) {
+func (o *Monitor) Run(now time.Time) {
 	if now.Sub(o.ran) > stoodStill {
 		o.awake = now
 	}
@@ -70,7 +70,7 @@
 // Deaf says that so many machines, each of which reports at least once in the
 // time every, can't all have been silent since the last report by chance. What
 // was before since does not count.
-func (o *Own) Deaf(now, since time.Time, machines int, every time.Duration) bool {
+func (o *Monitor) Deaf(now, since time.Time, machines int, every time.Duration) bool {
 	if machines < 2 {
 		return false
 	}
--- a/internal/ears/ears_test.go
+++ b/internal/selfmonitor/selfmonitor_test.go
@@ -1,4 +1,4 @@
-package ears
+package selfmonitor
 
 import (
 	"fmt"
@@ -31,7 +31,7 @@
 		{"the process stood still", 1000, 100, true, 0, 110, false},
 		{"it has only just taken over", 1000, 100, false, 109, 110, false},
 	} {
-		var o Own
+		var o Monitor
 		for s := 0.0; s <= c.now; s += 0.5 {
 			if c.still && s > c.heard && s < c.now-1 {
 				continue
--- a/internal/sane/sane.go
+++ b/internal/validate/validate.go
@@ -1,7 +1,7 @@
-// Package sane judges what comes from outside before anything is reckoned with it, and
+// Package validate judges what comes from outside before anything is reckoned with it, and
 // keeps the log from filling when the same mistake comes again and again. The package
 // has no clock and prints nothing.
-package sane
+package validate
 
 import (
 	"fmt"
--- a/internal/sane/sane_test.go
+++ b/internal/validate/validate_test.go
@@ -1,4 +1,4 @@
-package sane
+package validate
 
 import (
 	"fmt"
