--- a/internal/core/lanes.go
+++ b/internal/core/lanes.go
@@ -19,6 +19,7 @@
 	i, taken int32
 }
 
+//lint:ignore U1000 heap calls it by its type parameter
 func (e *entry) before(o *entry) bool {
 	return e.start < o.start || e.start == o.start && e.i < o.i
 }
--- a/internal/core/record.go
+++ b/internal/core/record.go
@@ -116,7 +116,8 @@
 // it is on none), its group's start in Unix milliseconds, whether it was
 // relaunched, and whether it is done.
 type taskRow struct {
-	_msgpack   struct{} `msgpack:",as_array"` //nolint:unused // asks for rows as lists
+	//lint:ignore U1000 its tag has rows stored as lists
+	_msgpack   struct{} `msgpack:",as_array"`
 	Index      int
 	Try        uint64
 	Machine    string
--- a/internal/core/round.go
+++ b/internal/core/round.go
@@ -151,6 +151,7 @@
 	score float64
 }
 
+//lint:ignore U1000 heap calls it by its type parameter
 func (a *place) before(b *place) bool {
 	return a.score < b.score || a.score == b.score && a.s.i < b.s.i
 }
--- a/internal/core/warm.go
+++ b/internal/core/warm.go
@@ -22,7 +22,8 @@
 }
 
 type warmImage struct {
-	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // asks for rows as lists
+	//lint:ignore U1000 its tag has rows stored as lists
+	_msgpack struct{} `msgpack:",as_array"`
 	Name     string
 	GB       float64
 	Machines []int
--- a/internal/division/record.go
+++ b/internal/division/record.go
@@ -58,7 +58,8 @@
 // are a prefix and a number of so many digits; Runs are pairs of a gap after the
 // last run and a length, and Names those that have no number.
 type groupRec struct {
-	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // asks for a list
+	//lint:ignore U1000 its tag has rows stored as lists
+	_msgpack struct{} `msgpack:",as_array"`
 	Epoch    uint64
 	Prefix   string
 	Width    int
--- a/internal/overflow/model_test.go
+++ b/internal/overflow/model_test.go
@@ -76,7 +76,6 @@
 	// whatever owner and workers, when the bound after it is over.
 	until  time.Time
 	drift  float64
-	tick   uint64
 	nextAt time.Time
 }
 
@@ -112,7 +111,6 @@
 	homeUp                 bool
 	epoch                  uint64
 	home                   *Home
-	cutAt                  time.Time // the home's leader was deposed then, and may not know
 	guests                 []*mguest
 	queue                  []mevent
 	seq                    int
--- a/internal/promise/pages.go
+++ b/internal/promise/pages.go
@@ -16,7 +16,8 @@
 }
 
 type row struct {
-	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // asks for rows as lists
+	//lint:ignore U1000 its tag has rows stored as lists
+	_msgpack struct{} `msgpack:",as_array"`
 	Job      string
 	MS       int
 	Rev      int
--- a/internal/promise/quotes.go
+++ b/internal/promise/quotes.go
@@ -244,7 +244,8 @@
 // classQuote is a class: wait in milliseconds, room, run ratio and its spread and the
 // factors in hundredths, 0 for a size that was not seen.
 type classQuote struct {
-	_msgpack       struct{} `msgpack:",as_array"` //nolint:unused // asks for rows as lists
+	//lint:ignore U1000 its tag has rows stored as lists
+	_msgpack       struct{} `msgpack:",as_array"`
 	Name           string
 	WaitMS, Room   int
 	Ratio, Dev     int
--- a/internal/promise/totals.go
+++ b/internal/promise/totals.go
@@ -73,7 +73,8 @@
 }
 
 type totalRow struct {
-	_msgpack                          struct{} `msgpack:",as_array"` //nolint:unused // asks for rows as lists
+	//lint:ignore U1000 its tag has rows stored as lists
+	_msgpack                          struct{} `msgpack:",as_array"`
 	Team, Class                       string
 	Jobs, Made, Kept, Broken, Revised int
 	WorstMS                           int
--- a/internal/standin/dates_test.go
+++ b/internal/standin/dates_test.go
@@ -55,7 +55,6 @@
 	made    map[string]time.Time
 	wrong   []string
 	changes map[string]int
-	nodes   map[string]bool
 	revised int
 }
 
