Servers of tests get ports that outgoing connections do not take

Cause: TestControllers failed once in a run of all tests: the port that was found free had become the local port of a client of another package's test, and the controller waited for it for a minute. Change: ports.Free chooses below the system's range for outgoing connections; the test's and the laboratory's own copies are gone.

--- a/cmd/micahill/main_test.go
+++ b/cmd/micahill/main_test.go
@@ -5,7 +5,6 @@
 	"context"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"os"
 	"path/filepath"
@@ -14,6 +13,7 @@
 	"time"
 
 	"github.com/micahill/micahill/internal/core"
+	"github.com/micahill/micahill/internal/ports"
 	"github.com/micahill/micahill/internal/standin"
 	"github.com/vmihailenco/msgpack/v5"
 )
@@ -22,12 +22,11 @@
 
 func freeAddr(t *testing.T) string {
 	t.Helper()
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	addr, err := ports.Free()
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer ln.Close()
-	return ln.Addr().String()
+	return addr
 }
 
 func settings(i int, api, back []string, live *standin.Live) string {
--- a/internal/lab/fleet/fleet.go
+++ b/internal/lab/fleet/fleet.go
@@ -9,7 +9,6 @@
 	"errors"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"os"
 	"os/exec"
@@ -20,6 +19,7 @@
 	"time"
 
 	"github.com/micahill/micahill/internal/core"
+	"github.com/micahill/micahill/internal/ports"
 	"github.com/micahill/micahill/internal/keys"
 	"github.com/micahill/micahill/internal/standin"
 	"github.com/vmihailenco/msgpack/v5"
@@ -121,7 +121,7 @@
 		}
 		for range f.opt.Controllers {
 			for _, into := range []*[]string{&c.API, &c.Back, &c.Link} {
-				a, err := freeAddr()
+				a, err := ports.Free()
 				if err != nil {
 					return err
 				}
@@ -160,15 +160,6 @@
 	return nil
 }
 
-func freeAddr() (string, error) {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", fmt.Errorf("fleet: %w", err)
-	}
-	defer ln.Close()
-	return ln.Addr().String(), nil
-}
-
 // learn tells workers of a job, also under a name by which it was lent.
 func (f *Fleet) learn(id string) (core.Spec, time.Duration, bool) {
 	f.mu.Lock()
