A start leaves only as long as the cancellations that it could miss are bounded

Cause: direct starts were bounded by the grant alone. A grant may be renewed while open/ can't be read (right after an outage, or when reads are refused or slow). Change: starts, in answers and directly, leave no later than the window after the newest read of open/, like answers that prolong leases, and are judged again when they leave. Halts are not held back by it. Conclusion: a session named in a start had begun by then, so it ends within cancel_s of whatever this owner can't know.

--- a/internal/core/horizon.go
+++ b/internal/core/horizon.go
@@ -27,7 +27,16 @@
 	return earlier(n.sess.sureUntil.Add(n.grace()), n.set.Horizon().Until(n.users.mirror.asOf))
 }
 
-// renewUntilOn is the same for one machine: as long as tasks of a cancelled job may be on
+// startsKnown is the last moment at which a start leaves, whoever it is for. A direct order
+// names a session that had begun by then and that no answer prolongs beyond the horizon's
+// window: so it ends in time for a cancellation that this owner can't know, also where the
+// session has just begun. A grant says nothing of that; it may be renewed while open/ can't
+// be read.
+func (n *Node) startsKnown() time.Time {
+	return earlier(n.sess.sureUntil, n.set.Horizon().Until(n.users.mirror.asOf))
+}
+
+// renewUntilOn is renewUntil for one machine: as long as tasks of a cancelled job may be on
 // it or begin there, their time counts too. They were told to stop, but what was told may
 // never arrive, and a start that was sent before may yet. settled: see machine.settled.
 func (n *Node) renewUntilOn(m *machine, settled bool) time.Time {
--- a/internal/core/horizon_test.go
+++ b/internal/core/horizon_test.go
@@ -73,6 +73,44 @@
 	}
 }
 
+// TestStartsAreKnown: a grant is renewed by an owner that can't read open/. What it starts
+// directly leaves no later than its answers do, and what stops is not held back by that.
+func TestStartsAreKnown(t *testing.T) {
+	n := largePool(12)
+	n.users.mirror.open = map[string]living{}
+	m, j := firstWork(n)
+	k := n.onMachine("job-000901", m)
+	k.chunkOf(0).saved = 1
+	n.users.mirror.asOf = n.now
+	last := n.now.Add(n.set.Horizon().Window())
+	ordered := func() (op WorkerOp) {
+		m.inFlight, n.out = false, nil
+		n.direct(m)
+		for _, e := range n.out {
+			if w, ok := e.(WorkerOp); ok {
+				op = w
+			}
+		}
+		return op
+	}
+	n.now = last
+	op := ordered()
+	if len(op.Orders) != 1 || op.Orders[0].Verb != Start || !op.Until.Equal(last) {
+		t.Errorf("ordered %v until %v, want a start until %v", op.Orders, op.Until, last)
+	}
+	if back, _, late := Late(op, last.Add(time.Millisecond)); !late || !back.(WorkerDone).NotSent {
+		t.Error("it leaves when its time is over")
+	}
+	n.now = last.Add(time.Millisecond)
+	if op := ordered(); len(op.Orders) > 0 {
+		t.Errorf("ordered %v behind the window", op.Orders)
+	}
+	n.cancelled(j, n.now)
+	if op := ordered(); len(op.Orders) != 1 || op.Orders[0].Verb != Halt || !op.Until.Equal(n.sess.sureUntil) {
+		t.Errorf("ordered %v until %v, want a halt as long as the grant surely lives", op.Orders, op.Until)
+	}
+}
+
 // TestCancelledUnproven: halts may be lost and starts be on their way. A machine that may
 // have a cancelled job's tasks is answered only in the time that these have, counted from
 // the sending of the change with both clocks wrong, and again as soon as they are gone.
--- a/internal/core/reconcile.go
+++ b/internal/core/reconcile.go
@@ -122,8 +122,8 @@
 		}
 	}
 	for _, k := range sortedAttempts(m) {
-		if n.now.After(n.sess.sureUntil) {
-			// Perhaps deposed: a job may have been cancelled that this node can't hear of.
+		if n.now.After(n.startsKnown()) {
+			// A job may have been cancelled that this node can't hear of.
 			break
 		}
 		if len(orders) >= ordersMost {
@@ -202,10 +202,14 @@
 		return
 	}
 	starts := slices.ContainsFunc(orders, func(o Order) bool { return o.Verb == Start })
+	until := n.sess.sureUntil
+	if starts {
+		until = earlier(n.startsKnown(), startsUntil(n, m))
+	}
 	m.inFlight = true
 	was := m.seen()
 	epoch, gen := m.epoch, o.gen
-	n.call(WorkerOp{Machine: m.id, Addr: m.addr, Until: earlier(n.sess.sureUntil, startsUntil(n, m)), Epoch: epoch, Tenure: m.tenure, Orders: orders}, func(d WorkerDone) {
+	n.call(WorkerOp{Machine: m.id, Addr: m.addr, Until: until, Epoch: epoch, Tenure: m.tenure, Orders: orders}, func(d WorkerDone) {
 		if n.owner == nil || n.owner.gen != gen || m.forgotten {
 			return
 		}
