A cancelled job's task that saves for another owner is ended at once

Cause: a machine's owner remembers how long the job's owner let a stopped task save. When the job was cancelled after that and its owner was not heard, the task was left to save, and one that ran was given the time (red: no order for a task that saves). Change: a cancelled or ended job's tasks are told to end with no time to save.

--- a/internal/core/owner_test.go
+++ b/internal/core/owner_test.go
@@ -156,6 +156,30 @@
 	}
 }
 
+// TestCancelledWhileItSaves: another owner's task was told to stop with time to save, and
+// then its job is cancelled. It is ended at once, though that owner is not heard.
+func TestCancelledWhileItSaves(t *testing.T) {
+	n := two(t)
+	m := n.owner.byID[0]
+	spec := Spec{ID: "job-000900", Workload: "w", Team: "lab", Tasks: 1, Need: Resources{CPU: 1, Memory: 2}}
+	rec := spec.record(n.now)
+	n.users.mirror.open[spec.ID] = living{1, rec}
+	r := n.poolReport(0)
+	r.Tick, r.Tasks = 2, []TaskReport{{Job: spec.ID, Index: 0, Try: 1, Status: Flushing}}
+	n.hear(m, r, true)
+	a := ownership.Attempt{Job: spec.ID, Index: 0, Try: 1}
+	takeAsks(n, "b", []ownership.Ask{{Machine: m.id, Attempts: []ownership.Asked{{Attempt: a, Want: ownership.Stop, WindDown: 20 * time.Second}}}})
+	if os := n.reconcile(m); len(os) > 0 {
+		t.Errorf("ordered %v while it saves", os)
+	}
+	rec.Cancelled, rec.CancelledAt = true, n.now.UnixMilli()
+	n.users.mirror.open[spec.ID] = living{2, rec}
+	want := Order{Verb: Halt, Job: spec.ID, Try: 1}
+	if os := n.reconcile(m); len(os) != 1 || os[0] != want {
+		t.Errorf("ordered %+v for a cancelled job that saves, want %+v", os, want)
+	}
+}
+
 // TestReadForAnotherTime: what was read of a team does not count when the team was
 // another's in between, who may have written more.
 func TestReadForAnotherTime(t *testing.T) {
--- a/internal/core/remote.go
+++ b/internal/core/remote.go
@@ -259,10 +259,13 @@
 	_, final := n.users.final[p.Job]
 	switch l, open := n.users.mirror.open[p.Job]; {
 	case final:
-		stop, over = true, true
+		stop, over, w.WindDown = true, true, 0
 	case open:
-		// Cancelled: it is stopped whether or not its job's owner can be heard.
-		stop = stop || l.rec.Cancelled
+		// Cancelled: it is stopped whether or not its job's owner can be heard, also while
+		// it saves because that owner had it stopped before.
+		if l.rec.Cancelled {
+			stop, w.WindDown = true, 0
+		}
 	case n.users.mirror.asOf.After(since) && !since.IsZero():
 		// Not open, as of a moment after it was first seen: the job is over.
 		stop, over = true, true
