Answers to users are judged again when they leave

Cause: a controller may stand still between reading and answering. An answer that rests on a read (queued, running, unknown, accepted, refused for good) then left up to 1.9 s after the request, or later where the deadline's timer had not run yet after the stall, though another controller may have told of an end. Change: such an answer carries the moment until which its question is waited for, and the sender looks at the clock last; past it, 503 with Retry-After. Ends are told at any time. The answers to reports are judged in the same place, so once less. Conclusion: whoever asks one controller after another hears nothing older.

--- a/internal/api/api.go
+++ b/internal/api/api.go
@@ -188,9 +188,12 @@
 	}
 	r, ok := e.(core.UserReply)
 	if !ok || ctx.Err() != nil {
-		// Too late, perhaps after standing still: what it says may be out of date.
 		return busy(c)
 	}
+	// The core may have answered long before this goes on.
+	if _, instead, late := core.Late(r, time.Now()); late {
+		r = instead.(core.UserReply)
+	}
 	if r.RetryAfter > 0 {
 		c.Response().Header().Set(echo.HeaderRetryAfter, strconv.Itoa(max(1, int((r.RetryAfter+time.Second-1)/time.Second))))
 	}
--- a/internal/api/promises_test.go
+++ b/internal/api/promises_test.go
@@ -43,3 +43,20 @@
 		}
 	}
 }
+
+// TestLateAnswerToUser: the core has answered, and the process stood still before that left.
+func TestLateAnswerToUser(t *testing.T) {
+	for late, status := range map[time.Duration]int{-time.Minute: http.StatusOK, time.Millisecond: http.StatusServiceUnavailable} {
+		h := &handlers{core: telling{core.UserReply{Status: 200, ID: "job-1", State: "queued", Until: time.Now().Add(-late)}}}
+		rec := httptest.NewRecorder()
+		c := echo.New().NewContext(httptest.NewRequest(http.MethodGet, "/v2/runs/job-1", nil), rec)
+		c.SetParamNames("id")
+		c.SetParamValues("job-1")
+		if err := h.query(c); err != nil {
+			t.Fatal(err)
+		}
+		if rec.Code != status || status != 200 && rec.Header().Get(echo.HeaderRetryAfter) == "" {
+			t.Errorf("answered %d, come back after %q, want %d", rec.Code, rec.Header().Get(echo.HeaderRetryAfter), status)
+		}
+	}
+}
--- a/internal/core/effects.go
+++ b/internal/core/effects.go
@@ -315,6 +315,8 @@
 // UserReply answers a user.
 type UserReply struct {
 	Reply uint64
+	// Until: as in CloudOp, for what rests on a read; zero for what is so for good.
+	Until time.Time
 	// Status is the HTTP status.
 	Status  int
 	ID      string
--- a/internal/core/late.go
+++ b/internal/core/late.go
@@ -9,7 +9,8 @@
 // grant lives, and go on in the middle. Starts are guarded by the conditions of
 // their records and by the epoch; rentals, returns and answers that prolong leases
 // are not, so each carries the moment until which the grant it rests on surely
-// lived, and whoever sends it looks at the clock once more.
+// lived, and whoever sends it looks at the clock once more. So do answers to users that
+// rest on a read, unless they tell of an end: another controller may have told more since.
 
 // Late says whether an effect must not leave any more, and what its sender hears
 // instead: an answer for the core, or another answer for the worker that waits.
@@ -28,6 +29,8 @@
 			return nil, e, true
 		}
 		return nil, ReportReply{Reply: e.Reply, Status: 503}, passed(e.Until)
+	case UserReply:
+		return nil, UserReply{Reply: e.Reply, ID: e.ID, Status: 503, Message: "this took too long", RetryAfter: comeBack}, passed(e.Until)
 	}
 	return nil, nil, false
 }
--- /dev/null
+++ b/internal/core/late_test.go
@@ -0,0 +1,41 @@
+package core
+
+import (
+	"testing"
+	"time"
+)
+
+// TestLateAnswersToUsers: what rests on a read is told as long as it is waited for, also
+// when its sender stands still meanwhile; ends and refusals are told at any time.
+func TestLateAnswersToUsers(t *testing.T) {
+	n := largePool(1)
+	for _, x := range []struct {
+		r    UserReply
+		good bool
+	}{
+		{UserReply{Status: 200, State: "queued"}, false},
+		{UserReply{Status: 200, State: "running"}, false},
+		{UserReply{Status: 201, State: "queued"}, false},
+		{UserReply{Status: 404, Message: "no such job"}, false},
+		{UserReply{Status: 422, Message: "unknown owner"}, false},
+		{UserReply{Status: 200, State: "done"}, true},
+		{UserReply{Status: 200, State: "cancelled"}, true},
+		{UserReply{Status: 503, Message: "starting"}, true},
+	} {
+		w := n.newWaiter(7, "job-1")
+		asked := n.now
+		n.now, n.out = n.now.Add(time.Second), nil
+		n.finish(w, x.r)
+		told := n.out[0].(UserReply)
+		if _, _, late := Late(told, asked.Add(userPatience)); late {
+			t.Errorf("%+v is late while it is waited for", x.r)
+		}
+		_, instead, late := Late(told, asked.Add(userPatience+time.Millisecond))
+		if late == x.good {
+			t.Errorf("%+v leaves late: %v", x.r, !late)
+		}
+		if r, _ := instead.(UserReply); late && (r.Status != 503 || r.RetryAfter == 0 || r.State != "" || r.Reply != 7) {
+			t.Errorf("%+v is answered late by %+v", x.r, r)
+		}
+	}
+}
--- a/internal/core/users.go
+++ b/internal/core/users.go
@@ -41,19 +41,16 @@
 	lookups lookup.Book
 	turn    bool
 	waiting int
-	expiry  []expiring
+	expiry  []*waiter
 	mirror  mirror
 }
 
-type expiring struct {
-	at time.Time
-	w  *waiter
-}
-
 // waiter is a user's request that still wants its answer.
 type waiter struct {
 	reply uint64
 	id    string
+	// until is how long it is waited for; see userPatience.
+	until time.Time
 	done  bool
 }
 
@@ -85,26 +82,26 @@
 }
 
 func (n *Node) newWaiter(reply uint64, id string) *waiter {
-	w := &waiter{reply: reply, id: id}
+	w := &waiter{reply: reply, id: id, until: n.now.Add(userPatience)}
 	n.users.waiting++
 	if len(n.users.expiry) == 0 {
 		n.after(userPatience, n.expireUsers)
 	}
-	n.users.expiry = append(n.users.expiry, expiring{n.now.Add(userPatience), w})
+	n.users.expiry = append(n.users.expiry, w)
 	return w
 }
 
 func (n *Node) expireUsers() {
 	u := &n.users
 	i := 0
-	for ; i < len(u.expiry) && !u.expiry[i].at.After(n.now); i++ {
-		if w := u.expiry[i].w; !w.done {
+	for ; i < len(u.expiry) && !u.expiry[i].until.After(n.now); i++ {
+		if w := u.expiry[i]; !w.done {
 			n.refuse(w, "the state service does not answer")
 		}
 	}
 	u.expiry = slices.Delete(u.expiry, 0, i)
 	if len(u.expiry) > 0 {
-		n.after(u.expiry[0].at.Sub(n.now), n.expireUsers)
+		n.after(u.expiry[0].until.Sub(n.now), n.expireUsers)
 	}
 }
 
@@ -118,6 +115,11 @@
 	if r.ID == "" {
 		r.ID = w.id
 	}
+	if r.Status != 503 && !JobStatus(r.State).Final() {
+		// It rests on a read that began after the question. Whoever asked waits for no
+		// more than this, and may hear something newer from another controller then.
+		r.Until = w.until
+	}
 	n.emit(r)
 }
 
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -173,10 +173,6 @@
 	case core.UserReply:
 		s.reply(e.Reply, e)
 	case core.ReportReply:
-		if _, instead, late := core.Late(e, time.Now()); late {
-			s.reply(e.Reply, instead)
-			return
-		}
 		s.reply(e.Reply, e)
 	case core.StatusReply:
 		s.reply(e.Reply, e)
