Who has not shown an unread owner's epoch is answered in time for all cancellations

Cause: a successor that has not read a team's records answered reports of machines that a former owner may have ordered a start of a cancelled job: the start is not in the report, and could come just before the answer, which prolonged the lease past the time of the cancellation (red: answered with no bound; needs an order held for longer than the window, or hardly any window, and a machine that hangs right then). Change: until a machine has shown the owner's epoch, answers end in time for every cancelled job of teams whose records are not read yet. Conclusion: after that nothing of before can begin there, and what began is reported.

--- a/internal/core/horizon.go
+++ b/internal/core/horizon.go
@@ -41,6 +41,9 @@
 // never arrive, and a start that was sent before may yet. settled: see machine.settled.
 func (n *Node) renewUntilOn(m *machine, settled bool) time.Time {
 	until := n.renewUntil()
+	if m.seenEpoch < m.epoch {
+		until = earlier(until, n.unreadBound())
+	}
 	if settled && !m.hasForeign {
 		return until
 	}
@@ -69,6 +72,28 @@
 	return n.set.Horizon().Until(n.cancelledAt(&l.rec))
 }
 
+// unreadBound is the last moment for an answer to a machine that a former owner may have
+// ordered something of which this one has not read, while there are teams whose records it
+// has not. When the machine has shown this owner's epoch, nothing of before can begin there.
+func (n *Node) unreadBound() (until time.Time) {
+	unread := map[string]bool{}
+	for t, h := range n.owner.teams {
+		if !h.ready {
+			unread[t] = true
+		}
+	}
+	if len(unread) == 0 {
+		return until
+	}
+	for job, l := range n.users.mirror.open {
+		// A record without a team is of an earlier form.
+		if unread[l.rec.Team] || l.rec.Team == "" {
+			until = earlier(until, n.cancelBound(job))
+		}
+	}
+	return until
+}
+
 // cancelledAt is the earliest moment, by this node's clock, at which anybody can have been
 // told that a job is cancelled. A record without it is of an earlier version: it may be
 // long ago.
@@ -104,9 +129,12 @@
 
 // renewUnread answers a report before the owner has read which attempts there should be:
 // it starts nothing, and halts what it knows to be cancelled. A start of the owner before
-// that is on its way is of a lower epoch than this answer's.
+// that is on its way is of a lower epoch than this answer's, but may come before it.
 func renewUnread(n *Node, c *WorkerReport, epoch uint64) {
 	until := n.renewUntil()
+	if c.Report.Epoch < epoch {
+		until = earlier(until, n.unreadBound())
+	}
 	var halts []Order
 	for _, p := range c.Report.Tasks {
 		bound := n.cancelBound(p.Job)
--- a/internal/core/horizon_test.go
+++ b/internal/core/horizon_test.go
@@ -175,6 +175,49 @@
 	}
 }
 
+// TestUnreadStartsOfAFormerOwner: an owner that has not read a team's records knows of no
+// start of a former owner's that may yet reach a machine. Until the machine has shown this
+// owner's epoch, it is answered only in the time of every cancelled job.
+func TestUnreadStartsOfAFormerOwner(t *testing.T) {
+	for _, ready := range []bool{false, true} {
+		n := largePool(12)
+		n.users.mirror.open = map[string]living{}
+		m, j := firstWork(n)
+		delete(n.owner.jobs, j.ID)
+		n.cancelled(j, n.now.Add(-10*time.Second))
+		last := n.now.Add(n.set.Horizon().Window() - 10*time.Second)
+		n.owner.ready, n.owner.teams["ops"].ready = ready, false
+		report := func(epoch uint64) ReportReply {
+			n.owner.forget(m)
+			n.owner.past = nil
+			m = n.machine(m.id)
+			r := n.poolReport(0)
+			r.Epoch, r.Tick, n.out = epoch, r.Tick+1, nil
+			n.workerReport(WorkerReport{Reply: 1, Report: *r})
+			for _, e := range n.out {
+				if a, ok := e.(ReportReply); ok {
+					return a
+				}
+			}
+			return ReportReply{}
+		}
+		epoch := n.machine(m.id).epoch
+		if epoch == 0 {
+			t.Fatal("no epoch")
+		}
+		if a := report(epoch - 1); a.Status != 200 || !a.Until.Equal(last) {
+			t.Errorf("ready %v: answered %d until %v, want until %v", ready, a.Status, a.Until, last)
+		}
+		n.now = last.Add(time.Millisecond)
+		if a := report(epoch - 1); a.Status != 503 {
+			t.Errorf("ready %v: answered %d behind the time of a cancelled job whose start may be on its way", ready, a.Status)
+		}
+		if a := report(epoch); a.Status != 200 {
+			t.Errorf("ready %v: answered %d though no former start can be executed any more", ready, a.Status)
+		}
+	}
+}
+
 // TestToldOfCancellations: who has confirmed a cancellation tells its peers until they
 // have heard, the job's owner halts its tasks by that alone, and one that does not own the
 // job passes it on. What does not fit the job is passed over; nothing of it moves the
