A halt that got no answer is ordered again when its machine answers a question

Cause: after a direct order without an answer the next waits for a report. Change: an answered question has what is to stop ordered again. Starts are not repeated by it.

--- a/internal/core/contact.go
+++ b/internal/core/contact.go
@@ -47,6 +47,12 @@
 		}
 		if m.seenEpoch < m.epoch && !m.inFlight {
 			n.claimMachine(m)
+			return
+		}
+		if stopping := m.attemptsIf(func(t *task) bool { return t.stop != stopNone }); len(stopping) > 0 || m.hasForeign {
+			// The order may be lost, and perhaps no report comes: of a machine that reaches
+			// no controller, answers are all that is heard.
+			n.mark(m)
 		}
 	})
 }
--- a/internal/core/horizon_test.go
+++ b/internal/core/horizon_test.go
@@ -218,6 +218,67 @@
 	}
 }
 
+// TestCancelledEndsWithoutSaving: a task that has been told to stop and saves is told once
+// more when its job is cancelled, with no time for that, and nothing else that would have
+// it stopped gives it time again.
+func TestCancelledEndsWithoutSaving(t *testing.T) {
+	n := largePool(12)
+	n.users.mirror.open = map[string]living{}
+	m, j := firstWork(n)
+	j.SaveEvery, j.SaveCost, j.Standing = 30*time.Second, 4*time.Second, true
+	task := TaskReport{Job: j.ID, Index: 0, Try: 1, Status: Running}
+	j.tasks[0].stop = stopDrain
+	if os := n.reconcile(m); len(os) != 1 || os[0].Verb != Halt || os[0].WindDown < j.SaveCost {
+		t.Errorf("ordered %+v, want a halt with time to save", os)
+	}
+	task.Status = Flushing
+	n.again(0, task)
+	if os := n.reconcile(m); len(os) > 0 {
+		t.Errorf("ordered %+v while it saves", os)
+	}
+	n.cancelled(j, n.now)
+	m.recall, m.recallAt = true, n.now.Add(time.Minute)
+	n.drain(m)
+	n.relaunch()
+	if os := n.reconcile(m); len(os) != 1 || os[0].Verb != Halt || os[0].WindDown != 0 {
+		t.Errorf("ordered %+v for a cancelled task that saves", os)
+	}
+}
+
+// TestHaltAgainWithoutReports: a machine reaches no controller, and the direct halt was lost.
+// When it answers a question, it is told once more.
+func TestHaltAgainWithoutReports(t *testing.T) {
+	n := largePool(12)
+	n.users.mirror.open = map[string]living{}
+	m, j := firstWork(n)
+	halts := func() (k int) {
+		n.directAll()
+		for _, e := range n.out {
+			if op, ok := e.(WorkerOp); ok && op.Machine == m.id && len(op.Orders) > 0 && op.Orders[0].Verb == Halt {
+				k++
+			}
+		}
+		return k
+	}
+	n.out = nil
+	n.cancelled(j, n.now)
+	if k := halts(); k != 1 {
+		t.Fatalf("%d halts", k)
+	}
+	n.ask1(t, m, nil)
+	n.now, n.out = n.now.Add(5*time.Second), nil
+	if k := halts(); k != 0 {
+		t.Errorf("%d halts to a machine that does not answer", k)
+	}
+	n.contact(m)
+	r := n.poolReport(0)
+	r.Tick, r.Epoch, r.Tasks = m.tick+1, m.epoch, m.last
+	n.ask1(t, m, r)
+	if k := halts(); k != 1 {
+		t.Errorf("%d halts after it has answered", k)
+	}
+}
+
 // TestToldOfCancellations: who has confirmed a cancellation tells its peers until they
 // have heard, the job's owner halts its tasks by that alone, and one that does not own the
 // job passes it on. What does not fit the job is passed over; nothing of it moves the
