--- a/internal/core/horizon_test.go
+++ b/internal/core/horizon_test.go
@@ -279,6 +279,53 @@
 	}
 }
 
+// TestMassCancellation: a job with more tasks on each of its machines than one message has
+// orders is cancelled. All machines are told at once, none waits for another, and where no
+// direct order arrives the answers to three reports tell all; their time is bounded.
+func TestMassCancellation(t *testing.T) {
+	const machines, each = 30, 3 * ordersMost
+	n := largePool(machines)
+	n.users.mirror.open = map[string]living{}
+	n.owner.jobs = map[string]*job{}
+	j := n.newJob(Spec{ID: "job-000900", Team: "ops", Tasks: machines * each}, n.now, 1)
+	j.fresh = j.Tasks
+	for i := range j.tasks {
+		j.tasks[i].try, j.tasks[i].sent = 1, true
+	}
+	all := map[*machine][]TaskReport{}
+	for k, m := range n.owner.byID {
+		m.attempts = map[taskKey]*task{}
+		for i := range each {
+			n.attach(j, k*each+i, m)
+			all[m] = append(all[m], TaskReport{Job: j.ID, Index: k*each + i, Try: 1, Status: Running})
+		}
+		n.reportOf(m, all[m]...)
+	}
+	at := n.now
+	n.out = nil
+	n.cancelled(j, at)
+	n.directAll()
+	told := map[string]int{}
+	for _, e := range n.out {
+		if op, ok := e.(WorkerOp); ok {
+			told[op.Machine] = len(op.Orders)
+			n.command(WorkerDone{ID: op.ID})
+		}
+	}
+	for _, m := range n.owner.byID {
+		if told[m.id] != ordersMost {
+			t.Fatalf("%s has %d orders at once, want %d", m.id, told[m.id], ordersMost)
+		}
+		for round := range 3 {
+			a := n.reportOf(m, all[m]...)
+			if a.Status != 200 || len(a.Orders) != ordersMost || !a.Until.Equal(at.Add(n.set.Horizon().Window())) {
+				t.Fatalf("%s, report %d: %d with %d orders until %v", m.id, round, a.Status, len(a.Orders), a.Until)
+			}
+			all[m] = all[m][ordersMost:]
+		}
+	}
+}
+
 // TestToldOfCancellations: who has confirmed a cancellation tells its peers until they
 // have heard, the job's owner halts its tasks by that alone, and one that does not own the
 // job passes it on. What does not fit the job is passed over; nothing of it moves the
