--- a/internal/core/horizon_test.go
+++ b/internal/core/horizon_test.go
@@ -73,6 +73,44 @@
 	}
 }
 
+// TestStartsAreKnown: a grant is renewed by an owner that can't read open/. What it starts
+// directly leaves no later than its answers do, and what stops is not held back by that.
+func TestStartsAreKnown(t *testing.T) {
+	n := largePool(12)
+	n.users.mirror.open = map[string]living{}
+	m, j := firstWork(n)
+	k := n.onMachine("job-000901", m)
+	k.chunkOf(0).saved = 1
+	n.users.mirror.asOf = n.now
+	last := n.now.Add(n.set.Horizon().Window())
+	ordered := func() (op WorkerOp) {
+		m.inFlight, n.out = false, nil
+		n.direct(m)
+		for _, e := range n.out {
+			if w, ok := e.(WorkerOp); ok {
+				op = w
+			}
+		}
+		return op
+	}
+	n.now = last
+	op := ordered()
+	if len(op.Orders) != 1 || op.Orders[0].Verb != Start || !op.Until.Equal(last) {
+		t.Errorf("ordered %v until %v, want a start until %v", op.Orders, op.Until, last)
+	}
+	if back, _, late := Late(op, last.Add(time.Millisecond)); !late || !back.(WorkerDone).NotSent {
+		t.Error("it leaves when its time is over")
+	}
+	n.now = last.Add(time.Millisecond)
+	if op := ordered(); len(op.Orders) > 0 {
+		t.Errorf("ordered %v behind the window", op.Orders)
+	}
+	n.cancelled(j, n.now)
+	if op := ordered(); len(op.Orders) != 1 || op.Orders[0].Verb != Halt || !op.Until.Equal(n.sess.sureUntil) {
+		t.Errorf("ordered %v until %v, want a halt as long as the grant surely lives", op.Orders, op.Until)
+	}
+}
+
 // TestCancelledUnproven: halts may be lost and starts be on their way. A machine that may
 // have a cancelled job's tasks is answered only in the time that these have, counted from
 // the sending of the change with both clocks wrong, and again as soon as they are gone.
@@ -137,6 +175,157 @@
 	}
 }
 
+// TestUnreadStartsOfAFormerOwner: an owner that has not read a team's records knows of no
+// start of a former owner's that may yet reach a machine. Until the machine has shown this
+// owner's epoch, it is answered only in the time of every cancelled job.
+func TestUnreadStartsOfAFormerOwner(t *testing.T) {
+	for _, ready := range []bool{false, true} {
+		n := largePool(12)
+		n.users.mirror.open = map[string]living{}
+		m, j := firstWork(n)
+		delete(n.owner.jobs, j.ID)
+		n.cancelled(j, n.now.Add(-10*time.Second))
+		last := n.now.Add(n.set.Horizon().Window() - 10*time.Second)
+		n.owner.ready, n.owner.teams["ops"].ready = ready, false
+		report := func(epoch uint64) ReportReply {
+			n.owner.forget(m)
+			n.owner.past = nil
+			m = n.machine(m.id)
+			r := n.poolReport(0)
+			r.Epoch, r.Tick, n.out = epoch, r.Tick+1, nil
+			n.workerReport(WorkerReport{Reply: 1, Report: *r})
+			for _, e := range n.out {
+				if a, ok := e.(ReportReply); ok {
+					return a
+				}
+			}
+			return ReportReply{}
+		}
+		epoch := n.machine(m.id).epoch
+		if epoch == 0 {
+			t.Fatal("no epoch")
+		}
+		if a := report(epoch - 1); a.Status != 200 || !a.Until.Equal(last) {
+			t.Errorf("ready %v: answered %d until %v, want until %v", ready, a.Status, a.Until, last)
+		}
+		n.now = last.Add(time.Millisecond)
+		if a := report(epoch - 1); a.Status != 503 {
+			t.Errorf("ready %v: answered %d behind the time of a cancelled job whose start may be on its way", ready, a.Status)
+		}
+		if a := report(epoch); a.Status != 200 {
+			t.Errorf("ready %v: answered %d though no former start can be executed any more", ready, a.Status)
+		}
+	}
+}
+
+// TestCancelledEndsWithoutSaving: a task that has been told to stop and saves is told once
+// more when its job is cancelled, with no time for that, and nothing else that would have
+// it stopped gives it time again.
+func TestCancelledEndsWithoutSaving(t *testing.T) {
+	n := largePool(12)
+	n.users.mirror.open = map[string]living{}
+	m, j := firstWork(n)
+	j.SaveEvery, j.SaveCost, j.Standing = 30*time.Second, 4*time.Second, true
+	task := TaskReport{Job: j.ID, Index: 0, Try: 1, Status: Running}
+	j.tasks[0].stop = stopDrain
+	if os := n.reconcile(m); len(os) != 1 || os[0].Verb != Halt || os[0].WindDown < j.SaveCost {
+		t.Errorf("ordered %+v, want a halt with time to save", os)
+	}
+	task.Status = Flushing
+	n.again(0, task)
+	if os := n.reconcile(m); len(os) > 0 {
+		t.Errorf("ordered %+v while it saves", os)
+	}
+	n.cancelled(j, n.now)
+	m.recall, m.recallAt = true, n.now.Add(time.Minute)
+	n.drain(m)
+	n.relaunch()
+	if os := n.reconcile(m); len(os) != 1 || os[0].Verb != Halt || os[0].WindDown != 0 {
+		t.Errorf("ordered %+v for a cancelled task that saves", os)
+	}
+}
+
+// TestHaltAgainWithoutReports: a machine reaches no controller, and the direct halt was lost.
+// When it answers a question, it is told once more.
+func TestHaltAgainWithoutReports(t *testing.T) {
+	n := largePool(12)
+	n.users.mirror.open = map[string]living{}
+	m, j := firstWork(n)
+	halts := func() (k int) {
+		n.directAll()
+		for _, e := range n.out {
+			if op, ok := e.(WorkerOp); ok && op.Machine == m.id && len(op.Orders) > 0 && op.Orders[0].Verb == Halt {
+				k++
+			}
+		}
+		return k
+	}
+	n.out = nil
+	n.cancelled(j, n.now)
+	if k := halts(); k != 1 {
+		t.Fatalf("%d halts", k)
+	}
+	n.ask1(t, m, nil)
+	n.now, n.out = n.now.Add(5*time.Second), nil
+	if k := halts(); k != 0 {
+		t.Errorf("%d halts to a machine that does not answer", k)
+	}
+	n.contact(m)
+	r := n.poolReport(0)
+	r.Tick, r.Epoch, r.Tasks = m.tick+1, m.epoch, m.last
+	n.ask1(t, m, r)
+	if k := halts(); k != 1 {
+		t.Errorf("%d halts after it has answered", k)
+	}
+}
+
+// TestMassCancellation: a job with more tasks on each of its machines than one message has
+// orders is cancelled. All machines are told at once, none waits for another, and where no
+// direct order arrives the answers to three reports tell all; their time is bounded.
+func TestMassCancellation(t *testing.T) {
+	const machines, each = 30, 3 * ordersMost
+	n := largePool(machines)
+	n.users.mirror.open = map[string]living{}
+	n.owner.jobs = map[string]*job{}
+	j := n.newJob(Spec{ID: "job-000900", Team: "ops", Tasks: machines * each}, n.now, 1)
+	j.fresh = j.Tasks
+	for i := range j.tasks {
+		j.tasks[i].try, j.tasks[i].sent = 1, true
+	}
+	all := map[*machine][]TaskReport{}
+	for k, m := range n.owner.byID {
+		m.attempts = map[taskKey]*task{}
+		for i := range each {
+			n.attach(j, k*each+i, m)
+			all[m] = append(all[m], TaskReport{Job: j.ID, Index: k*each + i, Try: 1, Status: Running})
+		}
+		n.reportOf(m, all[m]...)
+	}
+	at := n.now
+	n.out = nil
+	n.cancelled(j, at)
+	n.directAll()
+	told := map[string]int{}
+	for _, e := range n.out {
+		if op, ok := e.(WorkerOp); ok {
+			told[op.Machine] = len(op.Orders)
+			n.command(WorkerDone{ID: op.ID})
+		}
+	}
+	for _, m := range n.owner.byID {
+		if told[m.id] != ordersMost {
+			t.Fatalf("%s has %d orders at once, want %d", m.id, told[m.id], ordersMost)
+		}
+		for round := range 3 {
+			a := n.reportOf(m, all[m]...)
+			if a.Status != 200 || len(a.Orders) != ordersMost || !a.Until.Equal(at.Add(n.set.Horizon().Window())) {
+				t.Fatalf("%s, report %d: %d with %d orders until %v", m.id, round, a.Status, len(a.Orders), a.Until)
+			}
+			all[m] = all[m][ordersMost:]
+		}
+	}
+}
+
 // TestToldOfCancellations: who has confirmed a cancellation tells its peers until they
 // have heard, the job's owner halts its tasks by that alone, and one that does not own the
 // job passes it on. What does not fit the job is passed over; nothing of it moves the
