Tasks that only a passed-over report names bound its answer too

Cause: a machine that has just come to an owner is answered before anything of it is taken in, as its first reports come under the former owner's epoch. These answers were bounded by the attempts that the owner's books and the asking owners name. When the owner of a cancelled job has ended or is cut off, nobody has asked yet, and its task is named by the report alone: the answer prolonged the lease by its whole length, beyond the time that the cancellation has, should the halt that follows be lost. Change: what such a report names bounds the answer as well, as in every other answer. Shown: TestUnheardListsCancelled, red before (answered 200 behind the job's time).

--- a/internal/core/hear.go
+++ b/internal/core/hear.go
@@ -40,13 +40,13 @@
 			n.emit(ReportReply{Reply: c.Reply, Status: 503})
 			break
 		}
-		renewOnly(n, m, c.Reply)
+		renewOnly(n, m, c)
 	case m.anew != 0 && r.Epoch <= m.anew:
 		// Perhaps of the time before its worker began anew. Its own answers tell, until
 		// its reports show an epoch that it can only have seen since.
 		m.probed = time.Time{}
 		n.contact(m)
-		renewOnly(n, m, c.Reply)
+		renewOnly(n, m, c)
 	case !m.heard && r.Epoch < m.epoch:
 		if m.addr == "" {
 			n.describe(m, r.Addr, r.Flavour, r.Zone, r.Spot)
@@ -55,7 +55,7 @@
 			n.emit(ReportReply{Reply: c.Reply, Status: 503})
 		} else {
 			m.unheard++
-			renewOnly(n, m, c.Reply)
+			renewOnly(n, m, c)
 		}
 		// If the answer arrives, the worker shows that with its next report, half a second
 		// later. Shown the epoch directly, it answers sooner.
--- a/internal/core/horizon.go
+++ b/internal/core/horizon.go
@@ -30,8 +30,15 @@
 // renewUntilOn is the same for one machine: as long as tasks of a cancelled job may be on
 // it or begin there, their time counts too. They were told to stop, but what was told may
 // never arrive, and a start that was sent before may yet. settled: see machine.settled.
-func (n *Node) renewUntilOn(m *machine, settled bool) time.Time {
+// listed is what a report names that is not taken in: of a machine that has just come it
+// may be all there is to tell of another owner's cancelled tasks.
+func (n *Node) renewUntilOn(m *machine, settled bool, listed []TaskReport) time.Time {
 	until := n.renewUntil()
+	for _, p := range listed {
+		if p.Status != Ended {
+			until = earlier(until, n.cancelBound(p.Job))
+		}
+	}
 	if settled && !m.hasForeign {
 		return until
 	}
@@ -75,8 +82,8 @@
 // renewal is until when a report of m may be answered so that its lease goes on, which is
 // noted. When that is over it is refused, the lease is to run out, and what has to stop is
 // ordered directly.
-func renewal(n *Node, m *machine, settled bool, reply uint64) (until time.Time, renews bool) {
-	until = n.renewUntilOn(m, settled)
+func renewal(n *Node, m *machine, settled bool, listed []TaskReport, reply uint64) (until time.Time, renews bool) {
+	until = n.renewUntilOn(m, settled, listed)
 	if n.now.After(until) {
 		n.mark(m)
 		n.emit(ReportReply{Reply: reply, Status: 503})
@@ -87,9 +94,9 @@
 }
 
 // renewOnly answers a report that proves nothing: it orders nothing.
-func renewOnly(n *Node, m *machine, reply uint64) {
-	if until, renews := renewal(n, m, m.settled(), reply); renews {
-		n.emit(ReportReply{Reply: reply, Until: until, Status: 200, Epoch: m.epoch})
+func renewOnly(n *Node, m *machine, c *WorkerReport) {
+	if until, renews := renewal(n, m, m.settled(), c.Report.Tasks, c.Reply); renews {
+		n.emit(ReportReply{Reply: c.Reply, Until: until, Status: 200, Epoch: m.epoch})
 	}
 }
 
--- a/internal/core/horizon_test.go
+++ b/internal/core/horizon_test.go
@@ -113,6 +113,45 @@
 	}
 }
 
+// TestUnheardListsCancelled: a machine that has just come to this owner may have tasks of
+// which only its reports tell, as long as the owner of their job has not asked for them.
+// When that job is cancelled, its time bounds the answers to these reports too, though
+// they come under the former owner's epoch and are taken for no proof.
+func TestUnheardListsCancelled(t *testing.T) {
+	n := largePool(12)
+	n.users.mirror.open = map[string]living{}
+	k := newJob(Spec{ID: "job-000905", Team: "lab", Tasks: 1}, n.now, 1, 4096)
+	at := n.now.Add(-10 * time.Second)
+	n.cancelled(k, at)
+	m := n.owner.machines["vm-000003"]
+	for j := range m.attempts {
+		n.gone(n.owner.jobs[j.job], j.index, false)
+	}
+	m.heard, m.pieces, m.last, m.seenEpoch = false, nil, nil, 0
+	former := func() ReportReply {
+		r := n.poolReport(0)
+		r.Machine, r.Tick, r.Epoch = m.id, m.tick+1, m.epoch-1
+		r.Tasks = []TaskReport{{Job: k.ID, Index: 0, Try: 1, Status: Running}}
+		n.out = nil
+		n.workerReport(WorkerReport{Reply: 1, Report: *r})
+		for _, e := range n.out {
+			if a, ok := e.(ReportReply); ok {
+				return a
+			}
+		}
+		return ReportReply{}
+	}
+	last := at.Add(n.set.Horizon().Window())
+	if a := former(); a.Status != 200 || !a.Until.Equal(last) {
+		t.Errorf("answered %d until %v, want until %v", a.Status, a.Until, last)
+	}
+	n.now = last.Add(time.Millisecond)
+	n.users.mirror.asOf = n.now
+	if a := former(); a.Status != 503 {
+		t.Errorf("answered %d behind the time of a cancelled job that only the report names", a.Status)
+	}
+}
+
 // TestHaltsBeforeReading: an owner that has not read which attempts there should be halts
 // what it knows to be cancelled, and prolongs no lease beyond that job's time.
 func TestHaltsBeforeReading(t *testing.T) {
--- a/internal/core/reports.go
+++ b/internal/core/reports.go
@@ -56,7 +56,7 @@
 	signs(n, m, r, was)
 	// Looked at once for both: nearly all reports are of machines that are settled.
 	settled := m.settled()
-	until, renews := renewal(n, m, settled, c.Reply)
+	until, renews := renewal(n, m, settled, nil, c.Reply)
 	if !renews {
 		return
 	}
