A submission with a field of a wrong type is refused by that field's name

Cause: a value of a wrong type was answered with the decoder's words, which name no field; and an array was taken for a job's fields in the order in which they stand in the source, although the protocol wants a map.

Change: the field that can't be read is named like any that is missing or invalid; a body that isn't a map is refused.

--- a/internal/api/run.go
+++ b/internal/api/run.go
@@ -9,6 +9,7 @@
 	"github.com/micahill/micahill/internal/core"
 	"github.com/micahill/micahill/internal/validate"
 	"github.com/vmihailenco/msgpack/v5"
+	"github.com/vmihailenco/msgpack/v5/msgpcode"
 )
 
 // run is a submission on the wire. Pointers tell a missing field from a zero.
@@ -57,27 +58,62 @@
 	"critical": core.Critical, "urgent": core.Urgent, "normal": core.Normal, "best_effort": core.BestEffort,
 }
 
+// isMap says that b begins with a map. An array would be taken for a job's fields in the
+// order in which they stand here.
+func isMap(b []byte) bool {
+	return len(b) > 0 && (msgpcode.IsFixedMap(b[0]) || b[0] == msgpcode.Map16 || b[0] == msgpcode.Map32)
+}
+
+// mistyped names the first field whose value can't be read; none if the map itself can't.
+func mistyped(b []byte) string {
+	var values map[string]msgpack.RawMessage
+	if msgpack.Unmarshal(b, &values) != nil {
+		return ""
+	}
+	fields := reflect.TypeFor[run]()
+	for i := range fields.NumField() {
+		f := fields.Field(i)
+		name := f.Tag.Get("msgpack")
+		// null comes as no bytes.
+		if v := values[name]; len(v) > 0 && msgpack.Unmarshal(v, reflect.New(f.Type).Interface()) != nil {
+			return name
+		}
+	}
+	return ""
+}
+
+// missing is the reason that names a field.
+func missing(field string) string { return "field " + field + " is missing or invalid" }
+
 // parseRun reads a submission. A reason comes with whatever of the id could be
 // read: a known job is answered with its state, whatever the body.
 func parseRun(b []byte) (core.Spec, string) {
+	const noMap = "not a MessagePack map with a job's fields"
+	if !isMap(b) {
+		return core.Spec{}, noMap
+	}
 	var r run
-	if err := msgpack.Unmarshal(b, &r); err != nil {
+	if msgpack.Unmarshal(b, &r) != nil {
+		why := noMap
+		if field := mistyped(b); field != "" {
+			why = missing(field)
+		}
 		var only struct {
 			ID string `msgpack:"id"`
 		}
 		if msgpack.Unmarshal(b, &only) == nil && idForm.MatchString(only.ID) {
-			return core.Spec{ID: only.ID}, "malformed: " + err.Error()
+			return core.Spec{ID: only.ID}, why
 		}
-		return core.Spec{}, "not a MessagePack map with a job's fields"
+		return core.Spec{}, why
 	}
 	if r.ID == nil || !idForm.MatchString(*r.ID) {
-		return core.Spec{}, "field id is missing or malformed"
+		return core.Spec{}, missing("id")
 	}
 	if err := check.Struct(&r); err != nil {
 		var ve validator.ValidationErrors
 		why := err.Error()
 		if errors.As(err, &ve) {
-			why = "field " + ve[0].Field() + " is missing or invalid"
+			why = missing(ve[0].Field())
 		}
 		return core.Spec{ID: *r.ID}, why
 	}
