No controller takes back what it has just said; impossible jobs are refused

Cause, answers: a question that was read before a job was accepted or ended, and whose reads took longer than another's, was answered with the older state after this same controller had told the newer one (404 after 201, queued after cancelled). Each job was still one register, by the times of asking; by the times of answering it went back. Change: an answer that leaves looks at what is known to be over, and what is not found looks again when the picture has the job by now, or this controller accepted it at a revision that the picture has not reached.

Cause, jobs: accepted, and never able to run, were a job that fits only a kind of machine that no zone offers, and tasks that start together but apart in the only zone that the job or its kinds allow. A job whose image is larger than the disks of some kinds could be placed there, and machines rented for it. Change: validation looks at kinds that some zone offers, and at the zones left for a gang; a job whose image some disks can't hold is bound to the others as it is accepted. A malformed transaction of one submission looks whether the job is known before it is refused.

--- a/internal/core/mirror.go
+++ b/internal/core/mirror.go
@@ -1,6 +1,7 @@
 package core
 
 import (
+	"maps"
 	"time"
 
 	"github.com/micahill/micahill/internal/promise"
@@ -28,6 +29,8 @@
 	rev  uint64
 	asOf time.Time
 	open map[string]living
+	// ahead are jobs that this node has accepted at a revision that is not reached yet.
+	ahead map[string]uint64
 	// pages are the promised dates that stand beside them.
 	pages promise.Pages
 	// watching: a watch is open, as long as this node is an owner.
@@ -94,6 +97,7 @@
 			// Later pages tell of later changes, which the next read, from the
 			// revision of the first, brings again in order.
 			m.open, m.pages, m.rev, m.loaded, m.loading = open, pages, rev, true, false
+			m.reaches(rev)
 			m.asOf = later(m.asOf, began)
 			ownerReads(n)
 			n.freshNext()
@@ -115,10 +119,26 @@
 			}
 		}
 	}
-	m.rev = max(m.rev, d.Rev)
+	m.reaches(d.Rev)
 	m.asOf = later(m.asOf, d.Sent)
 }
 
+// goesAhead notes that a job was accepted at a revision.
+func (m *mirror) goesAhead(id string, rev uint64) {
+	if m.ahead == nil {
+		m.ahead = map[string]uint64{}
+	}
+	if rev > m.rev {
+		m.ahead[id] = rev
+	}
+}
+
+// reaches notes that the picture is as of a revision, or of a later one.
+func (m *mirror) reaches(rev uint64) {
+	m.rev = max(m.rev, rev)
+	maps.DeleteFunc(m.ahead, func(_ string, at uint64) bool { return at <= m.rev })
+}
+
 // mirrorWatch lets an owner hear of new jobs at once.
 func (n *Node) mirrorWatch() {
 	m := &n.users.mirror
@@ -228,6 +248,12 @@
 		}
 		// Over, or never accepted.
 		n.read(id, func(d StateDone) {
+			m := &n.users.mirror
+			if _, open := m.open[id]; d.Status == StateNotFound && (open || m.ahead[id] > 0) {
+				// Accepted since the first read, and somebody may have been told.
+				n.look(id, fn)
+				return
+			}
 			f := found{ok: d.Status == StateOK || d.Status == StateNotFound, known: d.Status == StateOK}
 			if f.known && (len(d.Items) != 1 || !decode(d.Items[0].Value, &f.rec)) {
 				f.ok = false
--- a/internal/core/users.go
+++ b/internal/core/users.go
@@ -114,6 +114,10 @@
 	}
 	w.done = true
 	n.users.waiting--
+	if s, over := n.users.final[w.id]; over && r.Status < 500 && r.State != string(s) {
+		// It was read before the end, which others may have been told since.
+		r = n.known(w.id, s)
+	}
 	r.Reply = w.reply
 	if r.ID == "" {
 		r.ID = w.id
@@ -183,6 +187,7 @@
 		n.lookFirst(w, 503, "machine types are not known yet")
 		return
 	default:
+		c.Spec = n.bound(c.Spec)
 		status, why = n.validate(&c.Spec)
 	}
 	if status != 0 {
@@ -210,23 +215,12 @@
 	if team == nil {
 		return 422, "unknown owner " + s.Team
 	}
-	fits := false
-	for _, f := range n.types {
-		if len(s.Flavours) > 0 && !slices.Contains(s.Flavours, f.Name) {
-			continue
-		}
-		if s.Zone != "" && !slices.Contains(f.Zones, s.Zone) {
-			continue
-		}
-		if s.Need.Fits(f.Size) && s.ImageGB <= max(f.DiskGB, s.ImageGB*b2f(f.DiskGB == 0)) {
-			fits = true
-		}
-	}
-	if !fits {
+	fits := n.offeredTo(s)
+	if len(fits.flavours) == 0 {
 		return 422, "a task fits no allowed flavour"
 	}
-	if s.Gang && s.SamePlace && s.Apart && s.Tasks > 1 {
-		return 422, "tasks that start together cannot be in the same place and apart"
+	if s.Gang && s.Apart && s.Tasks > 1 && (s.SamePlace || len(fits.zones) == 1) {
+		return 422, "tasks that start together cannot be apart in one zone"
 	}
 	count := 1.0
 	if s.Standing || s.Gang {
@@ -253,6 +247,44 @@
 	return 0
 }
 
+// offered are the kinds of machines on which a task can run.
+type offered struct {
+	flavours []string
+	zones    map[string]bool
+	// tooSmall: others are allowed that it would fit but for its image.
+	tooSmall bool
+}
+
+// offeredTo finds what is offered anywhere of what a job allows.
+func (n *Node) offeredTo(s *Spec) offered {
+	out := offered{zones: map[string]bool{}}
+	for _, name := range sortedKeys(n.types) {
+		f := n.types[name]
+		zones := slices.DeleteFunc(slices.Clone(f.Zones), func(z string) bool { return s.Zone != "" && s.Zone != z })
+		allowed := len(s.Flavours) == 0 || slices.Contains(s.Flavours, name)
+		switch {
+		case !allowed || len(zones) == 0 || !s.Need.Fits(f.Size):
+		case f.DiskGB > 0 && s.ImageGB > f.DiskGB:
+			out.tooSmall = true
+		default:
+			out.flavours = append(out.flavours, name)
+			for _, z := range zones {
+				out.zones[z] = true
+			}
+		}
+	}
+	return out
+}
+
+// bound is a job that allows only flavours whose disks have room for its image: whoever
+// places it or rents for it looks at nothing but what it allows.
+func (n *Node) bound(s Spec) Spec {
+	if fits := n.offeredTo(&s); fits.tooSmall && len(fits.flavours) > 0 {
+		s.Flavours = fits.flavours
+	}
+	return s
+}
+
 // lookFirst answers with the job's state if it is known, else as told.
 func (n *Node) lookFirst(w *waiter, status int, why string) {
 	n.look(w.id, func(f found) {
@@ -429,6 +461,7 @@
 		switch d.Status {
 		case StateOK:
 			for _, s := range batch {
+				n.users.mirror.goesAhead(s.spec.ID, d.Rev)
 				n.finish(s.w, UserReply{Status: 201, ID: s.spec.ID, State: string(Queued)}.told(s.date()))
 				n.ownerSees(Item{Key: openPrefix + s.spec.ID, Value: encode(s.record()), Stamp: d.Rev})
 			}
@@ -445,7 +478,7 @@
 		case StateBad:
 			if len(batch) == 1 {
 				s := batch[0]
-				n.finish(s.w, UserReply{Status: 400, Message: fmt.Sprintf("job %s cannot be stored", s.spec.ID)})
+				n.lookFirst(s.w, 400, fmt.Sprintf("job %s cannot be stored", s.spec.ID))
 				break
 			}
 			// One of them is at fault, and the others are not to suffer for it.
--- a/internal/standin/close_looks_test.go
+++ b/internal/standin/close_looks_test.go
@@ -83,6 +83,8 @@
 	// cancels are the jobs that are cancelled, and when: on that news.
 	cancels map[string]fate
 	wrong   []string
+	// left is the newest that a life of a controller has said of a job.
+	left map[string]fate
 	// looks counts bursts by what they followed, and unsaid requests without an answer.
 	looks  map[fate]int
 	unsaid map[lookKind]int
@@ -97,7 +99,7 @@
 var lookPauses = []time.Duration{0, 1, 2, 5, 20, 60, 150, 310}
 
 func newCloseLooks(w *World, seed uint64) *closeLooks {
-	c := &closeLooks{w: w, rng: rand.New(rand.NewPCG(seed, 37)), history: map[string][]porcupine.Operation{}, heard: map[string]fate{}, cancels: map[string]fate{},
+	c := &closeLooks{w: w, rng: rand.New(rand.NewPCG(seed, 37)), history: map[string][]porcupine.Operation{}, heard: map[string]fate{}, cancels: map[string]fate{}, left: map[string]fate{},
 		looks: map[fate]int{}, unsaid: map[lookKind]int{}, lost: map[string]string{}, losses: map[string]int{}}
 	w.state.noted = c.noted
 	w.ends = func(p *proc, e core.Effect) bool {
@@ -157,14 +159,11 @@
 			return
 		}
 		over = true
-		if r.Status != 200 && r.Status != 201 && r.Status != 404 {
+		if !definite(r) {
 			c.unanswered(lookOp{id, kind}, asked, r)
 			return
 		}
-		said := lookSaid{r.Status, fate(r.State)}
-		if r.State == "queued" || r.State == "running" {
-			said.fate = accepted
-		}
+		said := lookSaid{r.Status, fateOf(r)}
 		c.add(porcupine.Operation{Input: lookOp{id, kind}, Call: asked, Output: said, Return: c.now()})
 		c.hears(id, said.fate)
 	}
@@ -172,11 +171,37 @@
 	p := w.nodes[to]
 	w.sendMsg("user", p.name, func() {
 		p.ask(mk, func(e core.Effect) {
+			c.leaves(p, id, e.(core.UserReply))
 			w.sendMsg(p.name, "user", func() { finish(e.(core.UserReply)) })
 		})
 	})
 }
 
+// definite says whether an answer tells of a job.
+func definite(r core.UserReply) bool { return r.Status == 200 || r.Status == 201 || r.Status == 404 }
+
+func fateOf(r core.UserReply) fate {
+	if r.State == "queued" || r.State == "running" {
+		return accepted
+	}
+	return fate(r.State)
+}
+
+// leaves notes that an answer leaves a controller. One after the other they never go
+// back, also if they were asked for in another order.
+func (c *closeLooks) leaves(p *proc, id string, r core.UserReply) {
+	if !definite(r) {
+		return
+	}
+	order := map[fate]int{accepted: 1, done: 2, cancelled: 2}
+	key := fmt.Sprintf("%s %s.%d", id, p.name, p.life)
+	was, f := c.left[key], fateOf(r)
+	if order[f] < order[was] {
+		c.wrong = append(c.wrong, fmt.Sprintf("%s says %q after %q", key, f, was))
+	}
+	c.left[key] = f
+}
+
 // unanswered notes a request that may be carried out later. One that comes after another
 // such, or after what it asks for was told, adds nothing.
 func (c *closeLooks) unanswered(op lookOp, asked int64, r core.UserReply) {
