--- a/internal/core/safety_test.go
+++ b/internal/core/safety_test.go
@@ -485,12 +485,15 @@
 	}
 	switch d.Cmd {
 	case "boot":
-		// late=(text): requests with that text get no answer until deliver.
+		// late=(text): requests with that text get no answer until deliver; lose=(text):
+		// they are executed, and get none.
 		booted := b.boot(first())
-		if d.HasArg("late") {
-			r := benchRule{mode: "late"}
-			d.ScanArgs(t, "late", &r.only)
-			booted.rules = append(booted.rules, r)
+		for _, mode := range []string{"late", "lose"} {
+			if d.HasArg(mode) {
+				r := benchRule{mode: mode}
+				d.ScanArgs(t, mode, &r.only)
+				booted.rules = append(booted.rules, r)
+			}
 		}
 		b.run(core.Seconds(number("for", 1)))
 	case "end":
