--- a/internal/standin/half_test.go
+++ b/internal/standin/half_test.go
@@ -34,6 +34,9 @@
 							}
 						}
 						w.Run(4 * time.Minute)
+						if w.ends != nil {
+							t.Errorf("nobody came to %s", in)
+						}
 						for _, b := range w.Broken {
 							t.Error(b)
 						}
--- /dev/null
+++ b/internal/standin/met_links_test.go
@@ -0,0 +1,476 @@
+package standin
+
+import (
+	"fmt"
+	"slices"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/micahill/micahill/internal/core"
+)
+
+// arriveAtAll brings a report to every controller, and tells of their answers.
+func (w *World) arriveAtAll(r core.Report, tell func(core.ReportReply)) {
+	for _, p := range w.nodes {
+		p.ask(func(reply uint64) core.Command { return core.WorkerReport{Reply: reply, Report: r} }, func(e core.Effect) { tell(e.(core.ReportReply)) })
+	}
+}
+
+// TestOldReportAtEveryController: a report of before a start, or of while it ran, is held
+// back and reaches all controllers just as a new leader begins. It proves nothing: what
+// still runs on a machine that is cut off is not started again. And it prolongs nothing:
+// what was on a machine that died begins again as soon as without the report.
+func TestOldReportAtEveryController(t *testing.T) {
+	// play returns when the task began again, reckoned from the end of its owner, and how
+	// many copies were answered with 200 and otherwise.
+	play := func(t *testing.T, before, dies bool, at, cut time.Duration, copies bool) (again time.Duration, answered, refused int) {
+		w := newTestWorldOf(5, 3)
+		w.submitMany("f", "ops", 2, 1, 4, 20*time.Second)
+		w.Run(45 * time.Second)
+		// Machines without the task, and later with it.
+		var old []core.Report
+		for _, m := range w.fleet {
+			old = append(old, m.report(w.now))
+		}
+		id := w.submitMany("x", "ops", 1, 1, 4, 3*time.Minute)[0]
+		w.Run(10 * time.Second)
+		ms := w.machinesOf(id)
+		if len(ms) != 1 {
+			t.Fatalf("%d machines have the task", len(ms))
+		}
+		m := ms[0]
+		i := slices.IndexFunc(old, func(r core.Report) bool { return r.Machine == m.ID })
+		if i < 0 {
+			t.Fatal("the task did not come to a machine that had reported before")
+		}
+		r := old[i]
+		if !before {
+			r = m.report(w.now)
+		}
+		w.Run(4 * time.Second)
+		// No return is a proof, only the lease is.
+		w.cloudOut = true
+		w.after(80*time.Second, func() { w.cloudOut = false })
+		if dies {
+			w.kill(m)
+		} else {
+			w.Cut(m.ID, "*", cut, false)
+		}
+		w.Run(time.Second)
+		from := w.now
+		w.Crash(w.leader(0), 5*time.Second)
+		w.Crash(w.ownerOf("ops"), 5*time.Second)
+		if copies {
+			// Three times, as each worker's report is repeated.
+			for k := range 3 {
+				w.after(at+time.Duration(k)*time.Second, func() {
+					w.arriveAtAll(r, func(a core.ReportReply) {
+						if a.Status == 200 {
+							answered++
+						} else {
+							refused++
+						}
+					})
+				})
+			}
+		}
+		started := w.Started
+		if w.when(3*time.Minute, func() bool { return w.Started > started }) < 0 {
+			t.Error("the task never began again")
+		}
+		again = w.now.Sub(from)
+		w.Run(4 * time.Minute)
+		allTold(t, w, false)
+		rulesHold(t, w)
+		return again, answered, refused
+	}
+	for _, before := range []bool{true, false} {
+		for _, dies := range []bool{true, false} {
+			plain, _, _ := play(t, before, dies, 0, time.Minute, false)
+			for at := 500 * time.Millisecond; at <= 6*time.Second; at += 500 * time.Millisecond {
+				t.Run(fmt.Sprintf("before=%v dies=%v %v", before, dies, at), func(t *testing.T) {
+					t.Parallel()
+					again, answered, refused := play(t, before, dies, at, time.Minute, true)
+					t.Logf("again after %v, %v without; %d answered, %d not", again, plain, answered, refused)
+					if answered+refused < 4 {
+						t.Errorf("%d copies arrived", answered+refused)
+					}
+					if again > plain+5*time.Second {
+						t.Errorf("it began again after %v, without the old report after %v", again, plain)
+					}
+				})
+			}
+		}
+	}
+}
+
+// TestZoneBoundJobsLoseMachines: jobs bound to one zone, of one task and arrays, apart and
+// not, while half of the zone's machines die and some of the rest are cut off.
+func TestZoneBoundJobsLoseMachines(t *testing.T) {
+	for seed := range uint64(8) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			types, _ := testTypes()
+			w := NewWorld(seed, 3, testSettings(), testCancel, types, map[string]int{"small/a/false": 12, "small/b/false": 8, "small/b/true": 4})
+			for i := range 9 {
+				spec := metJob(fmt.Sprintf("job-b%03d", i), "ops", []int{1, 3, 6}[i%3], 2, 40*time.Second)
+				spec.Zone, spec.SamePlace, spec.Spot = "b", i%4 == 0, i%2 == 0
+				w.Submit(spec, 40*time.Second, false)
+			}
+			w.submitMany("a", "ops", 6, 2, 2, 40*time.Second)
+			w.Run(50 * time.Second)
+			lost := 0
+			for i, id := range sorted(w.machine) {
+				m := w.machine[id]
+				switch {
+				case m.Zone != "b" || !m.up(w.now):
+				case i%2 == 0:
+					lost += len(m.tasks)
+					w.kill(m)
+				case i%3 == 0:
+					w.Cut(m.ID, "*", 45*time.Second, seed%2 == 0)
+				}
+			}
+			if lost == 0 {
+				t.Fatal("no machine with tasks was lost")
+			}
+			if seed%2 == 1 {
+				w.Crash(w.ownerOf("ops"), 5*time.Second)
+			}
+			w.Run(7 * time.Minute)
+			allTold(t, w, false)
+			rulesHold(t, w)
+		})
+	}
+}
+
+// TestTenHandOvers: whoever leads ends ten times in two minutes, with the state service
+// away for most of that, or in times of some seconds, while jobs come and are cancelled.
+func TestTenHandOvers(t *testing.T) {
+	for _, outage := range []struct {
+		name       string
+		from, long time.Duration
+		every      time.Duration
+		// changes is how often the lead passed on at least.
+		changes int
+	}{
+		{"one of 60 s", 30 * time.Second, 60 * time.Second, 0, 5},
+		{"ten of 5 s", 2 * time.Second, 5 * time.Second, 12 * time.Second, 8},
+		{"none", 0, 0, 0, 10},
+	} {
+		for _, back := range []time.Duration{100 * time.Millisecond, 5 * time.Second} {
+			t.Run(fmt.Sprintf("%s back=%v", outage.name, back), func(t *testing.T) {
+				t.Parallel()
+				w := newTestWorldOf(3, 5)
+				cancelled := w.submitMany("c", "ops", 10, 2, 2, 10*time.Minute)
+				w.submitMany("x", "ops", 6, 2, 2, 90*time.Second)
+				w.Run(50 * time.Second)
+				if outage.long > 0 {
+					for k := 0; k == 0 || outage.every > 0 && k < 10; k++ {
+						w.after(outage.from+time.Duration(k)*outage.every, func() { w.Outage(outage.long) })
+					}
+				}
+				changes, lead, inside := 0, w.leads(), 0
+				for k := range 10 {
+					w.after(time.Duration(k)*12*time.Second+4*time.Second, func() {
+						inside += boolInt(w.outage)
+						i := w.leader(k)
+						if !w.nodes[i].alive {
+							i = slices.IndexFunc(w.nodes, func(p *proc) bool { return p.alive })
+						}
+						w.Crash(i, back)
+						w.Abort(cancelled[k])
+					})
+				}
+				for range 1200 {
+					w.Run(tick)
+					if now := w.leads(); now != "" && now != lead {
+						changes, lead = changes+1, now
+					}
+				}
+				w.Run(4 * time.Minute)
+				t.Logf("%d changes of the lead, %d ends inside an outage", changes, inside)
+				if changes < outage.changes || inside == 0 && outage.long > 0 {
+					t.Errorf("%d changes of the lead, %d ends inside an outage", changes, inside)
+				}
+				for i, id := range sorted(w.jobs) {
+					if want := []string{"done", "cancelled"}[boolInt(slices.Contains(cancelled, id))]; w.jobs[id].told != want {
+						t.Errorf("%d: %s is %q", i, id, w.jobs[id].told)
+					}
+				}
+				rulesHold(t, w)
+			})
+		}
+	}
+}
+
+// TestLeaderCutWhileOthersCancel: a leader loses the state service and the other
+// controllers; its workers, some of which reach only it, and users still reach it. Jobs are
+// cancelled through the new leader: they are gone in time, and the former one doesn't say
+// otherwise.
+func TestLeaderCutWhileOthersCancel(t *testing.T) {
+	for _, refused := range []bool{false, true} {
+		for _, wait := range []time.Duration{2 * time.Second, 5 * time.Second, 10 * time.Second, 20 * time.Second} {
+			t.Run(fmt.Sprintf("refused=%v %v", refused, wait), func(t *testing.T) {
+				t.Parallel()
+				w := newTestWorldOf(2, 3)
+				ids := w.submitMany("x", "ops", 6, 2, 2, 10*time.Minute)
+				w.Run(60 * time.Second)
+				former := w.ownerOf("ops")
+				if w.leader(-1) != former {
+					t.Fatal("the owner does not lead")
+				}
+				// No return is a proof: the cloud is away.
+				const cut = 90 * time.Second
+				w.cloudOut = true
+				w.after(cut, func() { w.cloudOut = false })
+				last := w.lastSeen(ids...)
+				w.CutAlone(former, cut, refused, false)
+				for _, id := range ids[:3] {
+					for _, m := range w.machinesOf(id) {
+						for i, p := range w.nodes {
+							if i != former {
+								w.Cut(m.ID, p.name, cut, false)
+							}
+						}
+					}
+				}
+				w.Run(wait)
+				other := (former + 1) % 3
+				for _, id := range ids {
+					w.jobs[id].aborting = true
+					w.userCallTo(other, func(r uint64) core.Command { return core.Abort{Reply: r, ID: id} }, 5*time.Second, func(r *core.UserReply) {
+						if r == nil || r.State != "cancelled" {
+							t.Errorf("the cancellation of %s: %v", id, r)
+						}
+					})
+				}
+				w.Run(500 * time.Millisecond)
+				if n := w.live(ids[0]); n == 0 || w.jobs[ids[0]].cancelled.IsZero() {
+					t.Errorf("%d tasks when it is confirmed", n)
+				}
+				asked := 0
+				for end := w.now.Add(80 * time.Second); w.now.Before(end); w.Run(time.Second) {
+					for _, id := range ids {
+						asked++
+						w.userCallTo(former, func(r uint64) core.Command { return core.Query{Reply: r, ID: id} }, 2*time.Second, func(r *core.UserReply) {
+							if r != nil && r.Status == 200 && r.State != "cancelled" {
+								t.Errorf("the former leader calls %s %s", id, r.State)
+							}
+						})
+					}
+				}
+				goneWithin(t, w, last, w.cancel)
+				w.Run(time.Minute)
+				rulesHold(t, w)
+			})
+		}
+	}
+}
+
+// cutZone cuts a zone's machines and one controller off from all else for d; what is
+// rented there meanwhile too.
+func (w *World) cutZone(zone string, with int, d time.Duration, hold bool) {
+	till := w.now.Add(d)
+	machine := func(m *Worker) {
+		for i, p := range w.nodes {
+			if (i == with) != (m.Zone == zone) && w.now.Before(till) {
+				w.Cut(m.ID, p.name, till.Sub(w.now), hold)
+			}
+		}
+	}
+	for _, m := range w.fleet {
+		machine(m)
+	}
+	for _, x := range []string{"state", "cloud", "user"} {
+		w.Cut(w.nodes[with].name, x, d, hold)
+	}
+	for i, p := range w.nodes {
+		if i != with {
+			w.Cut(w.nodes[with].name, p.name, d, hold)
+		}
+	}
+	w.rented = machine
+}
+
+// TestZoneCutOffWithItsController: for longer than a lease, with the controller that owns
+// the work or another one in the zone, while some of its jobs are cancelled and new ones
+// come.
+func TestZoneCutOffWithItsController(t *testing.T) {
+	for _, owns := range []bool{true, false} {
+		for _, long := range []time.Duration{26 * time.Second, 90 * time.Second} {
+			for _, kind := range []string{"held", "lost", "lost, no cloud"} {
+				t.Run(fmt.Sprintf("owns=%v %v %s", owns, long, kind), func(t *testing.T) {
+					t.Parallel()
+					w := newTestWorldOf(4, 3)
+					for i := range 6 {
+						spec := metJob(fmt.Sprintf("job-z%03d", i), "ops", 2, 2, 3*time.Minute)
+						spec.Zone = []string{"a", "b"}[i%2]
+						w.Submit(spec, 3*time.Minute, false)
+					}
+					w.Run(60 * time.Second)
+					with := w.ownerOf("ops")
+					if !owns {
+						with = (with + 1) % 3
+					}
+					if w.live("job-z001") != 2 {
+						t.Fatal("nothing runs in the zone")
+					}
+					w.cutZone("b", with, long, kind == "held")
+					if w.cloudOut = kind == "lost, no cloud"; w.cloudOut {
+						w.after(long, func() { w.cloudOut = false })
+					}
+					last := w.lastSeen("job-z001")
+					w.Run(3 * time.Second)
+					w.Abort("job-z001")
+					w.Run(4 * time.Second)
+					if w.live("job-z001") == 0 {
+						t.Error("the cancelled job is gone before anybody can have told its machines")
+					}
+					w.submitMany("n", "ops", 3, 1, 2, 20*time.Second)
+					w.Run(long)
+					// An owner in the zone answers for its grace.
+					if w.cloudOut = false; w.LostToLease == 0 && kind == "lost, no cloud" && (!owns || long > time.Minute) {
+						t.Error("no lease ran out")
+					}
+					goneWithin(t, w, last, w.cancel)
+					w.Run(8 * time.Minute)
+					allTold(t, w, true)
+					rulesHold(t, w)
+				})
+			}
+		}
+	}
+}
+
+// mute lets machines reach no controller for d, while direct commands reach them and are
+// answered.
+func (w *World) mute(ids []string, d time.Duration) {
+	till, send := w.now.Add(d), w.reporter
+	w.reporter = func(m *Worker) {
+		if !slices.Contains(ids, m.ID) || !w.now.Before(till) {
+			send(m)
+			return
+		}
+		life := m.life
+		w.after(4*time.Second, func() {
+			if m.life == life {
+				m.reporting, m.node, m.nextAt = false, (m.node+1)%len(w.nodes), w.now.Add(time.Second)
+			}
+		})
+	}
+}
+
+// TestMuteMachines: machines can open no connections, and direct commands reach them, for
+// less and for longer than a lease; jobs there are cancelled, and their owner ends.
+func TestMuteMachines(t *testing.T) {
+	for _, ends := range []bool{false, true} {
+		for _, long := range []time.Duration{15 * time.Second, 40 * time.Second, 90 * time.Second} {
+			for _, all := range []bool{false, true} {
+				t.Run(fmt.Sprintf("ends=%v %v all=%v", ends, long, all), func(t *testing.T) {
+					t.Parallel()
+					w := smallWorld(6, testSettings())
+					ids := w.submitMany("x", "ops", 8, 2, 2, 2*time.Minute)
+					w.Run(60 * time.Second)
+					var quiet []string
+					for i, id := range ids {
+						for _, m := range w.machinesOf(id) {
+							if (all || i < 3) && !slices.Contains(quiet, m.ID) {
+								quiet = append(quiet, m.ID)
+							}
+						}
+					}
+					w.mute(quiet, long)
+					last := w.lastSeen(ids[0])
+					w.Run(2 * time.Second)
+					if ends {
+						w.Crash(w.ownerOf("ops"), 5*time.Second)
+					}
+					w.Run(3 * time.Second)
+					w.Abort(ids[0])
+					goneWithin(t, w, last, reachedWithin)
+					w.Run(long)
+					if len(quiet) < 2 || long > time.Minute && w.LostToLease == 0 || long < 24*time.Second && w.LostToLease > 0 {
+						t.Errorf("%d tasks were lost to leases on %d machines", w.LostToLease, len(quiet))
+					}
+					w.Run(6 * time.Minute)
+					allTold(t, w, true)
+					rulesHold(t, w)
+				})
+			}
+		}
+	}
+}
+
+// TestCommandOfFormerLeader: a leader's command is held up on its way, the leader ends, and
+// the command arrives before its successor has reached the machine, or after: it is
+// carried out once and taken over, or refused.
+func TestCommandOfFormerLeader(t *testing.T) {
+	var early, late atomic.Int64
+	t.Run("offsets", func(t *testing.T) {
+		for _, verb := range []core.Verb{core.Start, core.Halt} {
+			for _, d := range []float64{0.5, 1, 2, 3, 4, 4.5, 5, 5.5, 6, 7, 8, 10, 12, 16} {
+				t.Run(fmt.Sprintf("%s %v", verb, d), func(t *testing.T) {
+					t.Parallel()
+					w := newTestWorldOf(8, 3)
+					w.submitMany("f", "ops", 4, 1, 2, 4*time.Minute)
+					w.submitMany("g", "ops", 2, 2, 2, 20*time.Second)
+					w.Run(80 * time.Second)
+					owner := w.ownerOf("ops")
+					var op core.WorkerOp
+					if w.live("job-f000") == 0 {
+						t.Fatal("nothing runs")
+					}
+					last := w.lastSeen("job-f000", "job-f001")
+					held, done, accepted := false, false, false
+					w.sabotage = func(e core.Effect) core.Effect {
+						x, ok := e.(core.WorkerOp)
+						if held || !ok || !slices.ContainsFunc(x.Orders, func(o core.Order) bool { return o.Verb == verb }) {
+							return e
+						}
+						held, op = true, x
+						w.after(time.Millisecond, func() { w.Crash(owner, 5*time.Second) })
+						w.after(core.Seconds(d), func() {
+							m := w.machine[op.Machine]
+							if seen := m.epoch > op.Epoch; seen {
+								late.Add(1)
+							} else {
+								early.Add(1)
+							}
+							done, accepted = true, w.direct(m, op).OK
+							if accepted != (m.epoch <= op.Epoch) {
+								t.Errorf("carried out %v at epoch %d of %d", accepted, op.Epoch, m.epoch)
+							}
+						})
+						return nil
+					}
+					if verb == core.Halt {
+						w.Abort("job-f000")
+						w.Abort("job-f001")
+					} else {
+						w.submitMany("x", "ops", 4, 1, 2, 30*time.Second)
+					}
+					w.when(time.Minute, func() bool { return held })
+					w.Run(20 * time.Second)
+					if !held || !done {
+						t.Fatalf("held %v, arrived %v", held, done)
+					}
+					if verb == core.Halt {
+						goneWithin(t, w, last, reachedWithin)
+					}
+					w.Run(4 * time.Minute)
+					if want := map[core.Verb]int{core.Start: 12, core.Halt: 8}[verb]; w.Started != want {
+						t.Errorf("%d starts of %d tasks", w.Started, want)
+					}
+					allTold(t, w, true)
+					rulesHold(t, w)
+				})
+			}
+		}
+	})
+	t.Logf("%d arrived before the successor's epoch, %d after", early.Load(), late.Load())
+	if early.Load() == 0 || late.Load() == 0 {
+		t.Error("not both were met")
+	}
+}
