--- /dev/null
+++ b/internal/standin/met_users_test.go
@@ -0,0 +1,225 @@
+package standin
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/micahill/micahill/internal/core"
+)
+
+// askAll asks every controller about a job and fails the test for each answer that names
+// another state than want.
+func askAll(t *testing.T, w *World, id, want string) {
+	t.Helper()
+	for i := range w.nodes {
+		w.userCallTo(i, func(r uint64) core.Command { return core.Query{Reply: r, ID: id} }, 5*time.Second, func(r *core.UserReply) {
+			if r != nil && r.Status != 503 && r.State != want {
+				t.Errorf("%s is %s, node-%d answers %d %s", id, want, i, r.Status, r.State)
+			}
+		})
+	}
+}
+
+// TestSlowStateWhileUsersCancel: the state service takes up to seconds for each answer for
+// longer than cancel_s; users cancel, and ask all controllers as soon as that is confirmed.
+func TestSlowStateWhileUsersCancel(t *testing.T) {
+	for _, slow := range []float64{60, 150, 300} {
+		t.Run(fmt.Sprint(slow), func(t *testing.T) {
+			t.Parallel()
+			w := newTestWorldOf(3, 3)
+			ids := w.submitMany("x", "ops", 12, 2, 2, 10*time.Minute)
+			w.Run(60 * time.Second)
+			w.slowState, w.slowBy = w.now.Add(w.cancel+30*time.Second), slow
+			took := map[string]time.Duration{}
+			w.answered = func(asked time.Time, r core.UserReply) {
+				if r.State == "cancelled" && took[r.ID] == 0 {
+					took[r.ID] = w.now.Sub(asked)
+					askAll(t, w, r.ID, "cancelled")
+				}
+			}
+			last := w.lastSeen(ids...)
+			for i, id := range ids {
+				w.after(time.Duration(i)*6*time.Second, func() { w.Abort(id) })
+			}
+			w.Run(w.cancel + 30*time.Second)
+			longest := time.Duration(0)
+			for _, d := range took {
+				longest = max(longest, d)
+			}
+			if len(took) < len(ids)/2 || longest < time.Duration(4*slow)*time.Millisecond {
+				t.Errorf("%d are confirmed meanwhile, the longest took %v", len(took), longest)
+			}
+			goneWithin(t, w, last, w.cancel)
+			w.Run(time.Minute)
+			allTold(t, w, true)
+			rulesHold(t, w)
+		})
+	}
+}
+
+// TestAllAwayForLongerThanLease: all controllers are away for longer than a lease, right
+// after some jobs were cancelled.
+func TestAllAwayForLongerThanLease(t *testing.T) {
+	for _, away := range []time.Duration{26 * time.Second, 40 * time.Second, 2 * time.Minute} {
+		t.Run(fmt.Sprint(away), func(t *testing.T) {
+			t.Parallel()
+			w := newTestWorldOf(4, 3)
+			cancelled := w.submitMany("c", "ops", 4, 2, 2, 3*time.Minute)
+			left := w.submitMany("x", "ops", 6, 2, 2, 3*time.Minute)
+			w.Run(60 * time.Second)
+			running := 0
+			for _, id := range left {
+				running += w.live(id)
+			}
+			last := w.lastSeen(cancelled...)
+			for _, id := range cancelled {
+				w.Abort(id)
+			}
+			if w.when(5*time.Second, func() bool {
+				return !slices.ContainsFunc(cancelled, func(id string) bool { return w.jobs[id].cancelled.IsZero() })
+			}) < 0 {
+				t.Fatal("not confirmed")
+			}
+			for i := range w.nodes {
+				w.Crash(i, away)
+			}
+			w.Run(away)
+			if running == 0 || w.LostToLease < running {
+				t.Errorf("%d of %d tasks were lost to their leases", w.LostToLease, running)
+			}
+			goneWithin(t, w, last, w.cancel)
+			w.Run(8 * time.Minute)
+			for _, id := range append(cancelled, left...) {
+				if want := []string{"done", "cancelled"}[boolInt(slices.Contains(cancelled, id))]; w.jobs[id].told != want {
+					t.Errorf("%s is %q", id, w.jobs[id].told)
+				}
+			}
+			rulesHold(t, w)
+		})
+	}
+}
+
+// TestOneTaskJobs: four jobs of one task come each second for three minutes, and a quarter
+// is cancelled. All are served, and nothing of them is left but how they ended.
+func TestOneTaskJobs(t *testing.T) {
+	const jobs = 4 * 180
+	w := smallWorld(5, testSettings())
+	for i := range jobs {
+		at, run := time.Duration(i)*250*time.Millisecond, time.Duration(4+i%9)*time.Second
+		spec := metJob(fmt.Sprintf("job-%06d", i), []string{"ops", "lab"}[i%2], 1, 1, run)
+		w.after(at, func() { w.Submit(spec, run, false) })
+		if i%4 == 1 {
+			w.after(at+time.Duration(1+i%17)*time.Second, func() { w.Abort(spec.ID) })
+		}
+	}
+	w.Run(9 * time.Minute)
+	told := map[string]int{}
+	for _, j := range w.jobs {
+		told[j.told]++
+	}
+	t.Logf("%v, %d changes, %d refused", told, w.state.puts, w.Refused)
+	if told["done"]+told["cancelled"] != jobs || told["cancelled"] < jobs/16 || told["done"] < jobs*3/4 {
+		t.Errorf("%d jobs: %v", jobs, told)
+	}
+	for k := range w.state.rows {
+		if strings.HasPrefix(k, "open/") || strings.HasPrefix(k, "task/") {
+			t.Errorf("%s is left", k)
+		}
+	}
+	rulesHold(t, w)
+}
+
+// TestCancelledAtTheEnd: a job is cancelled, asked about and submitted once more at each
+// moment around the end of its last task. It ends one way, and nobody hears of the other.
+func TestCancelledAtTheEnd(t *testing.T) {
+	// play does that at a moment, or for none returns the one of the end.
+	play := func(t *testing.T, at time.Duration) (*World, time.Duration) {
+		w := newTestWorldOf(7, 3)
+		spec := metJob("job-000001", "ops", 2, 2, 20*time.Second)
+		w.Submit(spec, 20*time.Second, false)
+		j := w.jobs[spec.ID]
+		if at == 0 {
+			w.when(2*time.Minute, func() bool { return len(j.results) == spec.Tasks })
+			return w, w.now.Sub(w.began)
+		}
+		w.Run(at)
+		w.Abort(spec.ID)
+		for i := range w.nodes {
+			w.userCallTo(i, func(r uint64) core.Command { return core.Query{Reply: r, ID: spec.ID} }, 2*time.Second, func(*core.UserReply) {})
+			w.userCallTo(i, func(r uint64) core.Command { return core.Submit{Reply: r, Spec: spec} }, 5*time.Second, func(r *core.UserReply) {
+				if r != nil && r.Status != 200 && r.Status != 503 {
+					t.Errorf("the repeated submission is answered %d", r.Status)
+				}
+			})
+		}
+		if w.when(20*time.Second, func() bool { return j.told == "done" || j.told == "cancelled" }) < 0 {
+			t.Errorf("told %q", j.told)
+		}
+		for range 10 {
+			askAll(t, w, spec.ID, j.told)
+			w.Run(time.Second)
+		}
+		return w, 0
+	}
+	_, end := play(t, 0)
+	var done, cancelled atomic.Int64
+	t.Run("offsets", func(t *testing.T) {
+		for off := -500 * time.Millisecond; off <= 1500*time.Millisecond; off += 40 * time.Millisecond {
+			t.Run(fmt.Sprint(off), func(t *testing.T) {
+				t.Parallel()
+				w, _ := play(t, end+off)
+				done.Add(int64(boolInt(w.jobs["job-000001"].told == "done")))
+				cancelled.Add(int64(boolInt(w.jobs["job-000001"].told == "cancelled")))
+				w.Run(time.Minute)
+				if w.state.rows["open/job-000001"] != nil {
+					t.Error("open/job-000001 is left")
+				}
+				rulesHold(t, w)
+			})
+		}
+	})
+	t.Logf("%d done, %d cancelled", done.Load(), cancelled.Load())
+	if done.Load() == 0 || cancelled.Load() == 0 {
+		t.Errorf("%d done, %d cancelled", done.Load(), cancelled.Load())
+	}
+}
+
+// TestMoreWorkThanRoomOverSlowLinks: twice as much work as there is room for, urgent and
+// not, while what the state service and the cloud say takes up to a second and messages
+// are lost or late. All of it is done, and the urgent begins first.
+func TestMoreWorkThanRoomOverSlowLinks(t *testing.T) {
+	for seed := range uint64(4) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			types, _ := testTypes()
+			w := NewWorld(seed, 3, testSettings(), testCancel, types, map[string]int{"small/a/false": 6, "small/b/false": 6})
+			w.weather = &weather{slowTill: w.now.Add(4 * time.Minute), slow: time.Second}
+			w.loss = 0.01
+			for i := range 24 {
+				spec := metJob(fmt.Sprintf("job-%06d", i), "ops", 4, 2, 30*time.Second)
+				spec.Urgency = []core.Urgency{core.Normal, core.Urgent}[i%2]
+				w.after(time.Duration(i)*time.Second, func() { w.Submit(spec, 30*time.Second, false) })
+			}
+			w.Run(75 * time.Second)
+			var began [2]int
+			for i := range 24 {
+				began[i%2] += len(w.jobs[fmt.Sprintf("job-%06d", i)].began)
+			}
+			if w.used["ops"].CPU < 40 || began[0]+began[1] == 24*4 {
+				t.Errorf("there is room: %v used, %v began", w.used["ops"], began)
+			}
+			if began[1] <= began[0] {
+				t.Errorf("%d tasks of urgent jobs began, %d of others", began[1], began[0])
+			}
+			w.Run(165 * time.Second)
+			w.loss = 0
+			w.Run(8 * time.Minute)
+			allTold(t, w, false)
+			rulesHold(t, w)
+		})
+	}
+}
