Where answers have ended for a machine, it is shown the epoch directly

Cause: a start without an answer of a job that was cancelled longer ago than the window ends the answers to its machine. The higher epoch that is the proof went with answers alone, or with orders, of which there are none: the lease ran out with all other work there (red: nothing was sent). Change: a refused report of a machine that has not shown its epoch has it shown by an empty order, while the grant surely lives and as far as there is room for questions.

--- a/internal/core/horizon.go
+++ b/internal/core/horizon.go
@@ -108,11 +108,14 @@
 
 // renewal is until when a report of m may be answered so that its lease goes on, which is
 // noted. When that is over it is refused, the lease is to run out, and what has to stop is
-// ordered directly.
+// ordered directly; so is the epoch shown that may be the proof that all is gone.
 func renewal(n *Node, m *machine, settled bool, reply uint64) (until time.Time, renews bool) {
 	until = n.renewUntilOn(m, settled)
 	if n.now.After(until) {
 		n.mark(m)
+		if m.seenEpoch < m.epoch && !m.inFlight && !n.now.After(n.sess.sureUntil) && n.owner.contacts < contactMost {
+			n.claimMachine(m)
+		}
 		n.emit(ReportReply{Reply: reply, Status: 503})
 		return until, false
 	}
--- a/internal/core/horizon_test.go
+++ b/internal/core/horizon_test.go
@@ -151,6 +151,27 @@
 	}
 }
 
+// TestEpochIsShownWhereAnswersEnd: a start of a cancelled job may be on its way to a machine
+// that is not answered any more for that reason. The higher epoch that would be the proof
+// is shown directly, or all work there would be lost with the lease.
+func TestEpochIsShownWhereAnswersEnd(t *testing.T) {
+	n := largePool(12)
+	n.users.mirror.open = map[string]living{}
+	m, _ := firstWork(n)
+	k := n.onMachine("job-000901", m)
+	m.unacked = m.epoch
+	m.epoch++
+	n.cancelled(k, n.now.Add(-time.Minute))
+	r := n.poolReport(0)
+	r.Tick, r.Epoch, r.Tasks, n.out = m.tick+1, m.unacked, m.last, nil
+	n.workerReport(WorkerReport{Reply: 1, Report: *r})
+	r.Tick, r.Epoch = r.Tick+1, m.epoch
+	n.ask1(t, m, r)
+	if until := n.renewUntilOn(m, m.settled()); n.now.After(until) || k.live > 0 {
+		t.Errorf("answered until %v after the epoch was shown, %d attempts live", until, k.live)
+	}
+}
+
 // TestHaltsBeforeReading: an owner that has not read which attempts there should be halts
 // what it knows to be cancelled, and prolongs no lease beyond that job's time.
 func TestHaltsBeforeReading(t *testing.T) {
