Ends share transactions, and writes are put together late

Cause: with one-task jobs at four a second the state service's limit of changes is used up by what a job needs (accepted 1, start 1, end 2, its task record's removal 1; a cancellation 1 more). The owner had up to five transactions under way, of up to twelve changes each, which waited seconds for their turn: what users wait for came behind them (503 after 1.3 s), an end had a transaction of its own and ends kept starts from being written at all, and a record of a job that was cancelled while its write waited failed the others in it.

Change: the owner's writes under way take at most half a second's part of its changes; several ends share a transaction, each with the conditions that it had, and what fails one fails no other twice; records of tasks of ended jobs, which mean nothing, are kept (1,000 at most) while changes are short.

--- a/internal/budget/budget.go
+++ b/internal/budget/budget.go
@@ -11,9 +11,9 @@
 )
 
 const (
-	// headroom is how much more than it asks for a controller is given while there is
+	// Headroom is how much more than it asks for a controller is given while there is
 	// enough: what is asked for is a mean, and what comes varies.
-	headroom = 1.6
+	Headroom = 1.6
 	// floorPart is the part of an equal division that everybody has in any case.
 	floorPart = 0.3
 	// memory is the time over which what is asked for is averaged.
@@ -46,7 +46,7 @@
 	})
 	left := capacity
 	for k, i := range order {
-		want := max(floor, headroom*demands[i])
+		want := max(floor, Headroom*demands[i])
 		out[i] = min(want, left/float64(n-k))
 		left -= out[i]
 	}
--- a/internal/budget/budget_test.go
+++ b/internal/budget/budget_test.go
@@ -20,7 +20,7 @@
 		sum, asked := 0.0, 0.0
 		for i, p := range parts {
 			sum += p
-			asked += max(d[i]*headroom, floorPart*capacity/float64(len(d)))
+			asked += max(d[i]*Headroom, floorPart*capacity/float64(len(d)))
 			if p < floorPart*capacity/float64(len(d))*0.999 {
 				t.Fatalf("%v of %v for %v is less than the floor", p, capacity, d[i])
 			}
--- a/internal/core/budgets.go
+++ b/internal/core/budgets.go
@@ -22,6 +22,13 @@
 	otherRequests, otherChanges = 8, 1.5
 	// partStep is by how much a part must change to be passed on.
 	partStep = 0.05
+	// writeAhead is for how long the owner's writes under way may keep its part of the
+	// changes busy. What waits longer is put together late: it shares writes, the most
+	// urgent comes first, jobs that were cancelled meanwhile fail no write of others, and
+	// what users wait for finds the part with room.
+	writeAhead = 500 * time.Millisecond
+	// writeLeast is how many changes may be under way however small the part: an end.
+	writeLeast = 2
 )
 
 // Rates is what a controller asks of the state service a second.
@@ -35,6 +42,8 @@
 	requests, changes budget.Meter
 	others            map[string]told
 	part              Rates
+	// short: what is asked for has not the usual headroom in its part.
+	short bool
 }
 
 type told struct {
@@ -76,12 +85,40 @@
 		requests, changes = append(requests, x.Requests), append(changes, x.Changes)
 	}
 	part := Rates{budget.Divide(n.set.StateRequests, requests)[0], budget.Divide(n.set.StateWrites, changes)[0]}
+	b.short = r.Changes*budget.Headroom > part.Changes*(1+partStep)
 	if differs(part.Requests, b.part.Requests) || differs(part.Changes, b.part.Changes) {
 		b.part = part
 		n.emit(part)
 	}
 }
 
+// changesShort says that there are hardly enough changes for what can't wait.
+func (n *Node) changesShort() bool { return n.budgets.short }
+
+// roomToWrite is how many changes more the owner may have under way.
+func (n *Node) roomToWrite() int {
+	part := n.budgets.part.Changes
+	if part <= 0 {
+		part = n.set.StateWrites / float64(1+len(n.set.Peers))
+	}
+	if part <= 0 {
+		return n.set.TxnOps
+	}
+	return max(writeLeast, int(part*writeAhead.Seconds())) - n.owner.ahead
+}
+
+// write sends a write of the owner's and counts it as under way.
+func (n *Node) write(op StateOp, fn func(StateDone)) {
+	o, changes := n.owner, len(op.Apply)
+	o.inFlight++
+	o.ahead += changes
+	n.ask(op, func(d StateDone) {
+		o.inFlight--
+		o.ahead -= changes
+		fn(d)
+	})
+}
+
 func differs(a, b float64) bool { return math.Abs(a-b) > partStep*b }
 
 func (Rates) effect() {}
--- a/internal/core/chunks.go
+++ b/internal/core/chunks.go
@@ -62,7 +62,7 @@
 	patience := Seconds(float64(len(unsaved)) / max(1, lazyPart*n.set.StateWrites))
 	patience = min(max(patience, lazyWrite), lazyLongest)
 	crowded := patience > lazyWrite
-	for len(unsaved) > 0 && o.inFlight < chunkTxns {
+	for len(unsaved) > 0 && o.inFlight < chunkTxns && n.roomToWrite() > 0 {
 		op := StateOp{Kind: OpTxn, Prio: PrioLazy}
 		type part struct {
 			j   *job
@@ -136,15 +136,16 @@
 			}
 		}
 		late := func(c *chunk) bool { return n.now.Sub(c.since) >= patience }
-		switch add(n.set.TxnOps, func(c *chunk) bool { return c.urgent }); {
+		most := min(n.set.TxnOps, n.roomToWrite())
+		switch add(most, func(c *chunk) bool { return c.urgent }); {
 		case !crowded:
-			add(n.set.TxnOps, late)
+			add(most, late)
 			if len(parts) > 0 {
 				// Progress that is not due yet shares the write.
-				add(n.set.TxnOps, func(*chunk) bool { return true })
+				add(most, func(*chunk) bool { return true })
 			}
 		case len(parts) == 0 && o.lazy == 0:
-			add(min(lazyMost, n.set.TxnOps), late)
+			add(min(lazyMost, most), late)
 		}
 		if len(parts) == 0 {
 			return
@@ -154,14 +155,12 @@
 			lazy = 1
 		}
 		o.lazy += lazy
-		o.inFlight++
 		gen, asked := o.gen, n.now
-		n.ask(op, func(d StateDone) {
+		n.write(op, func(d StateDone) {
 			o := n.owner
 			if o == nil || o.gen != gen {
 				return
 			}
-			o.inFlight--
 			o.lazy -= lazy
 			switch {
 			case ranked && d.Status == StateOK:
--- a/internal/core/ends.go
+++ b/internal/core/ends.go
@@ -3,8 +3,14 @@
 import (
 	"slices"
 	"strings"
+
+	"github.com/micahill/micahill/internal/bounds"
 )
 
+// orphansMost bounds the records of tasks of ended jobs that are kept while changes are
+// short: they are two pages for a successor to read.
+const orphansMost = 1000
+
 // endJobs writes the end of jobs whose tasks are all done, and clears away
 // cancelled ones whose tasks are all gone.
 func (n *Node) endJobs() {
@@ -16,78 +22,134 @@
 		}
 	}
 	slices.SortFunc(over, func(a, b *job) int { return strings.Compare(a.ID, b.ID) })
-	for _, j := range over {
-		if o.inFlight < chunkTxns+2 {
-			n.endJob(j)
-		}
+	for len(over) > 0 && o.inFlight < chunkTxns+2 && n.roomToWrite() > 0 {
+		over = n.endSome(over)
 	}
-	if len(o.orphans) > 0 && o.inFlight == 0 {
+	if len(o.orphans) > 0 && o.inFlight == 0 && (!n.changesShort() || len(o.orphans) > orphansMost) {
 		n.dropOrphans()
 	}
 }
 
-func (n *Node) endJob(j *job) {
-	o := n.owner
-	j.ending = true
-	op := StateOp{Kind: OpTxn, Prio: PrioStart, When: append(n.shareConds(j.Team), Cond{openPrefix + j.ID, j.stamp})}
-	rec := endRecord(n, j)
-	if !j.cancelled {
-		op.Apply = append(op.Apply, Change{Key: jobPrefix + j.ID, Value: encode(rec)})
+// ended is a job whose end is being written: its record, and the records of its tasks,
+// which mean nothing without it and go when there is time: changes are short just when
+// many jobs end and others start.
+type ended struct {
+	j    *job
+	rec  jobRecord
+	rest []string
+}
+
+// endSome writes the ends of as many jobs as share a transaction, and returns the others.
+func (n *Node) endSome(over []*job) []*job {
+	op := StateOp{Kind: OpTxn, Prio: PrioStart}
+	most := min(n.set.TxnOps, n.roomToWrite())
+	var parts []ended
+	size := 0
+	for len(over) > 0 {
+		j := over[0]
+		e := ended{j: j, rec: endRecord(n, j)}
+		var apply []Change
+		if !j.cancelled {
+			apply = append(apply, Change{Key: jobPrefix + j.ID, Value: encode(e.rec)})
+		}
+		apply = append(apply, Change{Key: openPrefix + j.ID})
+		conds := append(n.shareConds(j.Team), Cond{openPrefix + j.ID, j.stamp})
+		for _, a := range apply {
+			size += bounds.ChangeBytes(bounds.Change{Key: a.Key, Value: a.Value})
+		}
+		for _, c := range conds {
+			size += bounds.CondBytes(c.Key)
+		}
+		if len(parts) > 0 && (len(op.Apply)+len(apply) > most || size > txnFull || j.endAlone || parts[0].j.endAlone) {
+			break
+		}
+		for _, c := range conds {
+			if !slices.Contains(op.When, c) {
+				op.When = append(op.When, c)
+			}
+		}
+		op.Apply = append(op.Apply, apply...)
+		for _, k := range sortedKeys(j.chunks) {
+			if c := j.chunks[k]; c.stamp != 0 || c.busy {
+				e.rest = append(e.rest, c.key(j.ID))
+			}
+		}
+		j.ending = true
+		parts, over = append(parts, e), over[1:]
 	}
-	op.Apply = append(op.Apply, Change{Key: openPrefix + j.ID})
-	// The records of its tasks mean nothing without it and go when there is
-	// time: changes are short just when many jobs end and others start.
-	var rest []string
-	for _, k := range sortedKeys(j.chunks) {
-		if c := j.chunks[k]; c.stamp != 0 || c.busy {
-			rest = append(rest, c.key(j.ID))
+	gen := n.owner.gen
+	n.write(op, func(d StateDone) {
+		for _, e := range parts {
+			n.endWritten(e, d, gen, len(parts) == 1)
 		}
+	})
+	return over
+}
+
+// endWritten deals with the answer to the write of a job's end, alone or with others'.
+func (n *Node) endWritten(e ended, d StateDone, gen int, alone bool) {
+	j := e.j
+	if d.Status == StateOK && !j.cancelled {
+		n.setFinal(j.ID, Done)
+		promiseEnded(n, j, e.rec)
+		n.debug("job done", "job", j.ID, "workload", j.Workload, "age", n.now.Sub(j.at))
 	}
-	o.inFlight++
-	gen := o.gen
-	n.ask(op, func(d StateDone) {
-		o := n.owner
-		if d.Status == StateOK && !j.cancelled {
-			n.setFinal(j.ID, Done)
-			promiseEnded(n, j, rec)
-			n.debug("job done", "job", j.ID, "workload", j.Workload, "age", n.now.Sub(j.at))
+	if n.owner == nil || n.owner.gen != gen {
+		return
+	}
+	again := func() { j.ending = false }
+	switch d.Status {
+	case StateOK:
+		n.jobOver(j, e.rest)
+	case StateConflict:
+		others := func(key string) bool {
+			return strings.HasPrefix(key, openPrefix) && key != openPrefix+j.ID
 		}
-		if o == nil || o.gen != gen {
+		if !alone && !slices.ContainsFunc(d.Failed, func(key string) bool { return !others(key) }) {
+			// Only others of the same write have changed.
+			again()
 			return
 		}
-		o.inFlight--
-		switch d.Status {
-		case StateOK:
-			n.jobOver(j, rest)
-		case StateConflict:
-			n.ask(StateOp{Kind: OpGet, Prio: PrioStart, Key: jobPrefix + j.ID}, func(d StateDone) {
-				var r jobRecord
-				if d.Status == StateOK && decode(d.Items[0].Value, &r) && r.Status == Done {
-					n.setFinal(j.ID, Done)
-					doneDate(n, j.ID, r)
-					if n.owner != nil && n.owner.gen == gen {
-						n.jobOver(j, rest)
-					}
-					return
-				}
-				if j.cancelled && d.Status == StateOK {
-					// An earlier try that got no answer may have removed it.
-					n.ask(StateOp{Kind: OpGet, Prio: PrioStart, Key: openPrefix + j.ID}, func(d StateDone) {
-						if d.Status == StateNotFound && n.owner != nil && n.owner.gen == gen {
-							n.jobOver(j, rest)
-							return
-						}
-						n.after(n.jitter(retryPause), func() { j.ending = false })
-					})
+		n.endConflict(e, gen)
+	case StateBad:
+		// Of several one is at fault, and the others are not to suffer for it.
+		if !alone {
+			j.endAlone = true
+			again()
+			return
+		}
+		n.after(defectPause, again)
+	default:
+		n.after(n.jitter(retryPause), again)
+	}
+}
+
+// endConflict finds out why an end could not be written: an earlier try that got no
+// answer may have been carried out.
+func (n *Node) endConflict(e ended, gen int) {
+	j := e.j
+	again := func() { j.ending = false }
+	n.ask(StateOp{Kind: OpGet, Prio: PrioStart, Key: jobPrefix + j.ID}, func(d StateDone) {
+		var r jobRecord
+		if d.Status == StateOK && decode(d.Items[0].Value, &r) && r.Status == Done {
+			n.setFinal(j.ID, Done)
+			doneDate(n, j.ID, r)
+			if n.owner != nil && n.owner.gen == gen {
+				n.jobOver(j, e.rest)
+			}
+			return
+		}
+		if j.cancelled && d.Status == StateOK {
+			n.ask(StateOp{Kind: OpGet, Prio: PrioStart, Key: openPrefix + j.ID}, func(d StateDone) {
+				if d.Status == StateNotFound && n.owner != nil && n.owner.gen == gen {
+					n.jobOver(j, e.rest)
 					return
 				}
-				n.after(n.jitter(retryPause), func() { j.ending = false })
+				n.after(n.jitter(retryPause), again)
 			})
-		case StateBad:
-			n.after(defectPause, func() { j.ending = false })
-		default:
-			n.after(n.jitter(retryPause), func() { j.ending = false })
+			return
 		}
+		n.after(n.jitter(retryPause), again)
 	})
 }
 
@@ -115,13 +177,11 @@
 		}
 		op.Apply = append(op.Apply, Change{Key: key})
 	}
-	o.inFlight++
 	gen := o.gen
-	n.ask(op, func(d StateDone) {
+	n.write(op, func(d StateDone) {
 		if n.owner == nil || n.owner.gen != gen {
 			return
 		}
-		n.owner.inFlight--
 		if d.Status == StateOK || d.Status == StateBad {
 			return
 		}
--- a/internal/core/jobs.go
+++ b/internal/core/jobs.go
@@ -81,9 +81,11 @@
 	stamp     uint64
 	cancelled bool
 	ending    bool
-	per       int
-	tasks     []task
-	chunks    map[int]*chunk
+	// endAlone: a write that its end shared was malformed.
+	endAlone bool
+	per      int
+	tasks    []task
+	chunks   map[int]*chunk
 	// unsaved: some chunk may have changed since it was written.
 	unsaved bool
 	fresh   int
--- a/internal/core/owner.go
+++ b/internal/core/owner.go
@@ -63,8 +63,9 @@
 	contacts int
 	used     map[string]Resources
 	// blame tells faulty machines from jobs that fail everywhere.
-	blame    blame.Book
-	inFlight int
+	blame blame.Book
+	// inFlight counts the writes under way, and ahead their changes.
+	inFlight, ahead int
 	// lazy counts the writes under way for which no start waits.
 	lazy  int
 	wake  time.Time
--- a/internal/core/promises_test.go
+++ b/internal/core/promises_test.go
@@ -187,7 +187,7 @@
 	j.fresh, j.done, j.tasks[0].done = 1, 1, true
 	n.now = n.now.Add(290 * time.Second)
 	n.out = nil
-	n.endJob(j)
+	n.endSome([]*job{j})
 	n.state[ops(n)[0].ID](StateDone{Status: StateUnknown})
 	for range 60 {
 		n.now = n.now.Add(lookAtDates)
