Limits nearly used up are divided with less headroom

Cause: each controller was given 1.6 times what it asked for, so that two that only serve users kept an eighth of the changes that the owner lacked.

Change: the headroom falls to 1.2 as all together ask for nearly everything. A scenario of one-task jobs (four a second for three minutes, a quarter cancelled) on the stand-ins, with 80 requests and 30 or 20 changes a second: all served, records gone in the end, changes a job bounded, submissions answered within 300 ms.

--- a/internal/budget/budget.go
+++ b/internal/budget/budget.go
@@ -14,6 +14,9 @@
 	// Headroom is how much more than it asks for a controller is given while there is
 	// enough: what is asked for is a mean, and what comes varies.
 	Headroom = 1.6
+	// leastHeadroom is what is left of it when all together ask for nearly everything:
+	// what one has beyond its need the others lack.
+	leastHeadroom = 1.2
 	// floorPart is the part of an equal division that everybody has in any case.
 	floorPart = 0.3
 	// memory is the time over which what is asked for is averaged.
@@ -29,6 +32,14 @@
 	if n == 0 {
 		return nil
 	}
+	sum := 0.0
+	for _, d := range demands {
+		sum += d
+	}
+	headroom := Headroom
+	if sum > 0 {
+		headroom = min(Headroom, max(leastHeadroom, capacity/sum))
+	}
 	floor := floorPart * capacity / float64(n)
 	out := make([]float64, n)
 	order := make([]int, n)
@@ -46,7 +57,7 @@
 	})
 	left := capacity
 	for k, i := range order {
-		want := max(floor, Headroom*demands[i])
+		want := max(floor, headroom*demands[i])
 		out[i] = min(want, left/float64(n-k))
 		left -= out[i]
 	}
--- a/internal/budget/budget_test.go
+++ b/internal/budget/budget_test.go
@@ -57,3 +57,16 @@
 		t.Errorf("%v a second long after the last", r)
 	}
 }
+
+// TestDivideShort: while all together ask for nearly everything, those that ask for
+// little keep some headroom, and the rest of it goes to who lacks it.
+func TestDivideShort(t *testing.T) {
+	for _, p := range Divide(25, []float64{18, 3, 3})[1:] {
+		if p < 3*1.1 || p > 3*1.3 {
+			t.Errorf("%v for 3 while changes are short", p)
+		}
+	}
+	if p := Divide(25, []float64{4, 3, 3}); p[1] < 3*Headroom {
+		t.Errorf("%v of 25 for 3 while there is enough", p[1])
+	}
+}
--- /dev/null
+++ b/internal/standin/small_test.go
@@ -0,0 +1,124 @@
+package standin
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/micahill/micahill/internal/core"
+)
+
+// smallJobs is a stream of one-task jobs, of which a part is cancelled, with what it
+// costs of the state service and how long its submissions waited for their answers.
+type smallJobs struct {
+	w         *World
+	jobs      int
+	cancelled int
+	changes   map[string]int
+	answers   []time.Duration
+}
+
+func newSmallJobs(seed uint64, changesASecond float64) *smallJobs {
+	set := testSettings()
+	set.Zones, set.Teams = []string{"a"}, []core.Team{{Name: "ops"}}
+	set.StateRequests, set.StateWrites = 80, changesASecond
+	types := []core.Flavour{{Name: "box", Size: core.Resources{CPU: 4, Memory: 32}, DiskGB: 50, PullRate: 0.5, Price: 0.2, Ready: 20 * time.Second, Zones: []string{"a"}}}
+	s := &smallJobs{w: NewWorld(seed, 3, set, testCancel, types, map[string]int{"box/a/false": 150}), changes: map[string]int{}}
+	s.w.state.noted = func(it core.Item) {
+		prefix, _, _ := strings.Cut(it.Key, "/")
+		if it.Removed {
+			prefix += " removed"
+		}
+		s.changes[prefix]++
+	}
+	s.w.answered = func(asked time.Time, r core.UserReply) {
+		if r.Status == 201 {
+			s.answers = append(s.answers, s.w.now.Sub(asked))
+		}
+	}
+	return s
+}
+
+// come submits jobs at a rate, one in four of which is cancelled within half a minute.
+func (s *smallJobs) come(rate float64, d time.Duration) {
+	rng := rand.New(rand.NewPCG(5, 6))
+	for range int(rate * d.Seconds()) {
+		s.jobs++
+		spec := core.Spec{
+			ID: fmt.Sprintf("small-%04d", s.jobs), Workload: "rush", Team: "ops", Urgency: core.Urgent, Tasks: 1,
+			Need: core.Resources{CPU: 4, Memory: 14}, Image: fmt.Sprintf("rush-%d", rng.IntN(6)), ImageGB: 0.9, Expected: 15 * time.Second, Due: 45 * time.Second,
+		}
+		run := time.Duration(5+rng.IntN(20)) * time.Second
+		at := time.Duration(rng.Float64() * float64(d))
+		s.w.after(at, func() { s.w.Submit(spec, run, false) })
+		if rng.IntN(4) == 0 {
+			s.cancelled++
+			s.w.after(at+time.Duration(rng.Float64()*float64(30*time.Second)), func() { s.w.Abort(spec.ID) })
+		}
+	}
+}
+
+// left counts the records that are there of jobs that are not over, and of tasks.
+func (s *smallJobs) left() (open, tasks int) {
+	for k := range s.w.state.rows {
+		switch {
+		case strings.HasPrefix(k, "open/"):
+			open++
+		case strings.HasPrefix(k, "task/"):
+			tasks++
+		}
+	}
+	return open, tasks
+}
+
+// TestSmallJobs: four one-task jobs a second for three minutes, a quarter of them
+// cancelled, at the limits of 80 requests and 30 changes a second, and at 20 changes,
+// which they use up. Submissions are answered at once, all are served, and in the end
+// their records are gone. A job costs what its records are: one change for its
+// acceptance, one for a start, two for its end, one more if it was cancelled, and one to
+// remove the record of its task.
+func TestSmallJobs(t *testing.T) {
+	const atOnce, inTime = 300 * time.Millisecond, 0.98
+	for _, limit := range []float64{30, 20} {
+		t.Run(fmt.Sprint(limit), func(t *testing.T) {
+			s := newSmallJobs(1, limit)
+			s.w.Run(time.Minute)
+			clear(s.changes)
+			s.come(4, 3*time.Minute)
+			before := s.w.state.puts
+			s.w.Run(3 * time.Minute)
+			t.Logf("%.1f changes a second, %d requests refused", float64(s.w.state.puts-before)/180, s.w.state.Refused)
+			s.w.Run(2 * time.Minute)
+			for _, id := range sorted(s.w.jobs) {
+				if j := s.w.jobs[id]; j.told != "done" && !(j.aborting && j.told == "cancelled") {
+					t.Errorf("%s is %q in the end", id, j.told)
+				}
+			}
+			for _, b := range s.w.Broken {
+				t.Error(b)
+			}
+			if open, tasks := s.left(); open+tasks > 0 {
+				t.Errorf("%d records of jobs and %d of tasks are left", open, tasks)
+			}
+			late := 0
+			for _, d := range s.answers {
+				if d > atOnce {
+					late++
+				}
+			}
+			slices.Sort(s.answers)
+			if n := len(s.answers); n < s.jobs*9/10 || float64(late) > (1-inTime)*float64(s.jobs) || s.w.Refused > s.jobs/100 {
+				t.Errorf("%d of %d accepted at once, %d late, the last after %v, and %d questions refused", n, s.jobs, late, s.answers[n-1], s.w.Refused)
+			}
+			c := s.changes
+			t.Logf("%d jobs, %d cancelled: %v", s.jobs, s.cancelled, c)
+			// A start may have to be made again; the cancelled that never began cost less.
+			if most := s.jobs + s.cancelled; c["open"] > most || c["job"] > s.jobs || c["open removed"] > s.jobs || c["task"] > s.w.Started+s.w.Started/50 || c["task removed"] > c["task"] {
+				t.Errorf("%d jobs with %d starts took %v", s.jobs, s.w.Started, c)
+			}
+		})
+	}
+}
