--- a/internal/core/chunks.go
+++ b/internal/core/chunks.go
@@ -52,6 +52,18 @@
 	return out
 }
 
+// writeDue writes ends and records of tasks. Either goes first in its turn: after an
+// outage hundreds of one wait, and none of the other are to wait for all of them.
+func (n *Node) writeDue() {
+	o := n.owner
+	o.startsFirst = !o.startsFirst
+	if o.startsFirst {
+		n.writeChunks()
+	}
+	n.endJobs()
+	n.writeChunks()
+}
+
 // writeChunks writes changed chunks, the urgent ones now and the others with
 // them or when they have waited long enough.
 func (n *Node) writeChunks() {
@@ -79,8 +91,8 @@
 		add := func(most int, due func(*chunk) bool) {
 			for _, j := range unsaved {
 				id := j.ID
-				// A cancelled job's records only go; see endJob.
-				if j.ending || j.cancelled {
+				// Records of a job that is cancelled or done only go; see endJobs.
+				if j.ending || j.cancelled || j.done == len(j.tasks) {
 					continue
 				}
 				for _, k := range sortedKeys(j.chunks) {
--- a/internal/core/ends_test.go
+++ b/internal/core/ends_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 )
@@ -146,3 +147,34 @@
 		t.Errorf("%d records are left", len(n.owner.orphans))
 	}
 }
+
+// TestStartsAndEndsTakeTurns: while a hundred ends wait a start is written soon, and the
+// other way round; a job that is done is written by its end alone.
+func TestStartsAndEndsTakeTurns(t *testing.T) {
+	n := largePool(4)
+	n.budgets.part = Rates{Requests: 20, Changes: 8}
+	for _, j := range doneJobs(n, 100) {
+		j.touch(0, n.now, true)
+	}
+	j := n.newJob(Spec{ID: "starts", Workload: "w", Team: n.set.Teams[0].Name, Tasks: 1, Need: Resources{CPU: 1}, Expected: time.Minute}, n.now, 99)
+	j.fresh = 1
+	begin(n, j, 0, n.owner.byID[0])
+	n.out = nil
+	for look := 1; !j.durable(0); look++ {
+		if look > 3 {
+			t.Fatalf("the start is not written after %d looks", look-1)
+		}
+		n.writeDue()
+		for _, op := range txns(n) {
+			for _, a := range op.Apply {
+				if a.Key != "task/starts/0" && strings.HasPrefix(a.Key, taskPrefix) && a.Value != nil {
+					t.Errorf("%s is written though its job is done", a.Key)
+				}
+			}
+			n.state[op.ID](StateDone{Status: StateOK, Rev: 500})
+		}
+	}
+	if over := len(n.users.final); over == 0 || over == 100 {
+		t.Errorf("%d of 100 ends were written meanwhile", over)
+	}
+}
--- a/internal/core/owner.go
+++ b/internal/core/owner.go
@@ -66,6 +66,8 @@
 	blame blame.Book
 	// inFlight counts the writes under way, and ahead their changes.
 	inFlight, ahead int
+	// startsFirst: of what is to be written starts went before ends last time.
+	startsFirst bool
 	// lazy counts the writes under way for which no start waits.
 	lazy  int
 	wake  time.Time
@@ -343,8 +345,7 @@
 	}
 	if n.now.Sub(o.saved) >= saveEvery {
 		o.saved = n.now
-		n.endJobs()
-		n.writeChunks()
+		n.writeDue()
 	}
 	n.directAll()
 	tellRemote(n)
