--- a/internal/core/chunks.go
+++ b/internal/core/chunks.go
@@ -52,6 +52,18 @@
 	return out
 }
 
+// writeDue writes ends and records of tasks. Either goes first in its turn: after an
+// outage hundreds of one wait, and none of the other are to wait for all of them.
+func (n *Node) writeDue() {
+	o := n.owner
+	o.startsFirst = !o.startsFirst
+	if o.startsFirst {
+		n.writeChunks()
+	}
+	n.endJobs()
+	n.writeChunks()
+}
+
 // writeChunks writes changed chunks, the urgent ones now and the others with
 // them or when they have waited long enough.
 func (n *Node) writeChunks() {
@@ -62,7 +74,7 @@
 	patience := Seconds(float64(len(unsaved)) / max(1, lazyPart*n.set.StateWrites))
 	patience = min(max(patience, lazyWrite), lazyLongest)
 	crowded := patience > lazyWrite
-	for len(unsaved) > 0 && o.inFlight < chunkTxns {
+	for len(unsaved) > 0 && o.inFlight < chunkTxns && n.roomToWrite() > 0 {
 		op := StateOp{Kind: OpTxn, Prio: PrioLazy}
 		type part struct {
 			j   *job
@@ -79,8 +91,8 @@
 		add := func(most int, due func(*chunk) bool) {
 			for _, j := range unsaved {
 				id := j.ID
-				// A cancelled job's records only go; see endJob.
-				if j.ending || j.cancelled {
+				// Records of a job that is cancelled or done only go; see endJobs.
+				if j.ending || j.cancelled || j.done == len(j.tasks) {
 					continue
 				}
 				for _, k := range sortedKeys(j.chunks) {
@@ -136,15 +148,16 @@
 			}
 		}
 		late := func(c *chunk) bool { return n.now.Sub(c.since) >= patience }
-		switch add(n.set.TxnOps, func(c *chunk) bool { return c.urgent }); {
+		most := min(n.set.TxnOps, n.roomToWrite())
+		switch add(most, func(c *chunk) bool { return c.urgent }); {
 		case !crowded:
-			add(n.set.TxnOps, late)
+			add(most, late)
 			if len(parts) > 0 {
 				// Progress that is not due yet shares the write.
-				add(n.set.TxnOps, func(*chunk) bool { return true })
+				add(most, func(*chunk) bool { return true })
 			}
 		case len(parts) == 0 && o.lazy == 0:
-			add(min(lazyMost, n.set.TxnOps), late)
+			add(min(lazyMost, most), late)
 		}
 		if len(parts) == 0 {
 			return
@@ -154,14 +167,12 @@
 			lazy = 1
 		}
 		o.lazy += lazy
-		o.inFlight++
 		gen, asked := o.gen, n.now
-		n.ask(op, func(d StateDone) {
+		n.write(op, func(d StateDone) {
 			o := n.owner
 			if o == nil || o.gen != gen {
 				return
 			}
-			o.inFlight--
 			o.lazy -= lazy
 			switch {
 			case ranked && d.Status == StateOK:
