--- a/internal/standin/day.go
+++ b/internal/standin/day.go
@@ -61,6 +61,11 @@
 	Times float64 `json:"times,omitempty"`
 	// Busiest: instead of Node it meets the controller that most machines report to.
 	Busiest bool `json:"busiest,omitempty"`
+	// Count is how many jobs a trouble meets. AtOnce: late writes are carried out at
+	// once, and ForNext: copies are kept for the next leader.
+	Count   int  `json:"count,omitempty"`
+	AtOnce  bool `json:"at_once,omitempty"`
+	ForNext bool `json:"for_next,omitempty"`
 }
 
 func (f DayFault) String() string {
@@ -71,11 +76,19 @@
 	switch {
 	case f.Kind == "machines" || f.Share > 0:
 		s += fmt.Sprintf(" %.0f%%", 100*f.Share)
+	case f.Count > 0:
+		s += fmt.Sprintf(" %d", f.Count)
 	case f.Busiest:
 		s += " busiest"
 	default:
 		s += fmt.Sprintf(" node-%d", f.Node)
 	}
+	if f.AtOnce {
+		s += " at_once"
+	}
+	if f.ForNext {
+		s += " for_next"
+	}
 	if f.Late > 0 {
 		s += fmt.Sprintf(" late=%.1fs", f.Late.Seconds())
 	}
@@ -255,9 +268,11 @@
 // DayResult is what became of a day.
 type DayResult struct {
 	Day
-	Broken  []string `json:"broken"`
-	Classes []Group  `json:"classes"`
-	Team    []Group  `json:"team"`
+	Broken []string `json:"broken"`
+	// Slack is the least that was left to each rule with a time.
+	Slack   map[string]Slack `json:"slack"`
+	Classes []Group          `json:"classes"`
+	Team    []Group          `json:"team"`
 	// Starts counts starts, and LostToLease tasks killed since a lease ran out.
 	Starts      int `json:"starts"`
 	LostToLease int `json:"lost_to_lease"`
@@ -403,7 +418,7 @@
 	if f.Busiest {
 		f.Node = w.busiest()
 	}
-	if w.unlisted(f, rng) || w.newTrouble(f, rng) || w.meetingTrouble(f) {
+	if w.unlisted(f, rng) || w.newTrouble(f, rng) || w.laterTrouble(f, rng) || w.meetingTrouble(f) {
 		return
 	}
 	p := w.nodes[f.Node%len(w.nodes)]
--- a/internal/standin/half.go
+++ b/internal/standin/half.go
@@ -38,6 +38,7 @@
 // drawn anew, from a second to longest later. Nobody hears their answers.
 func (w *World) Copies(share float64, longest, d time.Duration) {
 	w.copies, w.copyLongest, w.copyTill = share, longest, w.now.Add(d)
+	w.copiesForNext = false
 }
 
 // copyReport sends the copy of a report, if it gets one.
@@ -45,6 +46,10 @@
 	if !w.now.Before(w.copyTill) || w.rng.Float64() >= w.copies {
 		return
 	}
+	if w.copiesForNext {
+		w.keepCopy(r)
+		return
+	}
 	d := time.Second + time.Duration(w.rng.Int64N(int64(max(w.copyLongest, 2*time.Second)-time.Second)))
 	p := w.nodes[w.rng.IntN(len(w.nodes))]
 	w.after(d, func() {
--- a/internal/standin/judge.go
+++ b/internal/standin/judge.go
@@ -47,6 +47,8 @@
 		end += f.Late
 	case "late_writes":
 		end += lateWriteMost
+	case "late_commands":
+		end += lateCommandMost
 	case "loss", "twice":
 		end += lateMost
 	case "election":
@@ -73,7 +75,9 @@
 	if j.heard.After(since) {
 		since = j.heard
 	}
-	if d := w.now.Sub(since); d > SilentMost {
+	d := w.now.Sub(since)
+	w.near(RuleForgotten, SilentMost-d, j.spec.ID)
+	if d > SilentMost {
 		j.silent = true
 		w.broke("forgotten", "%s, %q: no answer for %.0f s", j.spec.ID, j.told, d.Seconds())
 	}
@@ -260,12 +264,14 @@
 		tell := func(n int, worst *float64) string {
 			if len(waits) < n {
 				*worst, late = -1, true
+				w.near(RuleBegin, within-w.now.Sub(j.submitted), j.spec.ID)
 				return "never"
 			}
 			wait := waits[n-1]
 			if *worst >= 0 {
 				*worst = max(*worst, wait.Seconds())
 			}
+			w.near(RuleBegin, within-wait, j.spec.ID)
 			late = late || wait > within
 			return fmt.Sprintf("after %.0f s", wait.Seconds())
 		}
@@ -289,7 +295,7 @@
 		}
 	}
 	r.Broken = append(slices.Clone(w.Broken), r.Broken...)
-	r.Log = w.logs
+	r.Log, r.Slack = w.logs, w.slack
 }
 
 // Worst sums up the largest jobs of all classes; see Largest.
--- a/internal/standin/meetings.go
+++ b/internal/standin/meetings.go
@@ -201,6 +201,7 @@
 	switch f.Kind {
 	case "late_writes":
 		w.LateWrites(f.Share, f.For)
+		w.writesAtOnce = f.AtOnce
 	case "refused_outage":
 		w.refuse(w.nodes[f.Node%len(w.nodes)], f.Late+min(refusedAlone, f.For))
 		w.after(f.Late, func() { w.Outage(f.For) })
@@ -217,16 +218,19 @@
 }
 
 // LateWrites lets a share of the transactions of the next d get no answer and be carried
-// out some seconds later, after newer ones.
+// out some seconds later, after newer ones; or at once, with writesAtOnce.
 func (w *World) LateWrites(share float64, d time.Duration) {
 	w.lateWrites, w.lateWriteTill = share, w.now.Add(d)
 }
 
-// writeLate says whether a transaction is carried out late, and by how much.
+// writeLate says whether a transaction gets no answer, and how late it is carried out.
 func (w *World) writeLate(e core.StateOp) (time.Duration, bool) {
 	if e.Kind != core.OpTxn || !w.now.Before(w.lateWriteTill) || w.rng.Float64() >= w.lateWrites {
 		return 0, false
 	}
+	if w.writesAtOnce {
+		return 0, true
+	}
 	return lateWriteLeast + time.Duration(w.rng.Int64N(int64(lateWriteMost-lateWriteLeast))), true
 }
 
--- a/internal/standin/proc.go
+++ b/internal/standin/proc.go
@@ -12,6 +12,9 @@
 // proc.go has a controller's process: how it starts, ends and stands still, and how it
 // carries out what its core decides.
 
+// workerDeadline is how long a controller waits for the answer to a direct command.
+const workerDeadline = 2 * time.Second
+
 // proc is a controller's process.
 type proc struct {
 	w       *World
@@ -341,7 +344,11 @@
 			p.push(core.WorkerDone{ID: e.ID})
 			return
 		}
-		p.call(m.ID, !e.Ask, 2*time.Second, func(answer func(core.Command)) {
+		if p.commandLate(m, e) {
+			p.call(m.ID, false, workerDeadline, func(func(core.Command)) {}, core.WorkerDone{ID: e.ID})
+			return
+		}
+		p.call(m.ID, !e.Ask, workerDeadline, func(answer func(core.Command)) {
 			if !w.now.Before(m.upAt) {
 				answer(w.direct(m, e))
 			}
--- a/internal/standin/product.go
+++ b/internal/standin/product.go
@@ -58,6 +58,7 @@
 		w.DeafMachines(w.SomeMachines(f.Share, f.Zone, rng), f.For, f.Hold)
 	case "copies":
 		w.Copies(f.Share, f.Late, f.For)
+		w.copiesForNext, w.keptTill = f.ForNext, w.now.Add(f.For+f.Late)
 	case "cut_alone":
 		w.CutAlone(p.index, f.For, f.Link == "refused", f.Hold)
 	case "election":
--- /dev/null
+++ b/internal/standin/slack.go
@@ -0,0 +1,162 @@
+package standin
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/micahill/micahill/internal/core"
+)
+
+// slack.go records how near a day came to breaking each rule that has a time, and checks
+// that no job is left waiting beside room for it.
+
+// The rules that have a time.
+const (
+	// RuleCancelled: the tasks of a cancelled job are gone within cancel_s.
+	RuleCancelled = "ran_cancelled"
+	// RuleForgotten: once all troubles are over, no job goes without an answer for
+	// SilentMost.
+	RuleForgotten = "forgotten"
+	// RuleWaiting: then none is left waiting for waitingMost beside room for it.
+	RuleWaiting = "waiting"
+	// RuleBegin: a class's largest jobs begin within beginWithin.
+	RuleBegin = "begin"
+)
+
+// TimedRules names them, in the order in which they are told.
+var TimedRules = []string{RuleCancelled, RuleForgotten, RuleWaiting, RuleBegin}
+
+// Slack is the least time that was left to a rule, and what came so near; less than
+// nothing is left where it was broken.
+type Slack struct {
+	Left time.Duration `json:"left_ns"`
+	What string        `json:"what"`
+}
+
+// near notes how much time is left to a rule.
+func (w *World) near(rule string, left time.Duration, what string) {
+	if old, ok := w.slack[rule]; !ok || left < old.Left {
+		w.slack[rule] = Slack{left, fmt.Sprintf("%s at %.1fs", what, w.now.Sub(w.began).Seconds())}
+	}
+}
+
+const (
+	// waitingMost is how long a job may be left waiting beside room once all troubles are
+	// over, and waitingEvery how often that is looked at.
+	waitingMost  = 90 * time.Second
+	waitingEvery = time.Second
+)
+
+// checkWaiting judges, once all troubles are over, that no job waits for waitingMost while
+// at every moment of it a machine that fits has room and its team is under its limit. A
+// job waits while some task of it is neither done nor on a machine, and none was given to
+// one. Jobs whose tasks have to be apart, or start together, are not judged: what they
+// need is no single machine's.
+func (w *World) checkWaiting() {
+	if w.calm.IsZero() || w.now.Before(w.calm) || w.now.Before(w.waitingNext) {
+		return
+	}
+	w.waitingNext = w.now.Add(waitingEvery)
+	var free map[*Worker]core.Resources
+	var used map[string]core.Resources
+	for _, id := range sorted(w.jobs) {
+		j := w.jobs[id]
+		if !j.waits() {
+			j.waitsFrom = time.Time{}
+			continue
+		}
+		if free == nil {
+			free, used = w.taken()
+		}
+		if !w.hasRoom(j, free, used) {
+			j.waitsFrom = time.Time{}
+			continue
+		}
+		from := j.waitsFrom
+		if from.IsZero() {
+			from, j.waitsFrom = w.now, w.now
+		}
+		if j.placedAt.After(from) {
+			from = j.placedAt
+		}
+		left := waitingMost - w.now.Sub(from)
+		w.near(RuleWaiting, left, id)
+		if left < 0 && !j.waitBlamed {
+			j.waitBlamed = true
+			w.broke(RuleWaiting, "%s of %s has waited for %.0f s beside room for it", id, j.spec.Team, w.now.Sub(from).Seconds())
+		}
+	}
+}
+
+// waits says that a job that is to run has a task that is neither done nor on a machine.
+func (j *userJob) waits() bool {
+	if !j.accepted || j.aborting || j.broken || over(j.told) || j.spec.Apart || j.spec.Gang {
+		return false
+	}
+	for i := range j.spec.Tasks {
+		if !j.results[i] && !j.placed(i) {
+			return true
+		}
+	}
+	return false
+}
+
+// placed says that a task is on a machine, or waits there for its image.
+func (j *userJob) placed(i int) bool {
+	for _, m := range j.places[i] {
+		for _, t := range m.tasks {
+			if t.job == j && t.index == i && t.status != core.Ended {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// taken is what is free on the machines that can take tasks, and what the teams' tasks
+// take, those included that wait for their images.
+func (w *World) taken() (map[*Worker]core.Resources, map[string]core.Resources) {
+	free, used := map[*Worker]core.Resources{}, map[string]core.Resources{}
+	for _, m := range w.fleet {
+		left := m.Size
+		for _, t := range m.tasks {
+			if t.status != core.Ended {
+				left = left.Plus(t.job.spec.Need, -1)
+				used[t.job.spec.Team] = used[t.job.spec.Team].Plus(t.job.spec.Need, 1)
+			}
+		}
+		if m.up(w.now) && m.tenure > 0 && !m.lazy && !m.faulty && m.slow == 0 && m.recallAt.IsZero() {
+			free[m] = left
+		}
+	}
+	return free, used
+}
+
+// hasRoom says that a machine that a job may use has room for a task of it, and its team
+// is under its limit.
+func (w *World) hasRoom(j *userJob, free map[*Worker]core.Resources, used map[string]core.Resources) bool {
+	s := &j.spec
+	limit, takes := w.team(s.Team).Limit, used[s.Team].Plus(s.Need, 1)
+	if limit.CPU > 0 && takes.CPU > limit.CPU || limit.GPU > 0 && takes.GPU > limit.GPU {
+		return false
+	}
+	zone := s.Zone
+	if s.SamePlace {
+		w.onAllMachines(j, func(_ *workerTask, m *Worker) { zone = m.Zone })
+	}
+	for m, left := range free {
+		if s.Need.Fits(left) && mayUse(s, m, zone) {
+			return true
+		}
+	}
+	return false
+}
+
+// mayUse says that a job allows a machine, in that zone unless it is empty.
+func mayUse(s *core.Spec, m *Worker, zone string) bool {
+	flavour := len(s.Flavours) == 0
+	for _, f := range s.Flavours {
+		flavour = flavour || f == m.Flavour
+	}
+	return flavour && (zone == "" || zone == m.Zone) && (s.Spot || !m.Spot)
+}
--- a/internal/standin/users.go
+++ b/internal/standin/users.go
@@ -38,6 +38,10 @@
 	// long was told.
 	heard  time.Time
 	silent bool
+	// placedAt is when a task was last given to a machine, and waitsFrom since when one
+	// waits beside room for it; waitBlamed: that this was too long was told.
+	placedAt, waitsFrom time.Time
+	waitBlamed          bool
 	// replicas are a standing job's, as they come and go.
 	replicas map[int]*replica
 }
@@ -167,6 +171,8 @@
 		return
 	}
 	j.firstDate = j.firstDate || !j.accepted && r.PromiseRev > 0
+	w.silence(j)
+	news := !j.accepted || over(r.State) && j.told != r.State
 	j.accepted, j.heard = true, w.now
 	if r.PromiseRev > 0 {
 		// An answer to an abort may overtake one to a poll.
@@ -196,6 +202,9 @@
 			j.finished = w.now
 		}
 	}
+	if news {
+		w.lookClosely(j)
+	}
 }
 
 // checkStart judges the start of a task on m.
@@ -308,7 +317,11 @@
 	for _, m := range w.fleet {
 		for _, t := range m.tasks {
 			fetched := t.status == core.Fetching && !t.ready.After(w.now)
-			if (t.onMachine() || fetched) && !t.blamed && w.overdue(t.job) {
+			if !t.onMachine() && !fetched || t.blamed || t.job.cancelled.IsZero() {
+				continue
+			}
+			w.near(RuleCancelled, w.cancel-w.now.Sub(t.job.cancelled), m.ID+" "+t.job.spec.ID)
+			if w.overdue(t.job) {
 				t.blamed = true
 				w.broke("ran_cancelled", "%s on %s", taskName(t.job.spec.ID, t.index), m.ID)
 			}
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -39,6 +39,8 @@
 	// deafTill: nothing reaches it until then, and deafHold: it does so afterwards.
 	deafTill time.Time
 	deafHold bool
+	// muteTill: it reaches no controller until then.
+	muteTill time.Time
 
 	tenure    uint64
 	tick      uint64
@@ -157,6 +159,7 @@
 		t.status, t.cause = core.Ended, "no_room"
 		return
 	}
+	j.placedAt = w.now
 	if m.images[j.spec.Image].IsZero() {
 		m.images[j.spec.Image] = w.now.Add(core.Seconds(j.spec.ImageGB / m.Pull))
 	}
@@ -224,6 +227,7 @@
 			if t.left <= 0 && !t.job.spec.Standing {
 				t.job.results[t.index] = true
 				w.end(m, t, "done")
+				w.endsNear(t.job)
 			}
 		case core.Flushing:
 			if !t.flush.After(w.now) {
@@ -256,6 +260,10 @@
 			next(time.Second)
 		}
 	})
+	if w.now.Before(m.muteTill) {
+		// It opens no connection, and there is nothing that could arrive.
+		return
+	}
 	p := w.nodes[to]
 	w.copyReport(r)
 	if w.twice > 0 && w.rng.Float64() < w.twice {
--- a/internal/standin/world.go
+++ b/internal/standin/world.go
@@ -98,6 +98,11 @@
 	ends func(*proc, core.Effect) bool
 	// weather is there on days with troubles of no list.
 	weather *weather
+	laterTroubles
+	// slack is the least that was left to each rule with a time.
+	slack map[string]Slack
+	// waitingNext is when is looked next at what waits.
+	waitingNext time.Time
 	// ranked checks the order of work, where a ranking is on; tune changes what a
 	// controller is told at start.
 	ranked *ranked
@@ -144,7 +149,7 @@
 		now: time.Unix(1_750_000_000, 0), rng: rand.New(rand.NewPCG(seed, 1)), set: set, cancel: cancel,
 		state: NewStateService(), machine: map[string]*Worker{}, types: map[string]core.Flavour{},
 		room: room, booked: map[string][]string{}, jobs: map[string]*userJob{}, cuts: map[string]*cut{}, oneWay: map[string]int{},
-		used: map[string]core.Resources{}, calls: rate.NewLimiter(rate.Inf, 1),
+		used: map[string]core.Resources{}, slack: map[string]Slack{}, calls: rate.NewLimiter(rate.Inf, 1),
 	}
 	if set.CloudRPS > 0 {
 		// Bursts of two seconds' worth.
@@ -211,6 +216,8 @@
 	}
 	w.fleet = keep
 	w.checkAll()
+	w.bringKept()
+	w.checkWaiting()
 	w.after(tick, w.tick)
 }
 
