--- /dev/null
+++ b/cmd/micahill-lab/seek.go
@@ -0,0 +1,95 @@
+package main
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"text/tabwriter"
+	"time"
+
+	"github.com/micahill/micahill/internal/seek"
+	"github.com/micahill/micahill/internal/standin"
+)
+
+// daySeek is a search among days by the slack that they leave to rules.
+type daySeek struct {
+	seed  uint64
+	runs  int
+	limit time.Duration
+	first string
+	out   string
+
+	mu sync.Mutex
+	// failed are the days that broke a rule, and starved those that served too little.
+	failed, starved int
+}
+
+// errSeek says that a search found a day that broke a rule.
+var errSeek = errors.New("days: the search found a day that broke a rule")
+
+// run searches and tells the least slack of each rule, with the day as a file.
+func (s *daySeek) run(out, progress io.Writer, p standin.DayParams, parallel int) error {
+	if s.runs < 1 || s.limit < 0 {
+		return errors.New("days: --runs is to be positive, and --within not less than nothing")
+	}
+	if err := os.MkdirAll(s.out, 0o755); err != nil {
+		return fmt.Errorf("days: %w", err)
+	}
+	r := seek.Search(standin.Seeking(p, s.note), seek.Options{
+		Seed: s.seed, Runs: s.runs, For: s.limit, Parallel: parallel, First: s.first,
+		Told: func(runs int) { fmt.Fprintf(progress, "%d runs, %d broken\n", runs, s.failed) },
+	})
+	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(w, "RULE\tLEAST S\tNEXT S\tRUN\tDAY\tTROUBLES")
+	for _, rule := range append(standin.TimedRules[:len(standin.TimedRules):len(standin.TimedRules)], standin.Untimed) {
+		found := r.Nearest[rule]
+		if len(found) == 0 {
+			fmt.Fprintf(w, "%s\t-\t\t\t\t\n", rule)
+			continue
+		}
+		file := filepath.Join(s.out, fmt.Sprintf("least-%s-%d.json", rule, s.seed))
+		if err := found[0].Case.Save(file); err != nil {
+			return err
+		}
+		next := found[min(1, len(found)-1)]
+		fmt.Fprintf(w, "%s\t%.1f\t%.1f\t%d\t%s\t%s\n", rule, found[0].Margin, next.Margin, found[0].Run, file, troubles(&found[0].Case))
+	}
+	fmt.Fprintf(w, "%d runs, %d days broke a rule, %d served too little\n", r.Runs, s.failed, s.starved)
+	if err := w.Flush(); err != nil {
+		return fmt.Errorf("days: %w", err)
+	}
+	if s.failed > 0 {
+		return errSeek
+	}
+	return nil
+}
+
+// note counts a day that was played, and keeps the broken ones.
+func (s *daySeek) note(r standin.DayResult) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if len(r.Starved()) > 0 {
+		s.starved++
+	}
+	if len(r.Broken) > 0 {
+		s.failed++
+		rule, _, _ := strings.Cut(r.Broken[0], " ")
+		// A day that cannot be kept is counted all the same.
+		_ = r.Day.Save(filepath.Join(s.out, fmt.Sprintf("broken-%d-%s-%d.json", s.seed, strings.Trim(rule, ":"), r.Seed)))
+	}
+}
+
+func troubles(d *standin.Day) string {
+	var out []string
+	for _, f := range d.Faults {
+		out = append(out, f.String())
+	}
+	if d.Cancels != nil {
+		out = append(out, d.Cancels.String())
+	}
+	return strings.Join(out, "; ")
+}
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -41,6 +41,8 @@
 	deafHold bool
 	// muteTill: it reaches no controller until then.
 	muteTill time.Time
+	// rooms is what was free on it when it was last looked at what waits.
+	rooms []core.Resources
 
 	tenure    uint64
 	tick      uint64
