--- a/internal/standin/meetings.go
+++ b/internal/standin/meetings.go
@@ -140,9 +140,22 @@
 	if rng.IntN(3) == 0 {
 		d.Faults = append(d.Faults, DayFault{Kind: "crash_all", At: d.calm() + endAfter, For: 5 * time.Second})
 	}
+	d.meetLater(met)
 	slices.SortStableFunc(d.Faults, func(a, b DayFault) int { return cmp.Compare(a.At, b.At) })
 }
 
+// meetLater has one of the later troubles meet those of a day on one day in three, from
+// its own numbers: the others are as they were.
+func (d *Day) meetLater(met []DayFault) {
+	rng := rand.New(rand.NewPCG(d.Seed, 5772))
+	if rng.IntN(3) > 0 {
+		return
+	}
+	f := d.drawLater(rng)
+	f.At = met[0].At + time.Duration(rng.Float64()*float64(apartMost))
+	d.Faults = append(d.Faults, f)
+}
+
 // drawTrouble draws one of all troubles, but for when it begins.
 func (d *Day) drawTrouble(rng *rand.Rand) DayFault {
 	part := func(of ...float64) float64 { return of[rng.IntN(len(of))] }
--- /dev/null
+++ b/internal/standin/slack_test.go
@@ -0,0 +1,126 @@
+package standin
+
+import (
+	"math/rand/v2"
+	"path/filepath"
+	"reflect"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/micahill/micahill/internal/core"
+)
+
+// waitingWorld has a calm world with room in which nothing of job-000002 is ever started.
+func waitingWorld(limit float64) *World {
+	types, room := testTypes()
+	set := testSettings()
+	set.Teams[0].Limit.CPU = limit
+	w := NewWorld(3, 3, set, testCancel, types, room)
+	w.calm = w.now
+	w.sabotage = func(e core.Effect) core.Effect {
+		return noStarts(e, func(o core.Order) bool { return o.Job == "job-000002" })
+	}
+	return w
+}
+
+// A job is left waiting although a machine that fits has room: noticed after 90 s, not
+// earlier, and not where its team is at its limit or its task fits no machine with room.
+func TestWaitingIsNoticed(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		limit   float64
+		cpu     float64
+		noticed bool
+	}{
+		{"room", 0, 1, true},
+		{"at the limit", 2, 1, false},
+		{"too large", 0, 30, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			w := waitingWorld(c.limit)
+			w.Submit(longJob("job-000001", 2), time.Hour, false)
+			w.Run(40 * time.Second)
+			// Machines are there, and stay.
+			w.cloudOut = true
+			s := longJob("job-000002", 1)
+			s.Need.CPU = c.cpu
+			w.Submit(s, time.Hour, false)
+			w.Run(waitingMost)
+			noneBroken(t, w)
+			w.Run(20 * time.Second)
+			if got := strings.Contains(strings.Join(w.Broken, "\n"), RuleWaiting); got != c.noticed {
+				t.Errorf("noticed %v: %v, slack %v", got, w.Broken, w.slack)
+			}
+			if _, near := w.slack[RuleWaiting]; near != c.noticed {
+				t.Errorf("slack %v", w.slack)
+			}
+		})
+	}
+}
+
+// The slack of a cancellation is what its last task leaves of cancel_s, counted from the
+// first answer that left a controller.
+func TestSlackOfCancellations(t *testing.T) {
+	w := busyWorld(t)
+	const left = 12 * time.Second
+	till := w.now.Add(w.cancel - left)
+	w.cloudOut, w.set.Lease = true, time.Hour
+	w.sabotage = func(e core.Effect) core.Effect {
+		if w.now.Before(till) {
+			return noHalts(e)
+		}
+		return e
+	}
+	w.Abort("job-000001")
+	w.Run(w.cancel + time.Second)
+	noneBroken(t, w)
+	if got := w.slack[RuleCancelled].Left; got < left-5*time.Second || got > left+time.Second {
+		t.Errorf("%v left, want about %v: %v", got, left, w.slack)
+	}
+}
+
+// A day that is kept as a file plays as it did, and tells the same slack.
+func TestDayPlaysAgain(t *testing.T) {
+	p := Seeking(DayParams{Machines: 20, Teams: 1, Minutes: 1}, func(DayResult) {})
+	rng := rand.New(rand.NewPCG(1, 1))
+	d := p.Change(rng, p.Draw(rng))
+	file := filepath.Join(t.TempDir(), "day.json")
+	if err := d.Save(file); err != nil {
+		t.Fatal(err)
+	}
+	again, err := Load(file)
+	if err != nil {
+		t.Fatal(err)
+	}
+	a, b := PlayDay(d, ""), PlayDay(again, "")
+	if !reflect.DeepEqual(a.Slack, b.Slack) || a.Starts != b.Starts || !reflect.DeepEqual(a.Broken, b.Broken) {
+		t.Errorf("%v %d starts %v, again %v %d starts %v", a.Slack, a.Starts, a.Broken, b.Slack, b.Starts, b.Broken)
+	}
+	if len(a.Slack) == 0 {
+		t.Error("no slack was noted")
+	}
+}
+
+// Changes leave a day one that can be played, and the day that is changed as it was.
+func TestChangedDays(t *testing.T) {
+	p := Seeking(DayParams{Teams: 2}, func(DayResult) {})
+	rng := rand.New(rand.NewPCG(2, 1))
+	d := p.Draw(rng)
+	for range 2000 {
+		faults, cancels := append([]DayFault{}, d.Faults...), *d.Cancels
+		next := p.Change(rng, d)
+		if !reflect.DeepEqual(faults, d.Faults) || cancels != *d.Cancels {
+			t.Fatal("the day that was changed is another one")
+		}
+		if len(next.Faults) == 0 || len(next.Faults) > seekFaultsMost {
+			t.Fatalf("%d troubles", len(next.Faults))
+		}
+		for i, f := range next.Faults {
+			if f.At < seekBegin || f.At > max(next.lastTrouble(), d.Faults[len(d.Faults)-1].At) || f.For < 0 || i > 0 && f.At < next.Faults[i-1].At {
+				t.Fatalf("%v of %v", f, next.Faults)
+			}
+		}
+		d = next
+	}
+}
