--- a/cmd/micahill-lab/days.go
+++ b/cmd/micahill-lab/days.go
@@ -106,6 +106,8 @@
 	f.BoolVar(&p.Unlisted, "unlisted", false, "with troubles that were on no list: late boots, storms of polls, mistakes, guests, ends in a row, links that are half there")
 	f.BoolVar(&p.Product, "product", false, "as --unlisted, also with machines that nothing reaches, late copies of reports, controllers that have only their workers, and processes and machines back at once")
 	f.BoolVar(&p.Meetings, "meetings", false, "two or three troubles of all lists meet, and users cancel most of a class around them; with --unlisted, --product or --faults also those")
+	f.BoolVar(&p.Mixed, "mixed", false, "jobs that save, stand, are bound to a zone or apart, and clocks that are off")
+	f.IntVar(&p.CancelRoom, "cancel-room", 0, "by how many seconds cancel_s is longer than a lease; 0: 30")
 	f.IntVar(&p.Models, "models", 0, "so many hosts with eight GPUs, and models of one GPU to a whole host")
 	f.StringSliceVar(&p.On, "on", nil, "what is switched on: ranking, promises, models, or all")
 	f.Uint64Var(&seeds, "seeds", 10, "how many days")
--- a/internal/standin/day.go
+++ b/internal/standin/day.go
@@ -36,6 +36,11 @@
 	Meetings bool `json:"meetings,omitempty"`
 	// Models is how many hosts with eight GPUs there are, for models; see models.go.
 	Models int `json:"models,omitempty"`
+	// Mixed has jobs of all kinds, and controllers whose clocks are off; see mixed.go.
+	Mixed bool `json:"mixed,omitempty"`
+	// CancelRoom is how many seconds longer than a lease a cancelled job's tasks may last;
+	// 0: as many as on all known sites.
+	CancelRoom int `json:"cancel_room_s,omitempty"`
 	// On names what is switched on: ranking, promises, models, or all.
 	On []string `json:"on,omitempty"`
 }
@@ -211,6 +216,9 @@
 	if p.Models > 0 {
 		drawModels(&d)
 	}
+	if p.Mixed {
+		d.Settings.ClockBound = clockBound
+	}
 	d.Settings.Product, _ = p.product()
 	return d
 }
@@ -334,6 +342,8 @@
 	rng := rand.New(rand.NewPCG(d.Seed, 815))
 	mistakes := rand.New(rand.NewPCG(d.Seed, 816))
 	cancels := rand.New(rand.NewPCG(d.Seed, 817))
+	mixed := newMix(&d)
+	mixed.clocks(w)
 	span := time.Duration(d.Minutes) * time.Minute
 	weights := 0.0
 	for i := range d.Settings.Teams {
@@ -359,6 +369,7 @@
 			Image: fmt.Sprintf("%s-%d", c.name, min(rng.IntN(12), rng.IntN(12))), ImageGB: c.gb, Spot: rng.IntN(5) > 0, Expected: c.run,
 			Due: time.Duration(c.due*float64(run)) + core.Seconds(15*min(1, c.due)),
 		}
+		mixed.change(&spec)
 		broken := d.mistakes > 0 && mistakes.Float64() < d.mistakes
 		at := time.Duration(rng.Float64() * float64(span))
 		w.after(at, func() { w.Submit(spec, run, broken) })
@@ -368,6 +379,9 @@
 		if t, ok := d.Cancels.when(c.name, at, cancels); ok {
 			w.after(t, func() { w.Abort(spec.ID) })
 		}
+		if spec.Standing {
+			w.after(at+mixed.stands(), func() { w.Abort(spec.ID) })
+		}
 		if rng.IntN(25) == 0 {
 			w.after(span/2, func() {
 				if w.jobs[spec.ID] != nil {
--- a/internal/standin/later.go
+++ b/internal/standin/later.go
@@ -13,13 +13,13 @@
 // later.go has the troubles that came to the operators' list last: users who cancel much
 // at once, or at the moment of an end, who ask at all controllers within milliseconds or
 // send odd requests; machines that reach no controller; direct commands that are held up,
-// and reports whose copy is kept for the next leader.
+// and reports whose copy is kept for the next leader; and controllers that compute slowly.
 
 // laterKinds are these troubles, the likelier the oftener they stand. Those with a point
 // are a form of the trouble before it.
 var laterKinds = []string{
 	"cancel_now", "cancel_now", "cancel_at_end", "machine_mute", "machine_mute", "odd_requests", "close_looks",
-	"late_writes.at_once", "copies.for_next", "copies.for_next", "late_commands", "late_commands", "late_commands",
+	"late_writes.at_once", "copies.for_next", "copies.for_next", "late_commands", "late_commands", "late_commands", "slow_node",
 }
 
 const (
@@ -40,6 +40,10 @@
 	lookWithin  = 20 * time.Millisecond
 	lookTimes   = 2
 	looksCancel = 10
+	// stepTakes is about what a step of a controller takes, and eachTakes what each command
+	// and effect of it adds.
+	stepTakes = time.Millisecond
+	eachTakes = 200 * time.Microsecond
 	// keptMost bounds the copies that are kept for the next leader.
 	keptMost = 1000
 )
@@ -91,6 +95,8 @@
 		f.Late, f.Share = between(rng, 2*time.Second, 5*d.Settings.Lease), share(0.05, 0.3, 1)
 	case "late_commands":
 		f.Share = share(0.05, 0.3, 1)
+	case "slow_node":
+		f.Times, f.Busiest = 4+16*rng.Float64(), rng.IntN(3) > 0
 	}
 	return f
 }
@@ -111,6 +117,9 @@
 		w.looksTill = till
 	case "late_commands":
 		w.LateCommands(f.Share, f.For)
+	case "slow_node":
+		p := w.nodes[f.Node%len(w.nodes)]
+		p.slowTill, p.slowBy = till, f.Times
 	default:
 		return false
 	}
@@ -176,6 +185,18 @@
 	}
 }
 
+// computes lets a process that is slow stand still for what a step took, before it sends
+// what it decided.
+func (p *proc) computes(commands, effects int) {
+	w := p.w
+	if !w.now.Before(p.slowTill) || commands+effects == 0 || w.now.Before(p.stillTill) {
+		return
+	}
+	took := stepTakes + time.Duration(commands+effects)*eachTakes
+	p.stillTill = w.now.Add(time.Duration(p.slowBy * float64(took)))
+	w.thaw(p)
+}
+
 // LateCommands lets a share of the direct commands of the next d be held up on their way:
 // nobody answers them, and they are carried out once, later, if token and session match.
 func (w *World) LateCommands(share float64, d time.Duration) {
--- a/internal/standin/meetings.go
+++ b/internal/standin/meetings.go
@@ -207,7 +207,12 @@
 }
 
 // cancelWithin is in how long the tasks of a cancelled job have to be gone.
-func (d *Day) cancelWithin() time.Duration { return d.Settings.Lease + 30*time.Second }
+func (d *Day) cancelWithin() time.Duration {
+	return d.Settings.Lease + time.Duration(cmp.Or(d.CancelRoom, cancelRoom))*time.Second
+}
+
+// cancelRoom is by how many seconds cancel_s is longer than a lease on all known sites.
+const cancelRoom = 30
 
 // meetingTrouble lets one of this file's troubles begin, and says whether it is one.
 func (w *World) meetingTrouble(f DayFault) bool {
--- /dev/null
+++ b/internal/standin/mixed.go
@@ -0,0 +1,64 @@
+package standin
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/micahill/micahill/internal/core"
+)
+
+// mixed.go has days with jobs of all kinds, not only arrays that may run anywhere, and with
+// controllers whose clocks are off.
+
+const (
+	// clockBound is how far their clocks may be off.
+	clockBound = 250 * time.Millisecond
+	// standsLeast and standsMost are how long a standing job lasts before it is cancelled.
+	standsLeast = 40 * time.Second
+	standsMost  = 150 * time.Second
+)
+
+// mix draws what a day's jobs are, from its own numbers; a nil one changes nothing.
+type mix struct {
+	rng   *rand.Rand
+	zones []string
+}
+
+func newMix(d *Day) *mix {
+	if !d.Mixed {
+		return nil
+	}
+	return &mix{rand.New(rand.NewPCG(d.Seed, 819)), d.Settings.Zones}
+}
+
+// clocks sets the controllers' clocks apart, within the bound.
+func (x *mix) clocks(w *World) {
+	if x == nil {
+		return
+	}
+	for _, p := range w.nodes {
+		p.skew = time.Duration((2*x.rng.Float64() - 1) * float64(clockBound))
+	}
+}
+
+// change makes a job one of another kind, or leaves it.
+func (x *mix) change(s *core.Spec) {
+	if x == nil {
+		return
+	}
+	switch k := x.rng.IntN(12); {
+	case k < 3:
+		s.SaveEvery, s.SaveCost = 10*time.Second, time.Duration(1+x.rng.IntN(20))*time.Second
+	case k < 5:
+		s.Zone = x.zones[x.rng.IntN(len(x.zones))]
+	case k < 6:
+		s.SamePlace = true
+	case k < 7:
+		s.Apart = true
+	case k < 8:
+		s.Standing, s.Due, s.Expected = true, 0, 0
+	}
+}
+
+// stands is after which time a standing job is cancelled.
+func (x *mix) stands() time.Duration { return between(x.rng, standsLeast, standsMost) }
--- a/internal/standin/proc.go
+++ b/internal/standin/proc.go
@@ -36,6 +36,9 @@
 	// what it had decided and not sent yet.
 	stillTill time.Time
 	held      []core.Effect
+	// slowTill: its steps take slowBy times as long until then as usual ones do.
+	slowTill time.Time
+	slowBy   float64
 	// skew is by how much its clock is ahead of the world's.
 	skew time.Duration
 }
@@ -177,6 +180,7 @@
 	began := time.Now()
 	effects := p.node.Step(p.clock(), q)
 	p.w.stepped += time.Since(began)
+	p.computes(len(q), len(effects))
 	for _, e := range effects {
 		p.w.ranked.decided(p, e)
 		if p.w.sabotage != nil {
--- a/internal/standin/seek.go
+++ b/internal/standin/seek.go
@@ -42,6 +42,8 @@
 			x := p
 			x.Seed, x.Meetings = rng.Uint64N(1<<32), true
 			x.Minutes = cmp.Or(x.Minutes, seekMinutes)
+			x.Mixed = x.Mixed || rng.IntN(2) == 0
+			x.CancelRoom = cmp.Or(x.CancelRoom, []int{0, 0, 10, 4}[rng.IntN(4)])
 			if x.Machines == 0 {
 				x.Machines = seekMachines + rng.IntN(3*seekMachines)
 			}
