A machine that another owner has to spare goes to whoever waits for it

Cause: tasks that may use ordinary machines only, and would not be late yet, made their owner want none, not even one that another owner had standing idle: renting one is dear, taking one over is not. So a job waited beside another team's idle machines until those were returned.

Change: what another owner has to spare is wanted by any task that would start sooner on it.

--- a/cmd/micahill-lab/seek.go
+++ b/cmd/micahill-lab/seek.go
@@ -79,7 +79,7 @@
 		s.failed++
 		rule, _, _ := strings.Cut(r.Broken[0], " ")
 		// A day that cannot be kept is counted all the same.
-		_ = r.Day.Save(filepath.Join(s.out, fmt.Sprintf("broken-%d-%s-%d.json", s.seed, strings.Trim(rule, ":"), r.Seed)))
+		_ = r.Day.Save(filepath.Join(s.out, fmt.Sprintf("broken-%d-%s-%d.json", s.seed, strings.Trim(rule, ":"), s.failed)))
 	}
 }
 
--- a/internal/core/rent.go
+++ b/internal/core/rent.go
@@ -335,7 +335,9 @@
 		if !late && !at.After(ready.Add(p.payback(k, a))) {
 			continue
 		}
-		if spot || late {
+		// One that another owner has to spare is there already: as long as work waits
+		// that it would do sooner, it isn't to stand idle beside it.
+		if spot || late || p.spare[k.kind] > 0 {
 			return k.kind, true
 		}
 	}
--- a/internal/standin/slack_test.go
+++ b/internal/standin/slack_test.go
@@ -124,3 +124,31 @@
 		d = next
 	}
 }
+
+// A team's job has tasks that wait for those before them, and may use ordinary machines
+// only; another team's are idle. It is given those although its tasks would not be late.
+func TestIdleMachinesGoToWhoWaits(t *testing.T) {
+	types, _ := testTypes()
+	// None is dear: idle ones are kept for a while.
+	for i := range types {
+		types[i].SpotPrice = types[i].Price
+	}
+	w := NewWorld(3, 3, testSettings(), testCancel, types, map[string]int{"small/a/false": 4})
+	w.calm = w.now
+	s := longJob("job-000001", 3)
+	s.Need.CPU, s.Expected = 4, time.Minute
+	w.Submit(s, time.Minute, false)
+	w.Run(20 * time.Second)
+	s = longJob("job-000002", 5)
+	s.Team, s.Need.CPU, s.Expected = "lab", 2, 110*time.Second
+	w.Submit(s, s.Expected, false)
+	w.Run(4 * time.Minute)
+	noneBroken(t, w)
+	first, j := w.jobs["job-000001"], w.jobs["job-000002"]
+	idle := first.began[0].Add(first.run)
+	for i := range s.Tasks {
+		if at := j.began[i]; at.IsZero() || at.After(idle.Add(30*time.Second)) {
+			t.Errorf("task %d began at %v, the others' machine was idle at %v", i, at.Sub(w.began), idle.Sub(w.began))
+		}
+	}
+}
