--- a/internal/standin/later.go
+++ b/internal/standin/later.go
@@ -53,6 +53,9 @@
 	// commands is the share of direct commands that is held up until commandTill.
 	commands    float64
 	commandTill time.Time
+	// carriedLate counts those that were carried out, and broughtKept the copies that
+	// reached a next leader.
+	carriedLate, broughtKept int
 	// cancelEnds is the share of jobs that is cancelled at its end until cancelEndTill.
 	cancelEnds    float64
 	cancelEndTill time.Time
@@ -216,8 +219,8 @@
 			return
 		}
 		w.sendMsg(p.name, m.ID, func() {
-			if !w.now.Before(m.upAt) {
-				w.direct(m, op)
+			if !w.now.Before(m.upAt) && w.direct(m, op).OK {
+				w.carriedLate++
 			}
 		})
 	})
@@ -250,6 +253,7 @@
 	}
 	kept := w.kept
 	w.kept = nil
+	w.broughtKept += len(kept)
 	for _, p := range w.nodes {
 		for _, r := range kept {
 			w.after(time.Duration(w.rng.Int64N(int64(time.Second))), func() {
--- a/internal/standin/scenario_test.go
+++ b/internal/standin/scenario_test.go
@@ -234,6 +234,17 @@
 		w.meetingTrouble(DayFault{Kind: "refused_outage", Node: node(), Late: seconds(t, d, "late", 2), For: dur})
 	case "late_writes":
 		w.LateWrites(arg(t, d, "share", 0.5), dur)
+	case "late_commands":
+		w.LateCommands(arg(t, d, "share", 0.5), dur)
+	case "cancel_now":
+		w.CancelNow(arg(t, d, "count", 8), dur)
+	case "mute_machines":
+		// They reach no controller; orders reach them.
+		w.MuteMachines(w.SomeMachines(arg(t, d, "share", 0.1), arg(t, d, "zone", ""), rand.New(rand.NewPCG(1, 1))), dur)
+	case "close_looks":
+		w.looksTill = w.now.Add(dur)
+	case "odd_requests":
+		w.OddRequests(dur)
 	case "outage":
 		w.Outage(dur)
 	case "cloud":
@@ -311,7 +322,7 @@
 		// What a controller sends to workers is lost, and nothing else.
 		w.cutOneWay(w.nodes[node()].name, "workers", dur)
 	case "copies":
-		w.Copies(arg(t, d, "share", 0.3), seconds(t, d, "longest", 120), dur)
+		w.newTrouble(DayFault{Kind: what, Share: arg(t, d, "share", 0.3), Late: seconds(t, d, "longest", 120), For: dur, ForNext: d.HasArg("for_next")}, w.rng)
 	case "twice":
 		w.meetingTrouble(DayFault{Kind: what, Share: arg(t, d, "share", 0.2), For: dur})
 	case "damage":
@@ -420,6 +431,9 @@
 				return s.held.String()
 			case "on_deaf":
 				return fmt.Sprintf("%d\n", len(s.onDeaf))
+			case "met":
+				// That the trouble was there.
+				return fmt.Sprintf("commands carried out late: %v, copies brought to a next leader: %v\n", s.w.carriedLate > 0, s.w.broughtKept > 0)
 			case "lost":
 				return fmt.Sprintf("%d\n", s.w.LostToLease)
 			case "machines":
