--- a/cmd/micahill-lab/days.go
+++ b/cmd/micahill-lab/days.go
@@ -208,6 +208,7 @@
 			if c := all[i].Cancels; c != nil {
 				fmt.Fprintln(w, c)
 			}
+			fmt.Fprintf(w, "starts after a confirmed cancellation: %d\n", all[i].StartedCancelled)
 			for _, rule := range standin.TimedRules {
 				if s, ok := all[i].Slack[rule]; ok {
 					fmt.Fprintf(w, "slack of %s: %.1f s, %s\n", rule, s.Left.Seconds(), s.What)
--- a/internal/standin/day.go
+++ b/internal/standin/day.go
@@ -282,8 +282,10 @@
 	Classes []Group          `json:"classes"`
 	Team    []Group          `json:"team"`
 	// Starts counts starts, and LostToLease tasks killed since a lease ran out.
-	Starts      int `json:"starts"`
-	LostToLease int `json:"lost_to_lease"`
+	Starts int `json:"starts"`
+	// StartedCancelled counts those after a confirmed cancellation.
+	StartedCancelled int `json:"started_cancelled"`
+	LostToLease      int `json:"lost_to_lease"`
 	// Refused counts users' requests that were refused.
 	Refused int     `json:"refused"`
 	Changes float64 `json:"changes_per_s"`
@@ -486,7 +488,7 @@
 
 func (d *Day) result(w *World) DayResult {
 	r := DayResult{
-		Day: *d, Starts: w.Started, LostToLease: w.LostToLease, Refused: w.Refused,
+		Day: *d, Starts: w.Started, StartedCancelled: w.StartedCancelled, LostToLease: w.LostToLease, Refused: w.Refused,
 		Changes: float64(w.state.puts) / w.now.Sub(w.began).Seconds(), TooMany: w.state.Refused, Bad: w.state.Bad, LastBad: w.state.LastBad,
 		Rented: len(w.order), Dates: w.dates(),
 	}
--- a/internal/standin/users.go
+++ b/internal/standin/users.go
@@ -240,6 +240,10 @@
 	if s.Apart && zones[m.Zone]+1 > (s.Tasks+1)/2 {
 		w.broke("wrong_place", "%s too many in %s", name, m.Zone)
 	}
+	if !j.cancelled.IsZero() {
+		w.StartedCancelled++
+		w.near(RuleCancelled, w.cancel-w.now.Sub(j.cancelled), m.ID+" "+name)
+	}
 	if w.overdue(j) {
 		w.broke("ran_cancelled", "%s started", name)
 	}
--- a/internal/standin/world.go
+++ b/internal/standin/world.go
@@ -51,8 +51,9 @@
 	twice float64
 	// Broken collects broken rules.
 	Broken []string
-	// Started counts starts.
-	Started int
+	// Started counts starts, and StartedCancelled those after an answer has left that says
+	// that the job is cancelled.
+	Started, StartedCancelled int
 	// copies is the share of reports that come once more, up to copyLongest later,
 	// until copyTill.
 	copies      float64
