A job is not left waiting beside a machine that is being retired

Cause: a dear machine takes nothing new as long as everything could start in time without it. A job without a near aim is in time for minutes, so it waited beside room on such a machine until the bound on waiting behind others, two minutes after it came. The operators allow 90 s.

Change: a job of which nothing was given a place for 45 s may use such machines, a task at a time.

--- a/internal/core/round.go
+++ b/internal/core/round.go
@@ -123,8 +123,23 @@
 	shape
 	image string
 	gb    float64
+	// left: their job is left waiting.
+	left bool
 }
 
+// besideRoom is after which time a job is left waiting: nothing of it was given a place for
+// so long. It may then use what is kept from it for the sake of the price. The operators'
+// rule allows twice as long beside a machine with room.
+const besideRoom = 45 * time.Second
+
+// left is for how long a job has been left waiting: since it came, since something of it
+// was last given a place, or since its owner took it up.
+func (n *Node) left(j *job) time.Duration {
+	return n.now.Sub(later(later(j.at, j.placedAt), n.owner.readyAt))
+}
+
+func (n *Node) leftWaiting(j *job) bool { return n.left(j) > besideRoom }
+
 // lot is the machines with room for alike tasks, those with the same time to fetch
 // in one heap, the best first. Ratings may be out of date, since other tasks take
 // room and fetch images too; the first of a heap is rated again when it comes up.
@@ -132,7 +147,9 @@
 	like    []*fetchers
 	run     float64
 	bounded bool
-	sc      map[string]scarcity
+	// left: the job is left waiting, and machines that are being retired are open to it.
+	left bool
+	sc   map[string]scarcity
 	// off: the tasks stay off machines with GPUs. seen counts the packed machines of the
 	// round that are taken in.
 	off  bool
@@ -171,13 +188,13 @@
 // lotFor is the machines for a job's tasks. Where it matters in which zone its
 // other tasks are, it is the job's own.
 func (n *Node) lotFor(r *round, j *job) *lot {
-	key := lotKey{j.shape(), j.Image, j.ImageGB}
+	key := lotKey{j.shape(), j.Image, j.ImageGB, n.leftWaiting(j)}
 	own := j.SamePlace || j.Apart || j.early
 	if l := r.lots[key]; l != nil && !own {
 		n.packedSince(r, l, j)
 		return l
 	}
-	l := &lot{run: n.expects(j).Seconds(), bounded: n.waitBound(j.Workload) > 0, off: n.offNow(j), seen: len(r.packed)}
+	l := &lot{run: n.expects(j).Seconds(), bounded: n.waitBound(j.Workload) > 0, left: key.left, off: n.offNow(j), seen: len(r.packed)}
 	if !j.early {
 		// What has waited too long leaves nothing to others that fit less.
 		l.sc = n.scarceFor(r, j)
@@ -205,7 +222,7 @@
 	if len(l.sc) > 0 {
 		sc = l.sc[m.flavour]
 	}
-	if m.retiring && !l.bounded && m.heldFor != j.ID || sc == scarceNow {
+	if m.retiring && !l.bounded && !l.left && m.heldFor != j.ID || sc == scarceNow {
 		return 0, false
 	}
 	score := s.dear
@@ -269,7 +286,8 @@
 		return
 	}
 	like := j.shape()
-	if r.full[like] && !j.early {
+	left := n.leftWaiting(j)
+	if r.full[like] && !j.early && !left {
 		return
 	}
 	l := n.lotFor(r, j)
@@ -282,6 +300,10 @@
 		}
 	}()
 	for ; count > 0 && j.pending() > 0 && n.withinLimit(j); count-- {
+		if left && !n.leftWaiting(j) {
+			// One task was given a place: the others are not left waiting any more.
+			left, l = false, n.lotFor(r, j)
+		}
 		i := j.nextPending(n.now)
 		if i < 0 {
 			return
@@ -301,7 +323,7 @@
 			if len(shunned) > 0 && len(aside) < asideMost {
 				continue
 			}
-			if fetch == forever && len(shunned) == 0 && !j.SamePlace && !j.Apart {
+			if fetch == forever && len(shunned) == 0 && !j.SamePlace && !j.Apart && !left {
 				r.full[like] = true
 			}
 			return
--- a/internal/standin/slack.go
+++ b/internal/standin/slack.go
@@ -80,7 +80,7 @@
 			from = j.placedAt
 		}
 		left := waitingMost - w.now.Sub(from)
-		w.near(RuleWaiting, left, id)
+		w.near(RuleWaiting, left, id+" beside room on "+room.ID)
 		if left < 0 && !j.waitBlamed {
 			j.waitBlamed = true
 			w.broke(RuleWaiting, "%s of %s has waited for %.0f s, now beside room on %s", id, j.spec.Team, w.now.Sub(from).Seconds(), room.ID)
--- a/internal/standin/slack_test.go
+++ b/internal/standin/slack_test.go
@@ -152,3 +152,29 @@
 		}
 	}
 }
+
+// A dear machine that is taken out of use has room beside long work, and a job that may
+// use nothing else for now is not late yet: it is not left waiting beside that room.
+func TestNotLeftWaitingBesideDearRoom(t *testing.T) {
+	types, _ := testTypes()
+	w := NewWorld(3, 3, testSettings(), testCancel, types, map[string]int{"big/a/false": 1})
+	w.calm = w.now
+	long := longJob("job-000001", 20)
+	w.Submit(long, time.Hour, false)
+	w.Run(time.Minute)
+	// The one machine that is not dear is taken for a while.
+	w.room["small/a/false"] = 1
+	taken := longJob("job-000002", 1)
+	taken.Need.CPU, taken.Need.Memory, taken.Expected = 4, 14, 150*time.Second
+	taken.Flavours = []string{"small"}
+	w.Submit(taken, taken.Expected, false)
+	w.Run(40 * time.Second)
+	s := longJob("job-000003", 2)
+	s.Need.CPU, s.Expected = 2, 110*time.Second
+	w.Submit(s, s.Expected, false)
+	w.Run(3 * time.Minute)
+	noneBroken(t, w)
+	if left := w.slack[RuleWaiting].Left; left < waitingMost/3 || left > waitingMost-20*time.Second {
+		t.Errorf("slack %v: it waited for too long, or not at all", w.slack[RuleWaiting])
+	}
+}
