--- a/internal/core/jobs.go
+++ b/internal/core/jobs.go
@@ -105,11 +105,11 @@
 	coming    int
 	// overdue: it has waited behind others for longer than it may, and early: what of
 	// it goes first for that is being placed. placedAt is when a task of it was last
-	// given a place.
-	overdue, early bool
-	placedAt       time.Time
-	zoneLive       map[string]int
-	lastTold       Progress
+	// given a place, and waitsFrom since when some wait for one without a break.
+	overdue, early      bool
+	placedAt, waitsFrom time.Time
+	zoneLive            map[string]int
+	lastTold            Progress
 	// rank is its place in the table of rankVer.
 	rank, rankVer int
 	loan
--- a/internal/core/place.go
+++ b/internal/core/place.go
@@ -165,9 +165,14 @@
 	}
 	var waiting []*job
 	for _, j := range n.owner.jobs {
-		if n.triable(j) > 0 {
-			waiting = append(waiting, j)
+		if n.triable(j) == 0 {
+			j.waitsFrom = time.Time{}
+			continue
+		}
+		if j.waitsFrom.IsZero() {
+			j.waitsFrom = n.now
 		}
+		waiting = append(waiting, j)
 	}
 	slices.SortFunc(waiting, func(a, b *job) int { return strings.Compare(a.ID, b.ID) })
 	for _, j := range waiting {
--- a/internal/core/round.go
+++ b/internal/core/round.go
@@ -127,19 +127,15 @@
 	left bool
 }
 
-// besideRoom is after which time a job is left waiting: nothing of it was given a place for
-// so long. It may then use what is kept from it for the sake of the price. The operators'
+// besideRoom is after which time a job is left waiting: something of it waits, and nothing
+// was given a place for so long. It may then use what is kept from it for the sake of the price. The operators'
 // rule allows twice as long beside a machine with room.
 const besideRoom = 45 * time.Second
 
-// left is for how long a job has been left waiting: since it came, since something of it
-// was last given a place, or since its owner took it up.
-func (n *Node) left(j *job) time.Duration {
-	return n.now.Sub(later(later(j.at, j.placedAt), n.owner.readyAt))
+func (n *Node) leftWaiting(j *job) bool {
+	return !j.waitsFrom.IsZero() && n.now.Sub(later(j.waitsFrom, j.placedAt)) > besideRoom
 }
 
-func (n *Node) leftWaiting(j *job) bool { return n.left(j) > besideRoom }
-
 // lot is the machines with room for alike tasks, those with the same time to fetch
 // in one heap, the best first. Ratings may be out of date, since other tasks take
 // room and fetch images too; the first of a heap is rated again when it comes up.
