--- a/internal/standin/day.go
+++ b/internal/standin/day.go
@@ -36,6 +36,11 @@
 	Meetings bool `json:"meetings,omitempty"`
 	// Models is how many hosts with eight GPUs there are, for models; see models.go.
 	Models int `json:"models,omitempty"`
+	// Mixed has jobs of all kinds, and controllers whose clocks are off; see mixed.go.
+	Mixed bool `json:"mixed,omitempty"`
+	// CancelRoom is how many seconds longer than a lease a cancelled job's tasks may last;
+	// 0: as many as on all known sites.
+	CancelRoom int `json:"cancel_room_s,omitempty"`
 	// On names what is switched on: ranking, promises, models, or all.
 	On []string `json:"on,omitempty"`
 }
@@ -61,6 +66,11 @@
 	Times float64 `json:"times,omitempty"`
 	// Busiest: instead of Node it meets the controller that most machines report to.
 	Busiest bool `json:"busiest,omitempty"`
+	// Count is how many jobs a trouble meets. AtOnce: late writes are carried out at
+	// once, and ForNext: copies are kept for the next leader.
+	Count   int  `json:"count,omitempty"`
+	AtOnce  bool `json:"at_once,omitempty"`
+	ForNext bool `json:"for_next,omitempty"`
 }
 
 func (f DayFault) String() string {
@@ -71,11 +81,19 @@
 	switch {
 	case f.Kind == "machines" || f.Share > 0:
 		s += fmt.Sprintf(" %.0f%%", 100*f.Share)
+	case f.Count > 0:
+		s += fmt.Sprintf(" %d", f.Count)
 	case f.Busiest:
 		s += " busiest"
 	default:
 		s += fmt.Sprintf(" node-%d", f.Node)
 	}
+	if f.AtOnce {
+		s += " at_once"
+	}
+	if f.ForNext {
+		s += " for_next"
+	}
 	if f.Late > 0 {
 		s += fmt.Sprintf(" late=%.1fs", f.Late.Seconds())
 	}
@@ -198,6 +216,9 @@
 	if p.Models > 0 {
 		drawModels(&d)
 	}
+	if p.Mixed {
+		d.Settings.ClockBound = clockBound
+	}
 	d.Settings.Product, _ = p.product()
 	return d
 }
@@ -255,12 +276,16 @@
 // DayResult is what became of a day.
 type DayResult struct {
 	Day
-	Broken  []string `json:"broken"`
-	Classes []Group  `json:"classes"`
-	Team    []Group  `json:"team"`
+	Broken []string `json:"broken"`
+	// Slack is the least that was left to each rule with a time.
+	Slack   map[string]Slack `json:"slack"`
+	Classes []Group          `json:"classes"`
+	Team    []Group          `json:"team"`
 	// Starts counts starts, and LostToLease tasks killed since a lease ran out.
-	Starts      int `json:"starts"`
-	LostToLease int `json:"lost_to_lease"`
+	Starts int `json:"starts"`
+	// StartedCancelled counts those after a confirmed cancellation.
+	StartedCancelled int `json:"started_cancelled"`
+	LostToLease      int `json:"lost_to_lease"`
 	// Refused counts users' requests that were refused.
 	Refused int     `json:"refused"`
 	Changes float64 `json:"changes_per_s"`
@@ -319,6 +344,8 @@
 	rng := rand.New(rand.NewPCG(d.Seed, 815))
 	mistakes := rand.New(rand.NewPCG(d.Seed, 816))
 	cancels := rand.New(rand.NewPCG(d.Seed, 817))
+	mixed := newMix(&d)
+	mixed.clocks(w)
 	span := time.Duration(d.Minutes) * time.Minute
 	weights := 0.0
 	for i := range d.Settings.Teams {
@@ -344,6 +371,7 @@
 			Image: fmt.Sprintf("%s-%d", c.name, min(rng.IntN(12), rng.IntN(12))), ImageGB: c.gb, Spot: rng.IntN(5) > 0, Expected: c.run,
 			Due: time.Duration(c.due*float64(run)) + core.Seconds(15*min(1, c.due)),
 		}
+		mixed.change(&spec)
 		broken := d.mistakes > 0 && mistakes.Float64() < d.mistakes
 		at := time.Duration(rng.Float64() * float64(span))
 		w.after(at, func() { w.Submit(spec, run, broken) })
@@ -353,6 +381,9 @@
 		if t, ok := d.Cancels.when(c.name, at, cancels); ok {
 			w.after(t, func() { w.Abort(spec.ID) })
 		}
+		if spec.Standing {
+			w.after(at+mixed.stands(), func() { w.Abort(spec.ID) })
+		}
 		if rng.IntN(25) == 0 {
 			w.after(span/2, func() {
 				if w.jobs[spec.ID] != nil {
@@ -403,7 +434,7 @@
 	if f.Busiest {
 		f.Node = w.busiest()
 	}
-	if w.unlisted(f, rng) || w.newTrouble(f, rng) || w.meetingTrouble(f) {
+	if w.unlisted(f, rng) || w.newTrouble(f, rng) || w.laterTrouble(f, rng) || w.meetingTrouble(f) {
 		return
 	}
 	p := w.nodes[f.Node%len(w.nodes)]
@@ -457,7 +488,7 @@
 
 func (d *Day) result(w *World) DayResult {
 	r := DayResult{
-		Day: *d, Starts: w.Started, LostToLease: w.LostToLease, Refused: w.Refused,
+		Day: *d, Starts: w.Started, StartedCancelled: w.StartedCancelled, LostToLease: w.LostToLease, Refused: w.Refused,
 		Changes: float64(w.state.puts) / w.now.Sub(w.began).Seconds(), TooMany: w.state.Refused, Bad: w.state.Bad, LastBad: w.state.LastBad,
 		Rented: len(w.order), Dates: w.dates(),
 	}
--- a/internal/standin/meetings.go
+++ b/internal/standin/meetings.go
@@ -140,9 +140,22 @@
 	if rng.IntN(3) == 0 {
 		d.Faults = append(d.Faults, DayFault{Kind: "crash_all", At: d.calm() + endAfter, For: 5 * time.Second})
 	}
+	d.meetLater(met)
 	slices.SortStableFunc(d.Faults, func(a, b DayFault) int { return cmp.Compare(a.At, b.At) })
 }
 
+// meetLater has one of the later troubles meet those of a day on one day in three, from
+// its own numbers: the others are as they were.
+func (d *Day) meetLater(met []DayFault) {
+	rng := rand.New(rand.NewPCG(d.Seed, 5772))
+	if rng.IntN(3) > 0 {
+		return
+	}
+	f := d.drawLater(rng)
+	f.At = met[0].At + time.Duration(rng.Float64()*float64(apartMost))
+	d.Faults = append(d.Faults, f)
+}
+
 // drawTrouble draws one of all troubles, but for when it begins.
 func (d *Day) drawTrouble(rng *rand.Rand) DayFault {
 	part := func(of ...float64) float64 { return of[rng.IntN(len(of))] }
@@ -194,13 +207,19 @@
 }
 
 // cancelWithin is in how long the tasks of a cancelled job have to be gone.
-func (d *Day) cancelWithin() time.Duration { return d.Settings.Lease + 30*time.Second }
+func (d *Day) cancelWithin() time.Duration {
+	return d.Settings.Lease + time.Duration(cmp.Or(d.CancelRoom, cancelRoom))*time.Second
+}
+
+// cancelRoom is by how many seconds cancel_s is longer than a lease on all known sites.
+const cancelRoom = 30
 
 // meetingTrouble lets one of this file's troubles begin, and says whether it is one.
 func (w *World) meetingTrouble(f DayFault) bool {
 	switch f.Kind {
 	case "late_writes":
 		w.LateWrites(f.Share, f.For)
+		w.writesAtOnce = f.AtOnce
 	case "refused_outage":
 		w.refuse(w.nodes[f.Node%len(w.nodes)], f.Late+min(refusedAlone, f.For))
 		w.after(f.Late, func() { w.Outage(f.For) })
@@ -217,16 +236,19 @@
 }
 
 // LateWrites lets a share of the transactions of the next d get no answer and be carried
-// out some seconds later, after newer ones.
+// out some seconds later, after newer ones; or at once, with writesAtOnce.
 func (w *World) LateWrites(share float64, d time.Duration) {
 	w.lateWrites, w.lateWriteTill = share, w.now.Add(d)
 }
 
-// writeLate says whether a transaction is carried out late, and by how much.
+// writeLate says whether a transaction gets no answer, and how late it is carried out.
 func (w *World) writeLate(e core.StateOp) (time.Duration, bool) {
 	if e.Kind != core.OpTxn || !w.now.Before(w.lateWriteTill) || w.rng.Float64() >= w.lateWrites {
 		return 0, false
 	}
+	if w.writesAtOnce {
+		return 0, true
+	}
 	return lateWriteLeast + time.Duration(w.rng.Int64N(int64(lateWriteMost-lateWriteLeast))), true
 }
 
--- /dev/null
+++ b/internal/standin/slack_test.go
@@ -0,0 +1,195 @@
+package standin
+
+import (
+	"math/rand/v2"
+	"path/filepath"
+	"reflect"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/micahill/micahill/internal/core"
+)
+
+// waitingWorld has a calm world with room in which nothing of job-000002 is ever started.
+func waitingWorld(limit float64) *World {
+	types, room := testTypes()
+	set := testSettings()
+	set.Teams[0].Limit.CPU = limit
+	w := NewWorld(3, 3, set, testCancel, types, room)
+	w.calm = w.now
+	w.sabotage = func(e core.Effect) core.Effect {
+		return noStarts(e, func(o core.Order) bool { return o.Job == "job-000002" })
+	}
+	return w
+}
+
+// A job is left waiting although a machine that fits has room: noticed after 90 s, not
+// earlier, and not where its team is at its limit or its task fits no machine with room.
+func TestWaitingIsNoticed(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		limit   float64
+		cpu     float64
+		noticed bool
+	}{
+		{"room", 0, 1, true},
+		{"at the limit", 2, 1, false},
+		{"too large", 0, 30, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			w := waitingWorld(c.limit)
+			w.Submit(longJob("job-000001", 2), time.Hour, false)
+			w.Run(40 * time.Second)
+			// Machines are there, and stay.
+			w.cloudOut = true
+			s := longJob("job-000002", 1)
+			s.Need.CPU = c.cpu
+			w.Submit(s, time.Hour, false)
+			w.Run(waitingMost)
+			noneBroken(t, w)
+			w.Run(20 * time.Second)
+			if got := strings.Contains(strings.Join(w.Broken, "\n"), RuleWaiting); got != c.noticed {
+				t.Errorf("noticed %v: %v, slack %v", got, w.Broken, w.slack)
+			}
+			if _, near := w.slack[RuleWaiting]; near != c.noticed {
+				t.Errorf("slack %v", w.slack)
+			}
+		})
+	}
+}
+
+// The slack of a cancellation is what its last task leaves of cancel_s, counted from the
+// first answer that left a controller.
+func TestSlackOfCancellations(t *testing.T) {
+	w := busyWorld(t)
+	const left = 12 * time.Second
+	till := w.now.Add(w.cancel - left)
+	w.cloudOut, w.set.Lease = true, time.Hour
+	w.sabotage = func(e core.Effect) core.Effect {
+		if w.now.Before(till) {
+			return noHalts(e)
+		}
+		return e
+	}
+	w.Abort("job-000001")
+	w.Run(w.cancel + time.Second)
+	noneBroken(t, w)
+	if got := w.slack[RuleCancelled].Left; got < left-5*time.Second || got > left+time.Second {
+		t.Errorf("%v left, want about %v: %v", got, left, w.slack)
+	}
+}
+
+// A day that is kept as a file plays as it did, and tells the same slack.
+func TestDayPlaysAgain(t *testing.T) {
+	p := Seeking(DayParams{Machines: 20, Teams: 1, Minutes: 1}, func(DayResult) {})
+	rng := rand.New(rand.NewPCG(1, 1))
+	d := p.Change(rng, p.Draw(rng))
+	file := filepath.Join(t.TempDir(), "day.json")
+	if err := d.Save(file); err != nil {
+		t.Fatal(err)
+	}
+	again, err := Load(file)
+	if err != nil {
+		t.Fatal(err)
+	}
+	a, b := PlayDay(d, ""), PlayDay(again, "")
+	if !reflect.DeepEqual(a.Slack, b.Slack) || a.Starts != b.Starts || !reflect.DeepEqual(a.Broken, b.Broken) {
+		t.Errorf("%v %d starts %v, again %v %d starts %v", a.Slack, a.Starts, a.Broken, b.Slack, b.Starts, b.Broken)
+	}
+	if len(a.Slack) == 0 {
+		t.Error("no slack was noted")
+	}
+}
+
+// Changes leave a day one that can be played, and the day that is changed as it was.
+func TestChangedDays(t *testing.T) {
+	p := Seeking(DayParams{Teams: 2}, func(DayResult) {})
+	rng := rand.New(rand.NewPCG(2, 1))
+	d := p.Draw(rng)
+	for range 2000 {
+		faults, cancels := append([]DayFault{}, d.Faults...), *d.Cancels
+		next := p.Change(rng, d)
+		if !reflect.DeepEqual(faults, d.Faults) || cancels != *d.Cancels {
+			t.Fatal("the day that was changed is another one")
+		}
+		if len(next.Faults) == 0 || len(next.Faults) > seekFaultsMost {
+			t.Fatalf("%d troubles", len(next.Faults))
+		}
+		for i, f := range next.Faults {
+			if f.At < seekBegin || f.At > max(next.lastTrouble(), d.Faults[len(d.Faults)-1].At) || f.For < 0 || i > 0 && f.At < next.Faults[i-1].At {
+				t.Fatalf("%v of %v", f, next.Faults)
+			}
+		}
+		d = next
+	}
+}
+
+// A team's job has tasks that wait for those before them, and may use ordinary machines
+// only; another team's are idle. It is given those although its tasks would not be late.
+func TestIdleMachinesGoToWhoWaits(t *testing.T) {
+	types, _ := testTypes()
+	// None is dear: idle ones are kept for a while.
+	for i := range types {
+		types[i].SpotPrice = types[i].Price
+	}
+	w := NewWorld(3, 3, testSettings(), testCancel, types, map[string]int{"small/a/false": 4})
+	w.calm = w.now
+	s := longJob("job-000001", 3)
+	s.Need.CPU, s.Expected = 4, time.Minute
+	w.Submit(s, time.Minute, false)
+	w.Run(20 * time.Second)
+	s = longJob("job-000002", 5)
+	s.Team, s.Need.CPU, s.Expected = "lab", 2, 110*time.Second
+	w.Submit(s, s.Expected, false)
+	w.Run(4 * time.Minute)
+	noneBroken(t, w)
+	first, j := w.jobs["job-000001"], w.jobs["job-000002"]
+	idle := first.began[0].Add(first.run)
+	for i := range s.Tasks {
+		if at := j.began[i]; at.IsZero() || at.After(idle.Add(30*time.Second)) {
+			t.Errorf("task %d began at %v, the others' machine was idle at %v", i, at.Sub(w.began), idle.Sub(w.began))
+		}
+	}
+}
+
+// A dear machine that is taken out of use has room beside long work, and a job that may
+// use nothing else for now is not late yet: it is not left waiting beside that room.
+func TestNotLeftWaitingBesideDearRoom(t *testing.T) {
+	types, _ := testTypes()
+	w := NewWorld(3, 3, testSettings(), testCancel, types, map[string]int{"big/a/false": 1})
+	w.calm = w.now
+	long := longJob("job-000001", 20)
+	w.Submit(long, time.Hour, false)
+	w.Run(time.Minute)
+	// The one machine that is not dear is taken for a while.
+	w.room["small/a/false"] = 1
+	taken := longJob("job-000002", 1)
+	taken.Need.CPU, taken.Need.Memory, taken.Expected = 4, 14, 150*time.Second
+	taken.Flavours = []string{"small"}
+	w.Submit(taken, taken.Expected, false)
+	w.Run(40 * time.Second)
+	s := longJob("job-000003", 2)
+	s.Need.CPU, s.Expected = 2, 110*time.Second
+	w.Submit(s, s.Expected, false)
+	w.Run(3 * time.Minute)
+	noneBroken(t, w)
+	if left := w.slack[RuleWaiting].Left; left < waitingMost/3 || left > waitingMost-20*time.Second {
+		t.Errorf("slack %v: it waited for too long, or not at all", w.slack[RuleWaiting])
+	}
+}
+
+// Two teams, each another owner's, and one machine that fits the second team's job: it has
+// room beside the first team's long work, and the job is not left waiting beside it.
+func TestRoomOnAnotherOwnersMachine(t *testing.T) {
+	types, _ := testTypes()
+	w := NewWorld(3, 3, testSettings(), testCancel, types, map[string]int{"big/a/false": 1})
+	w.calm = w.now
+	w.Submit(longJob("job-000001", 10), time.Hour, false)
+	w.Run(time.Minute)
+	s := longJob("job-000002", 2)
+	s.Team, s.Need.CPU = "lab", 8
+	w.Submit(s, time.Hour, false)
+	w.Run(waitingMost + 30*time.Second)
+	noneBroken(t, w)
+}
