A borrowed job whose taking in got no answer is known as borrowed

Cause: a step of a loan on the borrowing side (take in, give up, forget) that is carried out while its answer is lost left the list of what was borrowed as it was. A job taken in so stayed in open/ and guest/ and was in no view: its home was told that it was not taken, nobody gave it up or forgot it, and it counted as work to come until another owner read guest/. Change: after a step without an answer guest/ is read again before the next.

--- a/internal/core/loans.go
+++ b/internal/core/loans.go
@@ -327,6 +327,10 @@
 		case StateConflict, StateRefused, StateBad, StateNoGrant:
 			done(LoanNot)
 		default:
+			if c.Kind >= LoanAccept {
+				// Carried out or not: what has been taken is read again before the next step.
+				n.guests.loaded = false
+			}
 			done(LoanUnsure)
 		}
 	})
