--- a/internal/lab/fleet/fleet.go
+++ b/internal/lab/fleet/fleet.go
@@ -19,8 +19,8 @@
 	"time"
 
 	"github.com/micahill/micahill/internal/core"
-	"github.com/micahill/micahill/internal/ports"
 	"github.com/micahill/micahill/internal/keys"
+	"github.com/micahill/micahill/internal/ports"
 	"github.com/micahill/micahill/internal/standin"
 	"github.com/vmihailenco/msgpack/v5"
 )
--- a/internal/standin/met_links_test.go
+++ b/internal/standin/met_links_test.go
@@ -371,9 +371,9 @@
 	}
 }
 
-// TestMuteMachines: machines can open no connections, and direct commands reach them, for
+// TestMachinesReachNoController: machines can open no connections, and direct commands reach them, for
 // less and for longer than a lease; jobs there are cancelled, and their owner ends.
-func TestMuteMachines(t *testing.T) {
+func TestMachinesReachNoController(t *testing.T) {
 	for _, ends := range []bool{false, true} {
 		for _, long := range []time.Duration{15 * time.Second, 40 * time.Second, 90 * time.Second} {
 			for _, all := range []bool{false, true} {
