--- a/internal/core/bounded_test.go
+++ b/internal/core/bounded_test.go
@@ -12,15 +12,7 @@
 	"github.com/vmihailenco/msgpack/v5"
 )
 
-func ops(n *Node) []StateOp {
-	var out []StateOp
-	for _, e := range n.out {
-		if op, ok := e.(StateOp); ok {
-			out = append(out, op)
-		}
-	}
-	return out
-}
+func ops(n *Node) []StateOp { return emitted[StateOp](n) }
 
 // TestMalformedIsNotSentAgain guards against a request that the state service refuses
 // for its size or form, as often as it is sent: it eats the limit of requests, and
--- a/internal/core/ends_test.go
+++ b/internal/core/ends_test.go
@@ -23,8 +23,8 @@
 // txns are the transactions that were sent since the last look.
 func txns(n *Node) []StateOp {
 	var out []StateOp
-	for _, e := range n.out {
-		if op, ok := e.(StateOp); ok && op.Kind == OpTxn {
+	for _, op := range emitted[StateOp](n) {
+		if op.Kind == OpTxn {
 			out = append(out, op)
 		}
 	}
--- a/internal/core/hear_test.go
+++ b/internal/core/hear_test.go
@@ -21,8 +21,8 @@
 // ask takes what the node has just asked a machine, and answers it or not.
 func (n *Node) ask1(t *testing.T, m *machine, r *Report) {
 	t.Helper()
-	for _, e := range n.out {
-		if op, ok := e.(WorkerOp); ok && op.Machine == m.id {
+	for _, op := range emitted[WorkerOp](n) {
+		if op.Machine == m.id {
 			n.out = nil
 			n.command(WorkerDone{ID: op.ID, OK: true, Report: r})
 			return
@@ -101,8 +101,8 @@
 	if m.lastHeard != heard || m.tick != tick || m.recall || j.done != 0 || m.leaseEnd != end {
 		t.Error("a copy counts")
 	}
-	for _, e := range n.out {
-		if r, ok := e.(ReportReply); ok && r.Status != 503 {
+	for _, r := range emitted[ReportReply](n) {
+		if r.Status != 503 {
 			t.Errorf("it is answered %d with %v", r.Status, r.Orders)
 		}
 	}
@@ -110,8 +110,8 @@
 	n.now, n.out = m.newest.Add(time.Second), nil
 	m.leaseEnd = n.now
 	n.workerReport(WorkerReport{Reply: 1, Report: *old})
-	for _, e := range n.out {
-		if r, ok := e.(ReportReply); ok && (r.Status != 200 || len(r.Orders) > 0) {
+	for _, r := range emitted[ReportReply](n) {
+		if r.Status != 200 || len(r.Orders) > 0 {
 			t.Errorf("it is answered %d with %v", r.Status, r.Orders)
 		}
 	}
@@ -229,13 +229,11 @@
 		r := n.poolReport(0)
 		r.Tick, r.Epoch = m.tick+1, m.epoch
 		n.workerReport(WorkerReport{Reply: 1, Report: *r})
-		for _, e := range n.out {
-			if a, ok := e.(ReportReply); ok {
-				if a.Status != 200 {
-					t.Fatalf("a report is answered %d", a.Status)
-				}
-				out = append(out, a.Orders...)
+		for _, a := range emitted[ReportReply](n) {
+			if a.Status != 200 {
+				t.Fatalf("a report is answered %d", a.Status)
 			}
+			out = append(out, a.Orders...)
 		}
 		return out
 	}
--- a/internal/core/horizon_test.go
+++ b/internal/core/horizon_test.go
@@ -9,12 +9,15 @@
 func (n *Node) reportOf(m *machine, tasks ...TaskReport) ReportReply {
 	r := n.poolReport(0)
 	r.Machine, r.Tick, r.Epoch, r.Tasks = m.id, m.tick+1, m.epoch, tasks
+	return n.answerTo(r)
+}
+
+// answerTo is the answer to a report, zero if there is none yet.
+func (n *Node) answerTo(r *Report) ReportReply {
 	n.out = nil
 	n.workerReport(WorkerReport{Reply: 1, Report: *r})
-	for _, e := range n.out {
-		if a, ok := e.(ReportReply); ok {
-			return a
-		}
+	for _, a := range emitted[ReportReply](n) {
+		return a
 	}
 	return ReportReply{}
 }
@@ -86,10 +89,8 @@
 	ordered := func() (op WorkerOp) {
 		m.inFlight, n.out = false, nil
 		n.direct(m)
-		for _, e := range n.out {
-			if w, ok := e.(WorkerOp); ok {
-				op = w
-			}
+		for _, w := range emitted[WorkerOp](n) {
+			op = w
 		}
 		return op
 	}
@@ -170,14 +171,7 @@
 		r := n.poolReport(0)
 		r.Machine, r.Tick, r.Epoch = m.id, m.tick+1, m.epoch-1
 		r.Tasks = []TaskReport{{Job: k.ID, Index: 0, Try: 1, Status: Running}}
-		n.out = nil
-		n.workerReport(WorkerReport{Reply: 1, Report: *r})
-		for _, e := range n.out {
-			if a, ok := e.(ReportReply); ok {
-				return a
-			}
-		}
-		return ReportReply{}
+		return n.answerTo(r)
 	}
 	last := at.Add(n.set.Horizon().Window())
 	if a := former(); a.Status != 200 || !a.Until.Equal(last) {
@@ -252,14 +246,8 @@
 			n.owner.past = nil
 			m = n.machine(m.id)
 			r := n.poolReport(0)
-			r.Epoch, r.Tick, n.out = epoch, r.Tick+1, nil
-			n.workerReport(WorkerReport{Reply: 1, Report: *r})
-			for _, e := range n.out {
-				if a, ok := e.(ReportReply); ok {
-					return a
-				}
-			}
-			return ReportReply{}
+			r.Epoch, r.Tick = epoch, r.Tick+1
+			return n.answerTo(r)
 		}
 		epoch := n.machine(m.id).epoch
 		if epoch == 0 {
@@ -313,8 +301,8 @@
 	m, j := firstWork(n)
 	halts := func() (k int) {
 		n.directAll()
-		for _, e := range n.out {
-			if op, ok := e.(WorkerOp); ok && op.Machine == m.id && len(op.Orders) > 0 && op.Orders[0].Verb == Halt {
+		for _, op := range emitted[WorkerOp](n) {
+			if op.Machine == m.id && len(op.Orders) > 0 && op.Orders[0].Verb == Halt {
 				k++
 			}
 		}
@@ -366,11 +354,9 @@
 	n.cancelled(j, at)
 	n.directAll()
 	told := map[string]int{}
-	for _, e := range n.out {
-		if op, ok := e.(WorkerOp); ok {
-			told[op.Machine] = len(op.Orders)
-			n.command(WorkerDone{ID: op.ID})
-		}
+	for _, op := range emitted[WorkerOp](n) {
+		told[op.Machine] = len(op.Orders)
+		n.command(WorkerDone{ID: op.ID})
 	}
 	for _, m := range n.owner.byID {
 		if told[m.id] != ordersMost {
@@ -402,8 +388,8 @@
 	heard := func(r openRecord, stamp uint64) (acks, passed int) {
 		n.out = nil
 		takeCancelled(n, "b", []CancelNews{{ID: j.ID, Record: encode(r), Stamp: stamp}})
-		for _, e := range n.out {
-			if p, ok := e.(PeerSend); ok && p.To == "b" {
+		for _, p := range emitted[PeerSend](n) {
+			if p.To == "b" {
 				acks += len(p.News.CancelsHeard)
 			}
 		}
@@ -439,8 +425,8 @@
 		t.Errorf("passed on %d, want 1", passed)
 	}
 	sends := func() (out []string) {
-		for _, e := range n.out {
-			if p, ok := e.(PeerSend); ok && len(p.News.Cancelled) > 0 {
+		for _, p := range emitted[PeerSend](n) {
+			if len(p.News.Cancelled) > 0 {
 				out = append(out, p.To)
 			}
 		}
--- a/internal/core/models_test.go
+++ b/internal/core/models_test.go
@@ -58,8 +58,8 @@
 		}
 		n.out = nil
 		movesTick(n)
-		for _, e := range n.out {
-			if op, ok := e.(StateOp); ok && op.Kind == OpTxn && op.Apply[0].Key == "move/ops" {
+		for _, op := range emitted[StateOp](n) {
+			if op.Kind == OpTxn && op.Apply[0].Key == "move/ops" {
 				return op
 			}
 		}
--- a/internal/core/odd_requests_test.go
+++ b/internal/core/odd_requests_test.go
@@ -37,8 +37,8 @@
 	n.submit(Submit{Reply: 1, Spec: s})
 	n.usersFlush()
 	var records []openRecord
-	for _, e := range n.out {
-		if op, ok := e.(StateOp); ok && op.Kind == OpTxn {
+	for _, op := range emitted[StateOp](n) {
+		if op.Kind == OpTxn {
 			var r openRecord
 			decode(op.Apply[0].Value, &r)
 			records = append(records, r)
@@ -48,8 +48,8 @@
 	for _, fn := range n.users.mirror.next {
 		fn(true)
 	}
-	for _, e := range n.out {
-		if op, ok := e.(StateOp); ok && op.Kind == OpGet {
+	for _, op := range emitted[StateOp](n) {
+		if op.Kind == OpGet {
 			n.command(StateDone{ID: op.ID, Status: StateNotFound})
 		}
 	}
--- a/internal/core/owner_test.go
+++ b/internal/core/owner_test.go
@@ -220,8 +220,8 @@
 		n.now, n.out = n.now.Add(2*time.Second), nil
 		takeAsks(n, "b", ask)
 		tellRemote(n)
-		for _, e := range n.out {
-			if p, ok := e.(PeerSend); ok && len(p.News.Told) > 0 {
+		for _, p := range emitted[PeerSend](n) {
+			if len(p.News.Told) > 0 {
 				return p.News.Told[0].Attempts[0].State
 			}
 		}
--- a/internal/core/promises_test.go
+++ b/internal/core/promises_test.go
@@ -206,8 +206,8 @@
 	n.leader, n.sess.sureUntil = &leader{}, n.now.Add(time.Minute)
 	last := func() StateOp {
 		t.Helper()
-		for _, e := range n.out {
-			if op, ok := e.(StateOp); ok && n.state[op.ID] != nil && (op.Key == totalsKey || len(op.Apply) > 0 && op.Apply[0].Key == totalsKey) {
+		for _, op := range emitted[StateOp](n) {
+			if n.state[op.ID] != nil && (op.Key == totalsKey || len(op.Apply) > 0 && op.Apply[0].Key == totalsKey) {
 				n.out = nil
 				return op
 			}
--- a/internal/core/rank_test.go
+++ b/internal/core/rank_test.go
@@ -70,8 +70,8 @@
 	n.command(StateDone{ID: ops[0].ID, Status: StateConflict, Failed: []string{rankingKey}})
 	n.placeAll()
 	n.writeChunks()
-	for _, e := range n.out {
-		if op, ok := e.(StateOp); ok && op.Kind == OpTxn {
+	for _, op := range emitted[StateOp](n) {
+		if op.Kind == OpTxn {
 			t.Fatal("a start is written though the ranking is not known")
 		}
 	}
@@ -82,8 +82,8 @@
 	n.placeAll()
 	n.writeChunks()
 	some := false
-	for _, e := range n.out {
-		if op, ok := e.(StateOp); ok && op.Kind == OpTxn {
+	for _, op := range emitted[StateOp](n) {
+		if op.Kind == OpTxn {
 			stamp, _ := names(&op, rankingKey)
 			some = some || stamp == 9
 		}
@@ -154,8 +154,8 @@
 	r.Tick = 6
 	n.out = nil
 	n.workerReport(WorkerReport{Reply: 2, Report: *r})
-	for _, e := range n.out {
-		if a, ok := e.(ReportReply); ok && starts(a.Orders) != 0 {
+	for _, a := range emitted[ReportReply](n) {
+		if starts(a.Orders) != 0 {
 			t.Error("a start that is proven nowhere leaves under the old ranking")
 		}
 	}
@@ -222,10 +222,8 @@
 		rec, _ := ranking.Parse([]byte(barFirst))
 		n.command(RankSet{Reply: 1, Record: rec, Rev: rev, Until: n.now.Add(time.Second)})
 		n.command(StateDone{ID: ops(n)[0].ID, Status: StateOK, Sent: n.now, Rev: 8})
-		for _, e := range n.out {
-			if r, ok := e.(RankReply); ok {
-				return nil, &r
-			}
+		for _, r := range emitted[RankReply](n) {
+			return nil, &r
 		}
 		all := ops(n)
 		return &all[len(all)-1], nil
