Stand-ins: users with pipelines, and checkers for too_early and orphaned

Cause: jobs may name others that have to be done before them, and nothing on the stand-ins' side submitted, cancelled or judged such pipelines.

Waits count from the release.

--- a/cmd/micahill-lab/days.go
+++ b/cmd/micahill-lab/days.go
@@ -40,6 +40,10 @@
 a class. Tasks of a cancelled job have to be gone in time from the first answer that
 leaves a controller, heard or not, on every machine whose lease has not ended.
 
+With --pipelines jobs need others, and users cancel in the middle of such pipelines:
+nothing starts before all that it needs is done, what needs a cancelled job is called
+cancelled within cancel_s, and what comes after a done job goes on.
+
 With --seek it draws such days, keeps those that came nearest to breaking a rule that
 has a time, shifts, swaps and replaces their troubles and goes on from there. It tells
 the least slack found by rule, and writes those days, and all that broke a rule, into
@@ -106,6 +110,7 @@
 	f.BoolVar(&p.Unlisted, "unlisted", false, "with troubles that were on no list: late boots, storms of polls, mistakes, guests, ends in a row, links that are half there")
 	f.BoolVar(&p.Product, "product", false, "as --unlisted, also with machines that nothing reaches, late copies of reports, controllers that have only their workers, and processes and machines back at once")
 	f.BoolVar(&p.Meetings, "meetings", false, "two or three troubles of all lists meet, and users cancel most of a class around them; with --unlisted, --product or --faults also those")
+	f.BoolVar(&p.Pipelines, "pipelines", false, "jobs that need others, in chains, joins and fans, and users who cancel in the middle of them")
 	f.BoolVar(&p.Mixed, "mixed", false, "jobs that save, stand, are bound to a zone or apart, and clocks that are off")
 	f.IntVar(&p.CancelRoom, "cancel-room", 0, "by how many seconds cancel_s is longer than a lease; 0: 30")
 	f.IntVar(&p.Models, "models", 0, "so many hosts with eight GPUs, and models of one GPU to a whole host")
--- a/internal/standin/day.go
+++ b/internal/standin/day.go
@@ -34,6 +34,9 @@
 	// Meetings has two or three troubles of all lists meet, and users cancel many jobs
 	// around them; see meetings.go. They stand in the place of drawn listed ones.
 	Meetings bool `json:"meetings,omitempty"`
+	// Pipelines has jobs that need others, and users who cancel in the middle of them; see
+	// pipelines.go.
+	Pipelines bool `json:"pipelines,omitempty"`
 	// Models is how many hosts with eight GPUs there are, for models; see models.go.
 	Models int `json:"models,omitempty"`
 	// Mixed has jobs of all kinds, and controllers whose clocks are off; see mixed.go.
@@ -394,6 +397,7 @@
 	}
 	d.guestJobs(w, rng, span)
 	d.manyJobs(w)
+	d.pipelines(w)
 	d.modelJobs(w)
 	for _, f := range d.Faults {
 		w.after(f.At, func() { w.trouble(f, rng) })
@@ -503,7 +507,7 @@
 	by := map[string]*sums{}
 	for _, id := range sorted(w.jobs) {
 		j := w.jobs[id]
-		if j.aborting || j.broken {
+		if j.calledOff() || j.broken || j.impossible {
 			continue
 		}
 		for _, k := range []string{"class " + j.spec.Workload, "team " + j.spec.Team} {
@@ -515,9 +519,9 @@
 			s.jobs++
 			s.tasks += j.spec.Tasks
 			s.ran += j.ran()
-			wait := w.now.Sub(j.submitted)
+			wait := w.now.Sub(j.from())
 			for _, at := range j.began {
-				wait = min(wait, at.Sub(j.submitted))
+				wait = min(wait, at.Sub(j.from()))
 			}
 			_ = s.wait.RecordValue(max(1, wait.Milliseconds()))
 			end := w.now
--- a/internal/standin/judge.go
+++ b/internal/standin/judge.go
@@ -163,7 +163,7 @@
 }
 
 // counts says that a job is one that a day is judged by.
-func (j *userJob) counts() bool { return !j.aborting && !j.broken && j.Refused == 0 }
+func (j *userJob) counts() bool { return !j.calledOff() && !j.broken && j.Refused == 0 }
 
 // served says that a job was served: done, or all of a standing job's replicas began.
 func (j *userJob) served() bool {
@@ -220,7 +220,7 @@
 // to itself since it came, without a boot, a fetch or a trouble.
 func (d *Day) possible(w *World, j *userJob) bool {
 	all := d.atOnce(&j.spec)
-	return all > 0 && j.run*time.Duration((j.spec.Tasks+all-1)/all) <= w.now.Sub(j.submitted)
+	return all > 0 && j.released() && j.run*time.Duration((j.spec.Tasks+all-1)/all) <= w.now.Sub(j.from())
 }
 
 // servedLargest is the part of a class's largest jobs that was served, of those of
@@ -249,22 +249,22 @@
 	seen := map[*userJob]bool{}
 	for _, j := range append(slices.Clone(tops[0]), tops[1]...) {
 		all := d.atOnce(&j.spec)
-		if seen[j] || all == 0 {
+		if seen[j] || all == 0 || !j.released() {
 			continue
 		}
 		seen[j] = true
 		waits := []time.Duration{}
 		for _, at := range j.began {
-			waits = append(waits, at.Sub(j.submitted))
+			waits = append(waits, at.Sub(j.from()))
 		}
 		slices.Sort(waits)
-		at := j.submitted.Sub(w.began)
+		at := j.from().Sub(w.began)
 		within := d.later(at, beginWithin) - at
 		late := false
 		tell := func(n int, worst *float64) string {
 			if len(waits) < n {
 				*worst, late = -1, true
-				w.near(RuleBegin, within-w.now.Sub(j.submitted), j.spec.ID)
+				w.near(RuleBegin, within-w.now.Sub(j.from()), j.spec.ID)
 				return "never"
 			}
 			wait := waits[n-1]
@@ -288,6 +288,7 @@
 	for _, id := range sorted(w.jobs) {
 		w.silence(w.jobs[id])
 	}
+	w.checkClosures()
 	tops := w.largest()
 	for i := range r.Classes {
 		if t, ok := tops[r.Classes[i].Name]; ok {
--- a/internal/standin/meetings.go
+++ b/internal/standin/meetings.go
@@ -71,10 +71,14 @@
 // longRun is how much later than on other days is counted what was served: the long
 // tasks that came last are to have their time.
 func (d *Day) longRun() time.Duration {
+	long := time.Duration(0)
 	if d.Meetings {
-		return importRun
+		long = importRun
 	}
-	return 0
+	if d.Pipelines {
+		long = max(long, pipelineMore)
+	}
+	return long
 }
 
 // meetingClasses are those of other days and one whose tasks outlast cancel_s.
--- a/internal/standin/ranking.go
+++ b/internal/standin/ranking.go
@@ -99,7 +99,9 @@
 		o := w.jobs[x]
 		s := &o.spec
 		switch {
-		case o == j || s.Team != j.spec.Team || s.Gang || s.SamePlace || s.Apart || o.aborting || o.broken:
+		case o == j || s.Team != j.spec.Team || s.Gang || s.SamePlace || s.Apart || o.calledOff() || o.broken:
+		case !o.released() || w.now.Sub(o.from()) < rankSettled || len(j.followers) > 0:
+			// What others need may go first for their sake.
 		case r.table.Place(s.Workload, int(s.Urgency)) >= place:
 		case o.told != "queued" || w.now.Sub(o.toldAt) < rankSettled || len(r.placed[x]) >= s.Tasks:
 		case !s.Need.Fits(j.spec.Need) || len(s.Flavours) > 0 || s.Zone != "" && s.Zone != m.Zone || m.Spot && !s.Spot:
--- a/internal/standin/scenario_test.go
+++ b/internal/standin/scenario_test.go
@@ -100,6 +100,9 @@
 	if f := arg(t, d, "flavour", ""); f != "" {
 		spec.Flavours = []string{f}
 	}
+	if needs := arg(t, d, "needs", ""); needs != "" {
+		spec.Prereqs = strings.Split(needs, "+")
+	}
 	s.w.Submit(spec, run, d.HasArg("broken"))
 }
 
@@ -347,6 +350,7 @@
 		}
 		fmt.Fprintf(&b, "%s %s\n", id, state)
 	}
+	s.w.checkClosures()
 	for _, x := range s.w.Broken {
 		fmt.Fprintln(&b, "BROKEN", x)
 	}
@@ -409,9 +413,25 @@
 						Need: core.Resources{CPU: 2, Memory: 2}, Image: "img-1", ImageGB: 1, Spot: i%2 == 0, Expected: seconds(t, d, "expected", 15)}, seconds(t, d, "run", 15), false)
 				}
 			case "abort":
-				s.w.Abort(arg(t, d, "id", ""))
+				id, at := arg(t, d, "id", ""), moment(arg(t, d, "at", ""))
+				first, many := arg(t, d, "node", 0), arg(t, d, "nodes", 0)
+				switch {
+				case at != "":
+					s.w.jobs[id].once(at, func() { s.w.AbortAt(id, first, max(1, many)) })
+				case many > 0:
+					s.w.AbortAt(id, first, many)
+				default:
+					s.w.Abort(id)
+				}
 			case "ask":
 				s.w.Stranger(arg(t, d, "id", ""))
+			case "until":
+				j, at := s.w.jobs[arg(t, d, "id", "")], moment(arg(t, d, "is", ""))
+				if s.w.when(seconds(t, d, "within", 300), func() bool { return j.happened(at) }) < 0 {
+					return "never\n"
+				}
+			case "repeat":
+				s.w.repeat(s.w.jobs[arg(t, d, "id", "")])
 			case "run":
 				s.w.Run(seconds(t, d, "for", 10))
 			case "fault":
--- a/internal/standin/slack.go
+++ b/internal/standin/slack.go
@@ -24,7 +24,7 @@
 )
 
 // TimedRules names them, in the order in which they are told.
-var TimedRules = []string{RuleCancelled, RuleForgotten, RuleWaiting, RuleBegin}
+var TimedRules = []string{RuleCancelled, RuleOrphaned, RuleForgotten, RuleWaiting, RuleBegin}
 
 // Slack is the least time that was left to a rule, and what came so near; less than
 // nothing is left where it was broken.
@@ -90,7 +90,7 @@
 
 // waits says that a job that is to run has a task that is neither done nor on a machine.
 func (j *userJob) waits() bool {
-	if !j.accepted || j.aborting || j.broken || over(j.told) || j.spec.Apart || j.spec.Gang {
+	if !j.accepted || j.calledOff() || !j.released() || j.broken || over(j.told) || j.spec.Apart || j.spec.Gang {
 		return false
 	}
 	for i := range j.spec.Tasks {
--- a/internal/standin/users.go
+++ b/internal/standin/users.go
@@ -44,6 +44,15 @@
 	waitBlamed          bool
 	// replicas are a standing job's, as they come and go.
 	replicas map[int]*replica
+	// needs are the jobs that it needs, and followers those that need it.
+	needs, followers []*userJob
+	// endedAt is when the last of its tasks was done, and moments what waits for what.
+	endedAt time.Time
+	moments map[moment][]func()
+	// impossible: it names what no job may need, and is to be refused for good.
+	impossible bool
+	// orphanBlamed: that it is not cancelled with one before it was told.
+	orphanBlamed bool
 }
 
 func (j *userJob) save(i int, left time.Duration) {
@@ -53,14 +62,21 @@
 }
 
 func newUserJob(spec core.Spec, run time.Duration) *userJob {
-	return &userJob{spec: spec, run: run, results: map[int]bool{}, saved: map[int]time.Duration{}, places: map[int][]*Worker{}, began: map[int]time.Time{}, replicas: map[int]*replica{}}
+	return &userJob{spec: spec, run: run, results: map[int]bool{}, saved: map[int]time.Duration{}, places: map[int][]*Worker{}, began: map[int]time.Time{}, replicas: map[int]*replica{},
+		moments: map[moment][]func(){}}
 }
 
 // Submit sends a job and keeps trying, then polls until it is over.
 func (w *World) Submit(spec core.Spec, run time.Duration, broken bool) {
 	j := newUserJob(spec, run)
-	j.broken, j.submitted = broken, w.now
-	w.jobs[spec.ID] = j
+	j.broken = broken
+	w.submitJob(j)
+}
+
+func (w *World) submitJob(j *userJob) {
+	j.submitted = w.now
+	w.jobs[j.spec.ID] = j
+	w.bindNeeds(j)
 	w.trySubmit(j)
 }
 
@@ -108,6 +124,9 @@
 	w.userCall(func(r uint64) core.Command { return core.Submit{Reply: r, Spec: j.spec} }, 5*time.Second, func(r *core.UserReply) {
 		switch {
 		case r != nil && (r.Status == 201 || r.Status == 200):
+			if j.impossible {
+				w.broke("accepted_wrongly", "%s needs %v", j.spec.ID, j.spec.Prereqs)
+			}
 			w.hear(j, r)
 			w.after(w.jitter(5*time.Second), func() { w.poll(j) })
 		case r != nil && (r.Status == 400 || r.Status == 422):
@@ -115,6 +134,9 @@
 			if j.accepted {
 				w.broke("forgotten", "%s answered %d", j.spec.ID, r.Status)
 			}
+			if len(j.needs) > 0 && !j.impossible {
+				w.broke("refused_wrongly", "%s, which needs %v, answered %d: %s", j.spec.ID, j.spec.Prereqs, r.Status, r.Message)
+			}
 		default:
 			w.after(w.jitter(time.Second), func() { w.trySubmit(j) })
 		}
@@ -172,6 +194,7 @@
 	}
 	j.firstDate = j.firstDate || !j.accepted && r.PromiseRev > 0
 	w.silence(j)
+	w.checkOrphan(j, r)
 	news := !j.accepted || over(r.State) && j.told != r.State
 	j.accepted, j.heard = true, w.now
 	if r.PromiseRev > 0 {
@@ -193,7 +216,7 @@
 		return
 	case r.State == "done" && len(j.results) < j.spec.Tasks:
 		w.broke("not_done", "%s with %d of %d", id, len(j.results), j.spec.Tasks)
-	case r.State == "cancelled" && !j.aborting:
+	case r.State == "cancelled" && !j.calledOff():
 		w.broke("went_back", "%s cancelled by nobody", id)
 	}
 	if j.told != r.State {
@@ -205,6 +228,7 @@
 	if news {
 		w.lookClosely(j)
 	}
+	j.happens()
 }
 
 // checkStart judges the start of a task on m.
@@ -217,6 +241,7 @@
 		j.began[t.index] = w.now
 	}
 	w.replicaUp(t)
+	w.checkNeeds(j, name)
 	zones := map[string]int{}
 	w.onMachines(j, func(i int, o *Worker, x *workerTask) {
 		if x == t {
@@ -251,14 +276,21 @@
 
 // confirmed notes that an answer leaves that says that a job is cancelled.
 func (w *World) confirmed(r core.UserReply) {
-	if j := w.jobs[r.ID]; j != nil && r.Status == 200 && r.State == "cancelled" && j.cancelled.IsZero() {
+	j := w.jobs[r.ID]
+	if j == nil {
+		return
+	}
+	w.checkOrphan(j, &r)
+	if r.Status == 200 && r.State == "cancelled" && j.cancelled.IsZero() {
 		j.cancelled = w.now
+		w.checkBehind(j)
 	}
 }
 
 // overdue says that a job's tasks have to be gone by now.
 func (w *World) overdue(j *userJob) bool {
-	return !j.cancelled.IsZero() && w.now.Sub(j.cancelled) > w.cancel
+	since := j.offSince()
+	return !since.IsZero() && w.now.Sub(since) > w.cancel
 }
 
 // onMachines calls fn with the tasks of a job that are on machines: those with an
@@ -321,10 +353,14 @@
 	for _, m := range w.fleet {
 		for _, t := range m.tasks {
 			fetched := t.status == core.Fetching && !t.ready.After(w.now)
-			if !t.onMachine() && !fetched || t.blamed || t.job.cancelled.IsZero() {
+			if !t.onMachine() && !fetched || t.blamed {
+				continue
+			}
+			since := t.job.offSince()
+			if since.IsZero() {
 				continue
 			}
-			w.near(RuleCancelled, w.cancel-w.now.Sub(t.job.cancelled), m.ID+" "+t.job.spec.ID)
+			w.near(RuleCancelled, w.cancel-w.now.Sub(since), m.ID+" "+t.job.spec.ID)
 			if w.overdue(t.job) {
 				t.blamed = true
 				w.broke("ran_cancelled", "%s on %s", taskName(t.job.spec.ID, t.index), m.ID)
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -229,6 +229,7 @@
 			if t.left <= 0 && !t.job.spec.Standing {
 				t.job.results[t.index] = true
 				w.end(m, t, "done")
+				w.resultsComplete(t.job)
 				w.endsNear(t.job)
 			}
 		case core.Flushing:
