Jobs wait for the jobs that they need and are cancelled with them

Cause: a submission may name jobs that have to be done before it starts; until now each step of a pipeline was a job of its own with no link to the next.

Change: internal/pipeline is the graph of open jobs and what they need, a pure function of open/ and job/. A submission's prereqs are kept in its record as one short string. A job waits until job/ of all that it needs says done, and is cancelled on every node as soon as one before it is. Urgency and due time of what is behind a job count for it.

Tests: property test of the graph against a plain model; scenarios of the safety runner for waiting, release, takeover, other owners' ends, unread ends, cancellation and bad names.

Conclusion: an end can't become untrue, so a start needs no further condition; the argument is in docs/design.md, "Pipelines".

--- a/cmd/micahill/status.go
+++ b/cmd/micahill/status.go
@@ -106,6 +106,12 @@
 			fmt.Fprintf(w, "%s\t%d\t%d\t%d\t%d\t%.2f\t%.2f\n", l.Name, l.Jobs, l.Waiting, l.Live, l.Done, l.Rate, l.Ratio)
 		}
 	}
+	if s.Pipelines > 0 {
+		fmt.Fprintf(w, "\njobs here that wait for others: %d\n", s.Pipelines)
+		for _, h := range s.Behind {
+			fmt.Fprintf(w, "%d wait for %s, which is %s\n", h.Jobs, h.Job, h.State)
+		}
+	}
 	if len(s.GPURooms) > 0 {
 		fmt.Fprintln(w, "\nGPU HOSTS\tZONE\tSPOT\tHOSTS\tWHOLE\tFREE GPUS\tIN PIECES\tLARGEST REPLICA NOW")
 		for _, r := range s.GPURooms {
--- a/internal/api/run.go
+++ b/internal/api/run.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"math"
 	"reflect"
 
@@ -35,6 +36,7 @@
 	EveryS    *float64 `msgpack:"snapshot_every_s" validate:"required,amount"`
 	CostS     *float64 `msgpack:"snapshot_cost_s" validate:"required,amount"`
 	DueS      *float64 `msgpack:"due_s" validate:"omitempty,amount"`
+	Prereqs   []string `msgpack:"prereqs" validate:"omitempty,dive,runid"`
 }
 
 var check = newCheck()
@@ -76,7 +78,21 @@
 		name := f.Tag.Get("msgpack")
 		// null comes as no bytes.
 		if v := values[name]; len(v) > 0 && msgpack.Unmarshal(v, reflect.New(f.Type).Interface()) != nil {
-			return name
+			return name + mistypedPlace(v, f.Type)
+		}
+	}
+	return ""
+}
+
+// mistypedPlace is the place of a list's first element that can't be read, if it is one.
+func mistypedPlace(b []byte, list reflect.Type) string {
+	var values []msgpack.RawMessage
+	if list.Kind() != reflect.Slice || msgpack.Unmarshal(b, &values) != nil {
+		return ""
+	}
+	for i, v := range values {
+		if len(v) == 0 || msgpack.Unmarshal(v, reflect.New(list.Elem()).Interface()) != nil {
+			return fmt.Sprintf("[%d]", i)
 		}
 	}
 	return ""
@@ -122,7 +138,7 @@
 		Urgency: urgencies[*r.Urgency], Tasks: int(*r.Pieces),
 		Need:  core.Resources{CPU: *r.VCPUs, GPU: *r.GPUs, Memory: *r.MemoryGB},
 		Image: *r.Bundle, ImageGB: *r.ImageGB, Flavours: r.Flavours,
-		SamePlace: *r.SamePlace, Apart: *r.Apart, Spot: *r.Loaner,
+		Prereqs: r.Prereqs, SamePlace: *r.SamePlace, Apart: *r.Apart, Spot: *r.Loaner,
 		Expected: core.Seconds(*r.ExpectedS), SaveEvery: core.Seconds(*r.EveryS), SaveCost: core.Seconds(*r.CostS),
 	}
 	if r.Site != nil {
--- a/internal/api/run_test.go
+++ b/internal/api/run_test.go
@@ -48,6 +48,8 @@
 		odds = append(odds, odd{field, strings.Repeat("x", 201)}, odd{field, 7})
 	}
 	odds = append(odds, odd{"shape", "service"}, odd{"shape", ""}, odd{"urgency", "high"}, odd{"urgency", 2}, odd{"workload", ""}, odd{"owner", ""}, odd{"site", ""},
+		odd{"prereqs", "job-000398"}, odd{"prereqs", map[string]any{"0": "job-000398"}}, odd{"prereqs", 398},
+		odd{"prereqs", []any{7}}, odd{"prereqs", []any{""}}, odd{"prereqs", []any{nil}}, odd{"prereqs", []any{"job-1", "job-" + strings.Repeat("1", 65)}}, odd{"prereqs", []any{[]any{"job-1"}}},
 		odd{"flavours", "g8"}, odd{"flavours", []any{7}}, odd{"flavours", []any{""}},
 		odd{"id", ""}, odd{"id", "000412"}, odd{"id", "job-"}, odd{"id", "job-1/2"}, odd{"id", "job-1 "}, odd{"id", "job-" + strings.Repeat("1", 65)}, odd{"id", 412})
 	for _, o := range odds {
--- a/internal/core/emptying.go
+++ b/internal/core/emptying.go
@@ -118,7 +118,7 @@
 		if x := mv.misfits[j.ID]; x != nil && x.tried.IsZero() || j.Gang || j.guest != "" || j.pending() <= mv.book.For(j.ID) || !n.withinLimit(j) {
 			continue
 		}
-		if n.now.Sub(later(j.at, n.owner.readyAt)) < 2*movesAfter || fitsSomewhere(n, j) {
+		if n.now.Sub(later(j.free(), n.owner.readyAt)) < 2*movesAfter || fitsSomewhere(n, j) {
 			continue
 		}
 		first = j
--- a/internal/core/ends.go
+++ b/internal/core/ends.go
@@ -15,16 +15,24 @@
 // cancelled ones whose tasks are all gone.
 func (n *Node) endJobs() {
 	o := n.owner
-	var over []*job
+	var over, behind []*job
 	for _, j := range o.jobs {
-		if !j.ending && (j.cancelled && j.live == 0 || !j.cancelled && j.done == len(j.tasks)) {
+		if !j.ending && j.derived {
+			behind = append(behind, j)
+		} else if !j.ending && (j.cancelled && j.live == 0 || !j.cancelled && j.done == len(j.tasks)) {
 			over = append(over, j)
 		}
 	}
-	slices.SortFunc(over, func(a, b *job) int { return strings.Compare(a.ID, b.ID) })
+	byName := func(a, b *job) int { return strings.Compare(a.ID, b.ID) }
+	slices.SortFunc(over, byName)
 	for len(over) > 0 && o.inFlight < chunkTxns+2 && n.roomToWrite() > 0 {
 		over = n.endSome(over)
 	}
+	if len(behind) > 0 && o.inFlight == 0 && !n.changesShort() {
+		// That they are cancelled is known without; it is only that they leave the books.
+		slices.SortFunc(behind, byName)
+		n.endSome(behind)
+	}
 	if len(o.orphans) > 0 && o.inFlight == 0 && (!n.changesShort() || len(o.orphans) > orphansMost) {
 		n.dropOrphans()
 	}
@@ -49,7 +57,7 @@
 		j := over[0]
 		e := ended{j: j, rec: endRecord(n, j)}
 		var apply []Change
-		if !j.cancelled {
+		if !j.cancelled || j.derived {
 			apply = append(apply, Change{Key: jobPrefix + j.ID, Value: encode(e.rec)})
 		}
 		apply = append(apply, Change{Key: openPrefix + j.ID})
@@ -60,6 +68,9 @@
 		for _, c := range conds {
 			size += bounds.CondBytes(c.Key)
 		}
+		if j.derived {
+			op.Prio = PrioLazy
+		}
 		if len(parts) > 0 && (len(op.Apply)+len(apply) > most || size > txnFull || j.endAlone || parts[0].j.endAlone) {
 			break
 		}
@@ -89,7 +100,7 @@
 // endWritten deals with the answer to the write of a job's end, alone or with others'.
 func (n *Node) endWritten(e ended, d StateDone, gen int, alone bool) {
 	j := e.j
-	if d.Status == StateOK && !j.cancelled {
+	if d.Status == StateOK && e.rec.Status == Done {
 		n.setFinal(j.ID, Done)
 		promiseEnded(n, j, e.rec)
 		n.debug("job done", "job", j.ID, "workload", j.Workload, "age", n.now.Sub(j.at))
--- a/internal/core/jobs.go
+++ b/internal/core/jobs.go
@@ -114,6 +114,7 @@
 	lastTold            Progress
 	// rank is its place in the table of rankVer.
 	rank, rankVer int
+	behind
 	loan
 	dated
 }
@@ -190,7 +191,7 @@
 
 // pending counts the tasks that wait for a place.
 func (j *job) pending() int {
-	if j.cancelled || j.ending || j.elsewhere() {
+	if j.cancelled || j.ending || j.waits || j.elsewhere() {
 		return 0
 	}
 	return len(j.tasks) - j.fresh + len(j.again)
--- a/internal/core/loans.go
+++ b/internal/core/loans.go
@@ -343,12 +343,15 @@
 
 // untouched says that the job may be lent: nothing of it can be anywhere.
 func (j *job) untouched() bool {
-	return !j.began() && !j.cancelled && !j.ending && !j.elsewhere() && j.guest == ""
+	return !j.began() && !j.cancelled && !j.ending && !j.waits && !j.elsewhere() && j.guest == ""
 }
 
 // record0 is the job's record in open/ as it stands.
 func (j *job) record0() openRecord {
 	r := j.Spec.record(j.at)
+	if j.raised {
+		r.Urgency = int(j.own)
+	}
 	r.LentN, r.Guest, r.P = j.lentN, j.guest, int(j.first.Milliseconds())
 	return r
 }
--- a/internal/core/mirror.go
+++ b/internal/core/mirror.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/micahill/micahill/internal/pipeline"
 	"github.com/micahill/micahill/internal/promise"
 )
 
@@ -28,6 +29,8 @@
 	rev  uint64
 	asOf time.Time
 	open map[string]living
+	// graph has the jobs that need others, as of the same revision; see prereqs.go.
+	graph *pipeline.Graph
 	// pages are the promised dates that stand beside them.
 	pages promise.Pages
 	// watching: a watch is open, as long as this node is an owner.
@@ -95,6 +98,7 @@
 			// revision of the first, brings again in order.
 			m.open, m.pages, m.rev, m.loaded, m.loading = open, pages, rev, true, false
 			m.asOf = later(m.asOf, began)
+			n.pipelineLoaded()
 			ownerReads(n)
 			n.freshNext()
 			n.mirrorWatch()
@@ -110,6 +114,7 @@
 	for _, it := range d.Items {
 		if it.Stamp > m.rev && !pageItem(n, &m.pages, it) {
 			mirrorItem(m.open, it)
+			n.pipelineItem(it)
 			if n.owner != nil {
 				n.openItem(it)
 			}
@@ -212,25 +217,26 @@
 }
 
 // look tells what is durable of a job, as of a moment after this call.
-func (n *Node) look(id string, fn func(found)) {
+func (n *Node) look(id string, fn func(found)) { n.lookOf(id, n.lookBefore, fn) }
+
+// lookRecord tells the same but for what follows from the jobs that it needs.
+func (n *Node) lookRecord(id string, fn func(found)) { n.lookOf(id, n.foundOpen, fn) }
+
+func (n *Node) lookOf(id string, open func(string, *living, func(found)), fn func(found)) {
 	n.freshen(func(ok bool) {
 		if !ok {
 			fn(found{})
 			return
 		}
-		if l, open := n.users.mirror.open[id]; open {
-			f := found{ok: true, known: true, stamp: l.stamp, open: l.rec, rec: jobRecord{Status: Queued, Tasks: l.rec.Tasks}, date: dateOf(n, id, &l)}
-			if l.rec.Cancelled {
-				f.rec.Status = Cancelled
-			}
-			fn(f)
+		if l, there := n.users.mirror.open[id]; there {
+			open(id, &l, fn)
 			return
 		}
 		// Over, or never accepted.
 		n.read(id, func(d StateDone) {
 			if d.Status == StateNotFound && n.now.Sub(n.users.told[id]) <= userPatience {
 				// Somebody was told since it was read.
-				n.look(id, fn)
+				n.lookOf(id, open, fn)
 				return
 			}
 			f := found{ok: d.Status == StateOK || d.Status == StateNotFound, known: d.Status == StateOK}
@@ -241,3 +247,12 @@
 		})
 	})
 }
+
+// foundOpen tells of an open job by its own record.
+func (n *Node) foundOpen(id string, l *living, fn func(found)) {
+	f := found{ok: true, known: true, stamp: l.stamp, open: l.rec, rec: jobRecord{Status: Queued, Tasks: l.rec.Tasks}, date: dateOf(n, id, l)}
+	if l.rec.Cancelled {
+		f.rec.Status = Cancelled
+	}
+	fn(f)
+}
--- a/internal/core/owner.go
+++ b/internal/core/owner.go
@@ -6,6 +6,7 @@
 	"github.com/micahill/micahill/internal/blame"
 	"github.com/micahill/micahill/internal/division"
 	"github.com/micahill/micahill/internal/ownership"
+	"github.com/micahill/micahill/internal/pipeline"
 )
 
 const (
@@ -130,6 +131,9 @@
 	warmed            time.Time
 	warming           bool
 	warmFrom, warmKey int
+	// pathsAt is when the paths of pipelines were last looked at.
+	pathsAt time.Time
+	paths   map[string]pipeline.Path
 	// turn says which machines the others are told of next.
 	turn int
 	// moves are replicas on the move; see models.go.
@@ -236,6 +240,7 @@
 		o.workloads[j.Workload] = &workload{&j.Spec, n.now}
 		o.hurry = o.hurry || n.waitBound(j.Workload) > 0
 	}
+	n.waitFor(j)
 	return j
 }
 
@@ -245,6 +250,10 @@
 	j.stamp = stamp
 	j.loaned(r)
 	promiseSeen(n, j, r)
+	if r.Cancelled {
+		// Whoever wrote that has written job/ with it.
+		j.derived = false
+	}
 	if r.Cancelled && !j.cancelled {
 		j.cancelled = true
 		n.setFinal(id, Cancelled)
@@ -329,6 +338,7 @@
 		n.planFleet(true)
 		n.tellPeers()
 		askRemote(n)
+		n.pathsTick()
 		promisesTick(n)
 		n.writeWarm()
 		n.tellRooms()
--- a/internal/core/packing.go
+++ b/internal/core/packing.go
@@ -109,7 +109,7 @@
 		patience = 2 * strayAfter
 	}
 	for _, j := range o.jobs {
-		if since := later(later(j.at, j.placedAt), o.readyAt); j.Need.GPU <= slack && n.now.Sub(since) > patience && n.triable(j) > 0 {
+		if since := later(later(j.free(), j.placedAt), o.readyAt); j.Need.GPU <= slack && n.now.Sub(since) > patience && n.triable(j) > 0 {
 			p.stray[j.Workload] = true
 		}
 	}
--- a/internal/core/place.go
+++ b/internal/core/place.go
@@ -63,11 +63,11 @@
 func (n *Node) latest(j *job) time.Time {
 	if j.Standing {
 		// Replicas are to run at all times.
-		return j.at
+		return j.free()
 	}
 	d := n.expects(j)
 	soonest := n.now.Add(time.Duration(hopeful * float64(d)))
-	aim := j.at.Add(lastDue)
+	aim := j.free().Add(lastDue)
 	if soonest.After(aim) {
 		aim = soonest
 	}
@@ -81,17 +81,20 @@
 	if j.Due > 0 {
 		try(j.at.Add(j.Due))
 	}
+	if !j.path.Due.IsZero() {
+		try(j.path.Due)
+	}
 	for _, o := range n.set.Objectives {
 		switch {
 		case o.Workload != j.Workload:
 		case o.Kind == "deadline" && j.Due > 0 && o.Times > 0:
 			try(j.at.Add(time.Duration(o.Times * float64(j.Due))))
 		case o.Kind == "finished" && o.Within > 0:
-			try(j.at.Add(o.Within))
+			try(j.free().Add(o.Within))
 		}
 	}
 	if aims == 0 {
-		try(j.at.Add(max(aimlessLeast, aimlessRuns*d)))
+		try(j.free().Add(max(aimlessLeast, aimlessRuns*d)))
 	}
 	return aim.Add(-d)
 }
@@ -213,7 +216,7 @@
 	// Of two that are as pressing, to the second, what can still keep its date goes
 	// before what can't: that is late either way.
 	return cmp.Or(a.latest.Truncate(time.Second).Compare(b.latest.Truncate(time.Second)),
-		cmp.Compare(b2f(a.missed), b2f(b.missed)), a.latest.Compare(b.latest))
+		cmp.Compare(b2f(a.missed), b2f(b.missed)), cmp.Compare(b.j.path.Left, a.j.path.Left), a.latest.Compare(b.latest))
 }
 
 // putOff lets as many jobs as possible be in time when not all can be. Taken in
@@ -358,7 +361,7 @@
 	// Where an objective bounds the wait: first where the image is, then
 	// in the place of lower work there, and only then where it must be
 	// fetched first, which alone can take longer than the bound.
-	left := bound - n.now.Sub(j.at) - fetchMargin
+	left := bound - n.now.Sub(j.free()) - fetchMargin
 	place(max(left, 0), most())
 	coming := 0
 	switch {
--- a/internal/core/promises.go
+++ b/internal/core/promises.go
@@ -206,7 +206,8 @@
 
 // quote is the date for a job that is accepted here, if one is at hand.
 func quote(n *Node, s *Spec) time.Duration {
-	if !n.promising() {
+	if !n.promising() || len(s.Prereqs) > 0 {
+		// What waits for others gets its date when these are done.
 		return 0
 	}
 	j := promiseJob(n, s)
@@ -295,10 +296,16 @@
 // that was decided, durable or not, so that no late page can be newer than it.
 func endRecord(n *Node, j *job) jobRecord {
 	r := jobRecord{Status: Done, Tasks: len(j.tasks)}
+	if j.cancelled {
+		r.Status = Cancelled
+	}
 	if !n.promising() {
 		return r
 	}
 	r.Team, r.Class, r.Guest = j.Team, j.Workload, j.guest != ""
+	if j.cancelled {
+		return r
+	}
 	r.After = int(max(0, n.now.Sub(j.at).Milliseconds()))
 	if d := j.promised; d.Rev > 0 {
 		r.P, r.Rev, r.First = int(d.After.Milliseconds()), d.Rev, j.first > 0
@@ -381,7 +388,7 @@
 		if p := j.pending(); p > 0 {
 			l.pending += p
 			if j.live == 0 && j.done == 0 {
-				l.oldest = max(l.oldest, n.now.Sub(j.at))
+				l.oldest = max(l.oldest, n.now.Sub(j.free()))
 			}
 		}
 	}
@@ -419,7 +426,7 @@
 func watchDate(n *Node, j *job) {
 	o := n.owner
 	b := o.dates.books[j.Team]
-	if b == nil || j.cancelled || j.done == len(j.tasks) || j.elsewhere() || j.guest != "" || j.blind || j.Workload == "" {
+	if b == nil || j.cancelled || j.done == len(j.tasks) || j.elsewhere() || j.waits || j.guest != "" || j.blind || j.Workload == "" {
 		return
 	}
 	q, pj := quotesFor(n, j.Team, true), promiseJob(n, &j.Spec)
--- a/internal/core/rank.go
+++ b/internal/core/rank.go
@@ -644,6 +644,8 @@
 		add("it is cancelled")
 	case j.elsewhere():
 		add("it is lent to %s", j.lent)
+	case j.waits:
+		add("it waits for %s", n.waitsFor(j.ID))
 	case j.pending() == 0:
 	case !j.mayStart(n.now):
 		add("its home has not lately said that it may start here")
--- a/internal/core/reconcile.go
+++ b/internal/core/reconcile.go
@@ -133,7 +133,7 @@
 		}
 		t := m.attempts[k]
 		j := o.jobs[k.job]
-		if t.stop != stopNone || !j.durable(k.index) || !j.mayStart(n.now) {
+		if t.stop != stopNone || !j.durable(k.index) || j.waits || !j.mayStart(n.now) {
 			continue
 		}
 		if p, ok := m.pieces[k]; ok && p.Try == t.try {
--- a/internal/core/record.go
+++ b/internal/core/record.go
@@ -6,6 +6,7 @@
 	"unicode/utf8"
 
 	"github.com/micahill/micahill/internal/bounds"
+	"github.com/micahill/micahill/internal/pipeline"
 	"github.com/vmihailenco/msgpack/v5"
 )
 
@@ -110,6 +111,8 @@
 	Guest string `msgpack:"gu,omitempty"`
 	// P is the promised date, in milliseconds after the submission: its first revision.
 	P int `msgpack:"p,omitempty"`
+	// Prereqs names the jobs that it needs; see internal/pipeline.
+	Prereqs string `msgpack:"pr,omitempty"`
 }
 
 // taskRow is one task that was ever started: index, attempt, machine ("" when
@@ -205,7 +208,7 @@
 		Image: s.Image, ImageGB: s.ImageGB, Flavours: s.Flavours, Zone: s.Zone,
 		Same: s.SamePlace, Apart: s.Apart, Spot: s.Spot,
 		Expected: s.Expected.Seconds(), SaveEvery: s.SaveEvery.Seconds(), SaveCost: s.SaveCost.Seconds(),
-		Due: s.Due.Seconds(), At: at.UnixMilli(),
+		Due: s.Due.Seconds(), At: at.UnixMilli(), Prereqs: pipeline.Encode(s.Prereqs),
 	}
 }
 
@@ -215,10 +218,16 @@
 		Tasks: r.Tasks, Need: Resources{CPU: r.CPU, GPU: r.GPU, Memory: r.Memory}, Image: r.Image, ImageGB: r.ImageGB,
 		Flavours: r.Flavours, Zone: r.Zone, SamePlace: r.Same, Apart: r.Apart, Spot: r.Spot,
 		Expected: Seconds(r.Expected), SaveEvery: Seconds(r.SaveEvery), SaveCost: Seconds(r.SaveCost),
-		Due: Seconds(r.Due),
+		Due: Seconds(r.Due), Prereqs: r.needs(),
 	}
 }
 
+// needs are the jobs that it names; none if they can't be read, which bad tells.
+func (r *openRecord) needs() []string {
+	names, _ := pipeline.Decode(r.Prereqs)
+	return names
+}
+
 // Seconds converts a decimal number of seconds at the edge.
 func Seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
 
--- a/internal/core/restore.go
+++ b/internal/core/restore.go
@@ -75,6 +75,7 @@
 
 // settleRestored queues what is neither done nor live.
 func (n *Node) settleRestored(j *job) {
+	j.beganBefore()
 	for i := range j.tasks[:j.fresh] {
 		if t := &j.tasks[i]; !t.done && t.m == nil {
 			j.again = append(j.again, i)
--- a/internal/core/safety_test.go
+++ b/internal/core/safety_test.go
@@ -506,6 +506,11 @@
 		s := core.Spec{ID: first(), Workload: "w", Team: "ops", Urgency: core.Normal, Tasks: int(number("tasks", 1)),
 			Need: core.Resources{CPU: number("cpu", 4), Memory: number("cpu", 4)}, Image: "img", ImageGB: 1, Expected: core.Seconds(number("expected", 20)),
 			SamePlace: d.HasArg("same"), Apart: d.HasArg("apart")}
+		for _, a := range d.CmdArgs {
+			if a.Key == "prereqs" {
+				s.Prereqs = a.Vals
+			}
+		}
 		if d.HasArg("team") {
 			d.ScanArgs(t, "team", &s.Team)
 		}
--- a/internal/core/status.go
+++ b/internal/core/status.go
@@ -25,6 +25,9 @@
 	Nodes     []string         `json:"nodes"`
 	Workloads []WorkloadStatus `json:"workloads,omitempty"`
 	Machines  []MachineStatus  `json:"machines,omitempty"`
+	// Pipelines are the jobs here that wait for others, and Behind those that hold most up.
+	Pipelines int           `json:"pipelines,omitempty"`
+	Behind    []HoldsStatus `json:"behind,omitempty"`
 	// Moves is there where models are switched on.
 	Moves *MovesStatus `json:"moves,omitempty"`
 	// GPURooms are there while models are on.
@@ -150,6 +153,7 @@
 			w.Live += j.live
 			w.Done += j.done
 		}
+		s.Pipelines, s.Behind = n.holdsStatus()
 		for _, name := range sortedKeys(by) {
 			s.Workloads = append(s.Workloads, *by[name])
 		}
--- a/internal/core/turns.go
+++ b/internal/core/turns.go
@@ -17,10 +17,11 @@
 	first bool
 }
 
-// waited is for how long some of a job has waited behind others: since it was submitted.
+// waited is for how long some of a job has waited behind others: since it was submitted,
+// or all that it needs was done.
 // A task that was stopped or lost waits again, and has waited from the start as its
 // user sees it.
-func (n *Node) waited(j *job) time.Duration { return n.now.Sub(j.at) }
+func (n *Node) waited(j *job) time.Duration { return n.now.Sub(j.free()) }
 
 // turns is what waits, in the order in which it is placed.
 func (n *Node) turns() []turn {
--- a/internal/core/types.go
+++ b/internal/core/types.go
@@ -44,6 +44,8 @@
 	SaveCost  time.Duration
 	// Due counts from the submission; 0 means no deadline.
 	Due time.Duration
+	// Prereqs are the jobs that have to be done before any task of it starts.
+	Prereqs []string
 }
 
 // Resources is an amount of what a machine offers or a task takes.
--- a/internal/core/users.go
+++ b/internal/core/users.go
@@ -225,7 +225,11 @@
 		n.lookFirst(w, status, why)
 		return
 	}
-	n.users.queue = append(n.users.queue, &submission{w: w, spec: c.Spec, at: n.now, promised: quote(n, &c.Spec)})
+	s := &submission{w: w, spec: c.Spec, at: n.now}
+	n.prereqsKnown(w, c.Spec.Prereqs, func() {
+		s.promised = quote(n, &s.spec)
+		n.users.queue = append(n.users.queue, s)
+	})
 }
 
 func withReply(r UserReply, reply uint64) UserReply {
@@ -259,6 +263,9 @@
 	if (team.Limit.CPU > 0 && all.CPU > team.Limit.CPU+slack) || (team.Limit.GPU > 0 && all.GPU > team.Limit.GPU+slack) {
 		return 422, "the job needs more than its owner's limit"
 	}
+	if why := n.badPrereqs(s); why != "" {
+		return 422, why
+	}
 	if size, err := bounds.JSON(encode(s.record(n.now))); err != nil || size+openSpare > n.set.ValueBytes {
 		return 400, "the description is too long"
 	}
@@ -351,6 +358,7 @@
 func (n *Node) setFinal(id string, s JobStatus) {
 	n.users.final[id] = s
 	delete(n.display, id)
+	n.pipelineSees(id)
 }
 
 // read gets job/<id> with a read begun after this call. Many that wait together share
@@ -490,7 +498,7 @@
 		switch d.Status {
 		case StateOK:
 			for _, s := range batch {
-				n.finish(s.w, UserReply{Status: 201, ID: s.spec.ID, State: string(Queued)}.told(s.date()))
+				n.finish(s.w, n.accepted(s))
 				n.ownerSees(Item{Key: openPrefix + s.spec.ID, Value: encode(s.record()), Stamp: d.Rev})
 			}
 		case StateConflict:
--- a/internal/core/validate.go
+++ b/internal/core/validate.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/micahill/micahill/internal/bounds"
+	"github.com/micahill/micahill/internal/pipeline"
 	"github.com/micahill/micahill/internal/validate"
 )
 
@@ -127,6 +128,9 @@
 		c.Amount(f.name, f.is)
 	}
 	c.Count("u", r.Urgency, int(BestEffort), int(Critical))
+	if _, ok := pipeline.Decode(r.Prereqs); !ok {
+		return "pr is no list of names"
+	}
 	return c.Bad()
 }
 
