--- a/internal/core/types.go
+++ b/internal/core/types.go
@@ -44,7 +44,7 @@
 	SaveCost  time.Duration
 	// Due counts from the submission; 0 means no deadline.
 	Due time.Duration
-	// Prereqs names the jobs that have to be done before any task of this one starts.
+	// Prereqs are the jobs that have to be done before any task of it starts.
 	Prereqs []string
 }
 
