--- /dev/null
+++ b/internal/standin/pipelines_test.go
@@ -0,0 +1,290 @@
+package standin
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/micahill/micahill/internal/core"
+)
+
+// stepJob is a job that needs others.
+func stepJob(id string, tasks int, run time.Duration, prereqs ...string) core.Spec {
+	spec := metJob(id, "ops", tasks, 1, run)
+	spec.Prereqs = prereqs
+	return spec
+}
+
+// chain submits a, b and c one after the other, each needing the one before it.
+func (w *World) chain(run time.Duration) (a, b, c *userJob) {
+	a = newUserJob(stepJob("job-00000a", 2, run), run)
+	b = newUserJob(stepJob("job-00000b", 2, run, "job-00000a"), run)
+	c = newUserJob(stepJob("job-00000c", 2, run, "job-00000b"), run)
+	w.submitJob(a)
+	w.submitAfter(b, whenAccepted, a)
+	w.submitAfter(c, whenAccepted, b)
+	return a, b, c
+}
+
+// replies changes the answers to users about a job.
+func replies(id string, change func(*core.UserReply)) func(core.Effect) core.Effect {
+	return func(e core.Effect) core.Effect {
+		if r, ok := e.(core.UserReply); ok && r.ID == id {
+			change(&r)
+			return r
+		}
+		return e
+	}
+}
+
+// startsEarly puts the start of a job's first task before the first orders for any machine, and
+// lets nothing stop it.
+func startsEarly(id string) func(core.Effect) core.Effect {
+	start, left := core.Order{Verb: core.Start, Job: id, Try: 99}, 1
+	add := func(orders []core.Order) []core.Order {
+		orders = slices.DeleteFunc(slices.Clone(orders), func(o core.Order) bool { return o.Verb == core.Halt && o.Job == id })
+		if len(orders) == 0 || left == 0 {
+			return orders
+		}
+		left--
+		return append([]core.Order{start}, orders...)
+	}
+	return func(e core.Effect) core.Effect {
+		switch x := e.(type) {
+		case core.WorkerOp:
+			x.Orders = add(x.Orders)
+			return x
+		case core.ReportReply:
+			x.Orders = add(x.Orders)
+			return x
+		}
+		return e
+	}
+}
+
+// TestPipelineChecksNotice: each checker of pipelines fails on a core made wrong, and none
+// on one that is right.
+func TestPipelineChecksNotice(t *testing.T) {
+	const a, b, c = "job-00000a", "job-00000b", "job-00000c"
+	for _, x := range []struct {
+		name, rule string
+		// wrong is what the core does, from the moment when a is to be cancelled on if it
+		// is; at is that moment.
+		wrong func(*World) func(core.Effect) core.Effect
+		at    moment
+	}{
+		{"nothing", "", nil, ""},
+		{"nothing, cancelled", "", nil, whenAccepted},
+		{"nothing, cancelled at the end", "", nil, whenEnded},
+		{"a task of a later job is started", "too_early", func(*World) func(core.Effect) core.Effect { return startsEarly(c) }, ""},
+		{"a later job is called queued for ever", RuleOrphaned, func(*World) func(core.Effect) core.Effect {
+			return replies(c, func(r *core.UserReply) {
+				if r.State == "cancelled" {
+					r.State = "queued"
+				}
+			})
+		}, whenAccepted},
+		{"a later job is called queued a moment too long", RuleOrphaned, func(w *World) func(core.Effect) core.Effect {
+			till := w.now.Add(w.cancel + 8*time.Second)
+			return replies(c, func(r *core.UserReply) {
+				if r.State == "cancelled" && w.now.Before(till) {
+					r.State = "queued"
+				}
+			})
+		}, whenAccepted},
+		{"a later job goes back", "went_back", func(w *World) func(core.Effect) core.Effect {
+			from := w.now.Add(40 * time.Second)
+			return replies(c, func(r *core.UserReply) {
+				if r.State == "cancelled" && w.now.After(from) {
+					r.State = "queued"
+				}
+			})
+		}, whenAccepted},
+		{"a later job is cancelled by nobody", "went_back", func(*World) func(core.Effect) core.Effect {
+			return replies(c, func(r *core.UserReply) { r.State = "cancelled" })
+		}, ""},
+		{"what comes after is called done", "not_done", func(*World) func(core.Effect) core.Effect {
+			return replies(c, func(r *core.UserReply) { r.State = "done" })
+		}, whenAccepted},
+		{"what comes after a cancelled job is refused", "refused_wrongly", func(*World) func(core.Effect) core.Effect {
+			return replies(c, func(r *core.UserReply) { r.Status = 422 })
+		}, ""},
+		{"a later job is never released", RuleWaiting, func(w *World) func(core.Effect) core.Effect {
+			return func(e core.Effect) core.Effect {
+				return withoutOrders(e, func(o core.Order) bool { return o.Verb == core.Start && o.Job == b })
+			}
+		}, ""},
+	} {
+		t.Run(x.name, func(t *testing.T) {
+			t.Parallel()
+			w := newTestWorld(3)
+			w.calm = w.began
+			ja, jb, jc := w.chain(15 * time.Second)
+			// Room for it all is there, and stays.
+			w.Submit(metJob("job-000001", "ops", 4, 2, time.Hour), time.Hour, false)
+			if x.wrong != nil && x.at == "" {
+				w.sabotage = x.wrong(w)
+			}
+			if x.at != "" {
+				ja.once(x.at, func() {
+					if x.wrong != nil {
+						w.sabotage = x.wrong(w)
+					}
+					w.AbortAt(a, 0, 2)
+				})
+			}
+			w.Run(5 * time.Minute)
+			w.checkClosures()
+			found := strings.Join(w.Broken, "\n")
+			if x.rule == "" {
+				rulesHold(t, w)
+				for _, j := range []*userJob{ja, jb, jc} {
+					if want := []string{"done", "cancelled"}[boolInt(ja.told == "cancelled")]; j.told != want {
+						t.Errorf("%s is %q", j.spec.ID, j.told)
+					}
+				}
+			} else if !strings.Contains(found, x.rule+" at") {
+				t.Errorf("no %s: %s", x.rule, found)
+			}
+		})
+	}
+}
+
+// TestPipelineSubmissions: a job that names one that was never accepted, itself, or one
+// twice is refused for good; a repeat is known, whatever became of what it needs; a
+// submission that names a cancelled job is accepted, and cancelled with it.
+func TestPipelineSubmissions(t *testing.T) {
+	w := newTestWorld(5)
+	a, b, c := w.chain(10 * time.Second)
+	refused := []*userJob{}
+	for i, prereqs := range [][]string{{"job-999999"}, {"job-00000a", "job-999998"}, {"job-00000x"}, {"job-00000a", "job-00000a"}} {
+		j := newUserJob(stepJob(fmt.Sprintf("job-00000%c", 'u'+i), 1, 10*time.Second, prereqs...), 10*time.Second)
+		if i == 2 {
+			j.spec.Prereqs = []string{j.spec.ID}
+		}
+		j.impossible = true
+		refused = append(refused, j)
+		a.once(whenAccepted, func() { w.submitJob(j) })
+	}
+	w.Run(20 * time.Second)
+	for _, j := range refused {
+		if j.Refused != 422 || j.accepted {
+			t.Errorf("%s, which needs %v, is answered %d", j.spec.ID, j.spec.Prereqs, j.Refused)
+		}
+	}
+	if w.when(5*time.Minute, func() bool { return c.told == "done" }) < 0 || a.told != "done" || b.told != "done" {
+		t.Errorf("%s %s %s", a.told, b.told, c.told)
+	}
+	d := newUserJob(stepJob("job-00000d", 1, 10*time.Second, a.spec.ID, c.spec.ID), 10*time.Second)
+	w.submitJob(d)
+	w.Run(2 * time.Minute)
+	e := newUserJob(stepJob("job-00000e", 1, time.Hour, d.spec.ID), time.Hour)
+	w.submitJob(e)
+	w.Run(time.Minute)
+	w.AbortAt(e.spec.ID, 0, 3)
+	w.Run(time.Minute)
+	f := newUserJob(stepJob("job-00000f", 1, 10*time.Second, a.spec.ID, e.spec.ID), 10*time.Second)
+	w.submitJob(f)
+	w.Run(w.cancel)
+	if d.told != "done" || e.told != "cancelled" || f.told != "cancelled" || len(f.began) > 0 {
+		t.Errorf("%s %s %s", d.told, e.told, f.told)
+	}
+	for _, j := range []*userJob{a, b, c, d, e, f} {
+		for range 4 {
+			w.repeat(j)
+		}
+	}
+	w.Run(10 * time.Second)
+	w.checkClosures()
+	rulesHold(t, w)
+}
+
+// TestPipelineCancelledAtTheEnd: the first of a chain is cancelled around the end of its
+// last task, at one or several controllers. It ends one way, and all behind it the same.
+func TestPipelineCancelledAtTheEnd(t *testing.T) {
+	w := newTestWorldOf(7, 3)
+	first, _, _ := w.chain(10 * time.Second)
+	w.Run(2 * time.Minute)
+	end := first.endedAt.Sub(w.began)
+	ends := map[string]int{}
+	for _, step := range spread(32, 8) {
+		for node := range 3 {
+			w := newTestWorldOf(7, 3)
+			a, b, c := w.chain(10 * time.Second)
+			off := time.Duration(step-16) * 4 * time.Millisecond
+			w.after(end+off, func() { w.AbortAt(a.spec.ID, node, 1+step%3) })
+			if w.when(5*time.Minute, func() bool { return over(a.told) && over(b.told) && over(c.told) }) < 0 {
+				t.Errorf("%v node-%d: %q %q %q", off, node, a.told, b.told, c.told)
+			}
+			w.Run(w.cancel)
+			w.checkClosures()
+			if a.told != b.told || b.told != c.told || len(w.Broken) > 0 {
+				t.Errorf("%v node-%d: %q %q %q: %v", off, node, a.told, b.told, c.told, w.Broken)
+			}
+			ends[a.told]++
+		}
+	}
+	t.Log(ends)
+	if ends["done"] == 0 || ends["cancelled"] == 0 {
+		t.Errorf("not both met: %v", ends)
+	}
+}
+
+// TestPipelineDays plays a few drawn days of meetings with pipelines; many more are played
+// by micahill-lab days --pipelines.
+func TestPipelineDays(t *testing.T) {
+	for seed := range drawnDays(t, 5, 2) {
+		t.Run(fmt.Sprint(seed+1), func(t *testing.T) {
+			t.Parallel()
+			d := DrawDay(DayParams{Seed: seed + 1, Machines: 40, Meetings: seed%2 == 0, Pipelines: true})
+			r := PlayDay(d, "")
+			for _, b := range append(r.Broken, r.Starved()...) {
+				t.Error(b)
+			}
+			if t.Failed() {
+				t.Logf("%v %v", d.Cancels, d.Faults)
+				t.Log(strings.Join(r.Log[max(0, len(r.Log)-60):], "\n"))
+			}
+		})
+	}
+}
+
+// TestPipelineDaysNotice: a day's checkers see a core that knows of no prerequisites, and
+// one that hides how closures end.
+func TestPipelineDaysNotice(t *testing.T) {
+	d := DrawDay(DayParams{Seed: 4, Machines: 60, Teams: 2, Controllers: 3, Jobs: 40, Minutes: 1, Hot: 1, Faults: -1, Pipelines: true})
+	for _, x := range []struct {
+		rule  string
+		wrong func(*World, core.Effect) core.Effect
+	}{
+		{"too_early", func(w *World, e core.Effect) core.Effect {
+			op, ok := e.(core.WorkerOp)
+			if !ok || len(op.Orders) == 0 {
+				return e
+			}
+			for _, id := range sorted(w.jobs) {
+				if j := w.jobs[id]; j.accepted && !j.released() && len(j.began) == 0 {
+					op.Orders = append(op.Orders[:len(op.Orders):len(op.Orders)], core.Order{Verb: core.Start, Job: id, Try: 99})
+					return op
+				}
+			}
+			return e
+		}},
+		{RuleOrphaned, func(w *World, e core.Effect) core.Effect {
+			if r, ok := e.(core.UserReply); ok && r.State == "cancelled" && w.jobs[r.ID] != nil && len(w.jobs[r.ID].needs) > 0 && !w.jobs[r.ID].aborting {
+				r.State = "queued"
+				return r
+			}
+			return e
+		}},
+	} {
+		t.Run(x.rule, func(t *testing.T) {
+			t.Parallel()
+			if r := d.play("", x.wrong); !strings.Contains(strings.Join(r.Broken, "\n"), x.rule+" at") {
+				t.Errorf("not noticed: %v", r.Broken)
+			}
+		})
+	}
+}
