--- a/internal/standin/pipelines.go
+++ b/internal/standin/pipelines.go
@@ -16,7 +16,7 @@
 const (
 	// pipelineLeast and pipelineMost bound how many pipelines come in a day, and
 	// pipelinePart is how many other jobs there are for each.
-	pipelineLeast, pipelineMost, pipelinePart = 4, 60, 5
+	pipelineLeast, pipelineMost, pipelinePart = 10, 60, 3
 	// pipelineRun is how long the tasks of a step take, and pipelineMore how much later
 	// than on other days is counted what was served: the last steps come last.
 	pipelineRun  = 20 * time.Second
--- a/internal/standin/pipelines_test.go
+++ b/internal/standin/pipelines_test.go
@@ -288,3 +288,49 @@
 		})
 	}
 }
+
+// TestPipelineBounds: within 4 KiB of a value and 12 changes of a transaction, a job that
+// needs a thousand others, and the last of a long chain, start when all are done, and
+// another such is cancelled with one of them. No request is called malformed.
+func TestPipelineBounds(t *testing.T) {
+	const wide, long = 1000, 200
+	w := smallWorld(9, testSettings())
+	w.state.Limit(w.set)
+	run := 2 * time.Second
+	var needs []string
+	var others []*userJob
+	for i := range wide {
+		j := newUserJob(metJob(fmt.Sprintf("job-%06d", 7*i), "ops", 1, 1, run), run)
+		needs, others = append(needs, j.spec.ID), append(others, j)
+		w.after(time.Duration(i)*60*time.Millisecond, func() { w.submitJob(j) })
+	}
+	join := newUserJob(stepJob("job-900001", 3, run, needs...), run)
+	behind := newUserJob(stepJob("job-900002", 3, run, needs...), run)
+	behind.spec.Prereqs = append(slices.Clone(needs), "job-900003")
+	last := newUserJob(metJob("job-900003", "ops", 1, 1, time.Hour), time.Hour)
+	w.submitAfter(join, whenAccepted, others...)
+	w.after(time.Minute, func() { w.submitJob(last) })
+	w.submitAfter(behind, whenAccepted, append(slices.Clone(others), last)...)
+	var before *userJob
+	for i := range long {
+		j := newUserJob(stepJob(fmt.Sprintf("job-8%05d", i), 1, run), run)
+		if before == nil {
+			w.after(6*time.Second, func() { w.submitJob(j) })
+		} else {
+			j.spec.Prereqs = []string{before.spec.ID}
+			w.submitAfter(j, whenAccepted, before)
+		}
+		before = j
+	}
+	w.Run(10 * time.Minute)
+	w.AbortAt(last.spec.ID, 0, 2)
+	w.Run(20 * time.Minute)
+	if join.told != "done" || behind.told != "cancelled" || before.told != "done" {
+		t.Errorf("%q %q %q, the last but one %d", join.told, behind.told, before.told, len(before.needs[0].results))
+	}
+	if w.state.Bad > 0 {
+		t.Errorf("%d malformed, %s", w.state.Bad, w.state.LastBad)
+	}
+	w.checkClosures()
+	rulesHold(t, w)
+}
