A start before the end of what its job needs is stored is too early

While the record that a job is done is refused, nothing behind it starts, also when all controllers end meanwhile, and goes on once it is written.

--- a/internal/standin/orphans.go
+++ b/internal/standin/orphans.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/micahill/micahill/internal/core"
+	"github.com/vmihailenco/msgpack/v5"
 )
 
 // orphans.go checks pipelines: nothing starts before all that it needs is done, and what
@@ -71,18 +72,27 @@
 	return since
 }
 
-// checkNeeds judges the start of a task by what its job needs. One that is called
-// cancelled is never done, whatever its tasks did.
+// checkNeeds judges the start of a task by what its job needs: all its tasks are done, and
+// the state service holds that it is. One that is called cancelled never is.
 func (w *World) checkNeeds(j *userJob, name string) {
 	for _, n := range j.needs {
 		if n.endedAt.IsZero() {
 			w.broke("too_early", "%s starts before %s is done: %d of %d", name, n.spec.ID, len(n.results), n.spec.Tasks)
-		} else if !n.cancelled.IsZero() {
-			w.broke("too_early", "%s starts, and %s is cancelled", name, n.spec.ID)
+		} else if !w.state.done(n.spec.ID) {
+			w.broke("too_early", "%s starts before the end of %s is stored", name, n.spec.ID)
 		}
 	}
 }
 
+// done says that a job's record says that it is done.
+func (s *StateService) done(id string) bool {
+	row := s.rows["job/"+id]
+	var r struct {
+		Status core.JobStatus `msgpack:"s"`
+	}
+	return row != nil && msgpack.Unmarshal(row.value, &r) == nil && r.Status == core.Done
+}
+
 // checkBehind judges the answer that a job is cancelled by what comes after it: nothing of
 // that may have begun.
 func (w *World) checkBehind(j *userJob) {
--- a/internal/standin/pipelines_test.go
+++ b/internal/standin/pipelines_test.go
@@ -334,3 +334,56 @@
 	w.checkClosures()
 	rulesHold(t, w)
 }
+
+// TestReleaseNeedsStoredEnd: while the record that a job is done can't be written, nothing
+// that needs it starts, though all its tasks are done and the owner knows; also when all
+// controllers end meanwhile. Once it is written, all goes on.
+func TestReleaseNeedsStoredEnd(t *testing.T) {
+	for _, crash := range []bool{false, true} {
+		w := newTestWorld(11)
+		a, b, c := w.chain(10 * time.Second)
+		refused, over := 0, false
+		w.sabotage = func(e core.Effect) core.Effect {
+			if !over && changes(e, "job/"+a.spec.ID) {
+				refused++
+				op := e.(core.StateOp)
+				op.When = append(slices.Clone(op.When), core.Cond{Key: "none", Stamp: 1})
+				return op
+			}
+			return e
+		}
+		if w.when(2*time.Minute, func() bool { return !a.endedAt.IsZero() }) < 0 {
+			t.Fatal("not ended")
+		}
+		w.Run(5 * time.Second)
+		if crash {
+			for i := range w.nodes {
+				w.Crash(i, 5*time.Second)
+			}
+		}
+		w.Run(time.Minute)
+		if len(b.began) > 0 || refused < 2 || a.told == "done" {
+			t.Errorf("%d of the next began, %d records refused, %q", len(b.began), refused, a.told)
+		}
+		over = true
+		w.Run(3 * time.Minute)
+		if c.told != "done" {
+			t.Errorf("%q %q %q", a.told, b.told, c.told)
+		}
+		rulesHold(t, w)
+	}
+}
+
+// TestStoredEndIsChecked: a start before an end is stored is noticed, though all tasks of
+// that job are done.
+func TestStoredEndIsChecked(t *testing.T) {
+	w := newTestWorld(3)
+	a, b, _ := w.chain(10 * time.Second)
+	if w.when(2*time.Minute, func() bool { return !a.endedAt.IsZero() }) < 0 {
+		t.Fatal("not ended")
+	}
+	w.checkNeeds(b, b.spec.ID)
+	if found := strings.Join(w.Broken, " "); !strings.Contains(found, "is stored") {
+		t.Errorf("not noticed: %v", found)
+	}
+}
