Lower limits of the state service to come: tighter writes, records of tasks as parts

Cause: state.next names limits that hold from some moment after an upgrade. Records of tasks, warm images, dates, shares and moves that were written under the present size of values could not be rewritten then: every further write was malformed, for ever.

Change: the tighter of state and state.next counts for all that is written. Records of tasks stay numbered as the version in production reads them until each controller has said, in a record that outlives it, that it knows parts; then the leader writes ctl/form, on condition of its term, and from then on a task that changes is written in a part of fewer tasks. A part counts before a record of a former form, which is never written again and goes with its job. A lending names the first record in every form. Pages of dates that are too large give their dates to others before they go, a share that is too large gives teams away in a transaction of its own, a record of moves lets go of what only costs, a cancelled job's record leaves out where it may start, and a record of warm images is bounded exactly. Without state.next no key and no number changes.

--- a/cmd/micahill/main.go
+++ b/cmd/micahill/main.go
@@ -159,7 +159,7 @@
 		peers[p.HostName] = p.Address
 	}
 	d := &c.Deployment
-	st := state.New(c.Outside.State, d.State.RPS, d.State.WriteRPS, len(c.Seeds)+1)
+	st := state.New(c.Outside.State, d.State.RPS, d.State.Tighter().WriteRPS, len(c.Seeds)+1)
 	cl := cloud.New(c.Outside.Cloud, d.Cloud.RPS)
 	wk := worker.New(d.Quota.Sockets)
 	pn := peer.Start(ctx, peers)
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -81,6 +81,39 @@
 	WriteRPS float64 `toml:"write_rps" validate:"required,gt=0"`
 	ValueKB  float64 `toml:"value_kb" validate:"required,gt=0"`
 	TxnOps   int     `toml:"txn_ops" validate:"required,gte=4"`
+	// Next are the limits that the service will have from some moment on, without
+	// notice; a field that is missing stays as it is.
+	Next NextLimits `toml:"next"`
+}
+
+// NextLimits are the limits to come of the state service.
+type NextLimits struct {
+	WriteRPS *float64 `toml:"write_rps" validate:"omitnil,gt=0"`
+	ValueKB  *float64 `toml:"value_kb" validate:"omitnil,gt=0"`
+	TxnOps   *int     `toml:"txn_ops" validate:"omitnil,gte=4"`
+}
+
+// Tighter is what holds whichever of the two limits counts.
+func (s *State) Tighter() State {
+	t := *s
+	if s.Next.WriteRPS != nil {
+		t.WriteRPS = min(t.WriteRPS, *s.Next.WriteRPS)
+	}
+	if s.Next.ValueKB != nil {
+		t.ValueKB = min(t.ValueKB, *s.Next.ValueKB)
+	}
+	if s.Next.TxnOps != nil {
+		t.TxnOps = min(t.TxnOps, *s.Next.TxnOps)
+	}
+	return t
+}
+
+// field is the name of one of the limits, where the tighter of it stands.
+func (s *State) field(name string, isNext bool) string {
+	if isNext {
+		return "deployment.state.next." + name
+	}
+	return "deployment.state." + name
 }
 
 // Cloud gives the limits of the cloud.
@@ -139,12 +172,13 @@
 // Core turns the settings into the core's form.
 func (c *Config) Core(policy core.Policy, nonce string) core.Settings {
 	d := &c.Deployment
+	limits := d.State.Tighter()
 	s := core.Settings{
 		Host: c.HostName, Zones: d.Zones,
 		ReportEvery: core.Seconds(d.Workers.ReportS), Lease: core.Seconds(d.Workers.LeaseS),
 		Cancel: core.Seconds(d.Workers.CancelS), ClockBound: core.Seconds(d.TimeBoundMS / 1000),
-		TxnOps: d.State.TxnOps, ValueBytes: int(d.State.ValueKB * 1024),
-		ListLag: core.Seconds(d.Cloud.ListLagS), CloudRPS: d.Cloud.RPS, StateRequests: d.State.RPS, StateWrites: d.State.WriteRPS,
+		TxnOps: limits.TxnOps, ValueBytes: int(limits.ValueKB * 1024), PresentValueBytes: int(d.State.ValueKB * 1024),
+		ListLag: core.Seconds(d.Cloud.ListLagS), CloudRPS: d.Cloud.RPS, StateRequests: d.State.RPS, StateWrites: limits.WriteRPS,
 		Nonce: nonce, Policy: policy,
 	}
 	for _, p := range c.Seeds {
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -4,6 +4,8 @@
 	"os"
 	"strings"
 	"testing"
+
+	"github.com/micahill/micahill/internal/core"
 )
 
 func TestParse(t *testing.T) {
@@ -28,6 +30,11 @@
 		{`value_kb = 4.0`, `value_kb = 0.5`, "deployment.state.value_kb: 0.5 does not hold"},
 		{`sockets = 2000`, `sockets = 4`, "deployment.quota.sockets"},
 		{`host_name = "ctl-0"`, `host_name = "ctl 0"`, "host_name: \"ctl 0\" can't be part of a key"},
+		{`txn_ops = 12`, "txn_ops = 12\n[deployment.state.next]\ntxn_ops = 3", "deployment.state.next.txn_ops"},
+		{`txn_ops = 12`, "txn_ops = 12\n[deployment.state.next]\nvalue_kb = 0.0", "deployment.state.next.value_kb"},
+		{`txn_ops = 12`, "txn_ops = 12\n[deployment.state.next]\nvalue_kb = 0.5", "deployment.state.next.value_kb: 0.5 does not hold"},
+		{`txn_ops = 12`, "txn_ops = 12\n[deployment.state.next]\nwrite_rps = -1.0", "deployment.state.next.write_rps"},
+		{`txn_ops = 12`, "txn_ops = 12\n[deployment.state.next]\nwrite_rps = \"few\"", "deployment.state.next.write_rps"},
 		{`name = "lab"`, `name = "` + strings.Repeat("l", 2000) + `"`, "deployment.teams[0].name"},
 	} {
 		bad := strings.Replace(string(good), c.old, c.new, 1)
@@ -38,6 +45,35 @@
 	}
 }
 
+// TestNextLimits: the tighter of the limits of now and to come counts for all that is
+// written, and the present size of values stays known, as records were numbered by it.
+func TestNextLimits(t *testing.T) {
+	good, err := os.ReadFile("testdata/settings.toml")
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, c := range []struct {
+		next           string
+		value, present int
+		ops            int
+		writes         float64
+	}{
+		{"", 4096, 4096, 12, 30},
+		{"[deployment.state.next]\nwrite_rps = 21.0\nvalue_kb = 2.0\ntxn_ops = 4", 2048, 4096, 4, 21},
+		{"[deployment.state.next]\nvalue_kb = 2.0", 2048, 4096, 12, 30},
+		{"[deployment.state.next]\nwrite_rps = 90.0\nvalue_kb = 16.0\ntxn_ops = 24", 4096, 4096, 12, 30},
+	} {
+		conf, err := Parse([]byte(strings.Replace(string(good), "txn_ops = 12", "txn_ops = 12\n"+c.next, 1)))
+		if err != nil {
+			t.Fatalf("%q: %v", c.next, err)
+		}
+		s := conf.Core(core.DefaultPolicy(), "n")
+		if s.ValueBytes != c.value || s.PresentValueBytes != c.present || s.TxnOps != c.ops || s.StateWrites != c.writes {
+			t.Errorf("%q: %d and %d bytes, %d changes, %g a second", c.next, s.ValueBytes, s.PresentValueBytes, s.TxnOps, s.StateWrites)
+		}
+	}
+}
+
 // TestTightSettingsStart: what is merely tight starts, with a warning that names the
 // field, its value and what would do.
 func TestTightSettingsStart(t *testing.T) {
--- a/internal/config/limits.go
+++ b/internal/config/limits.go
@@ -58,6 +58,9 @@
 func (c *Config) limits() (wrong, tight []finding) {
 	d := &c.Deployment
 	nodes := float64(len(c.Seeds) + 1)
+	state := d.State.Tighter()
+	valueField := d.State.field("value_kb", state.ValueKB < d.State.ValueKB)
+	writeField := d.State.field("write_rps", state.WriteRPS < d.State.WriteRPS)
 	for i, name := range append([]string{c.HostName}, hostNames(c.Seeds)...) {
 		field := "host_name"
 		if i > 0 {
@@ -69,10 +72,10 @@
 		}
 	}
 	for i, t := range d.Teams {
-		if size := bounds.Text(t.Name); float64(size) > d.State.ValueKB*1024*teamPart {
+		if size := bounds.Text(t.Name); float64(size) > state.ValueKB*1024*teamPart {
 			wrong = append(wrong, finding{fmt.Sprintf("deployment.teams[%d].name", i), fmt.Sprintf("%.20q...", t.Name),
-				fmt.Sprintf("takes %d bytes of a record, of which there are %.0f", size, d.State.ValueKB*1024),
-				fmt.Sprintf("up to %.0f would do", d.State.ValueKB*1024*teamPart)})
+				fmt.Sprintf("takes %d bytes of a record, of which there are %.0f", size, state.ValueKB*1024),
+				fmt.Sprintf("up to %.0f would do", state.ValueKB*1024*teamPart)})
 		}
 	}
 	if least := pauses*d.Workers.ReportS + answerS; d.Workers.LeaseS <= pauses*d.Workers.ReportS {
@@ -97,12 +100,12 @@
 		tight = append(tight, finding{"deployment.state.rps", d.State.RPS,
 			fmt.Sprintf("leaves little beside the renewals of %g controllers", nodes), fmt.Sprintf("%g would do", least+useful*nodes)})
 	}
-	if d.State.ValueKB < leastKB {
-		wrong = append(wrong, finding{"deployment.state.value_kb", d.State.ValueKB,
+	if state.ValueKB < leastKB {
+		wrong = append(wrong, finding{valueField, state.ValueKB,
 			"does not hold the description of a job", fmt.Sprintf("%d would do", leastKB)})
 	}
-	if d.State.WriteRPS < leastWrites {
-		tight = append(tight, finding{"deployment.state.write_rps", d.State.WriteRPS,
+	if state.WriteRPS < leastWrites {
+		tight = append(tight, finding{writeField, state.WriteRPS,
 			"lets jobs wait for one another's records", fmt.Sprintf("%d would do", leastWrites)})
 	}
 	if d.Quota.CPU < tightCPU {
--- a/internal/core/chunks.go
+++ b/internal/core/chunks.go
@@ -121,7 +121,7 @@
 						conds += 1 + len(fence)
 					}
 					// What does not fit goes with the next write.
-					if size += bounds.ChangeBytes(bounds.Change{Key: c.key(id), Value: val}) + conds*bounds.CondBytes(openPrefix+id); size > txnFull || len(op.When)+conds > bounds.CondTimes*n.set.TxnOps {
+					if size += bounds.ChangeBytes(bounds.Change{Key: j.chunkKey(c), Value: val}) + conds*bounds.CondBytes(openPrefix+id); size > txnFull || len(op.When)+conds > bounds.CondTimes*n.set.TxnOps {
 						if len(op.Apply) > 0 {
 							return
 						}
@@ -137,8 +137,8 @@
 						ranked = true
 						op.When = append(op.When, Cond{rankingKey, rank})
 					}
-					op.When = append(op.When, Cond{c.key(id), c.stamp})
-					op.Apply = append(op.Apply, Change{Key: c.key(id), Value: val})
+					op.When = append(op.When, Cond{j.chunkKey(c), c.stamp})
+					op.Apply = append(op.Apply, Change{Key: j.chunkKey(c), Value: val})
 					if c.urgent {
 						op.Prio = PrioStart
 					}
@@ -184,8 +184,9 @@
 				n.debug("slow write", "took", took, "chunks", len(parts), "status", d.Status, "lazy", lazy)
 			}
 			for _, p := range parts {
-				if o.jobs[p.j.ID] != p.j {
-					// Its team is another's now, who reads what stands there.
+				if o.jobs[p.j.ID] != p.j || p.j.chunks[p.c.n] != p.c {
+					// Its team is another's now, who reads what stands there, or it is
+					// written in another form since.
 					continue
 				}
 				switch d.Status {
@@ -244,7 +245,7 @@
 	switch {
 	case slices.ContainsFunc(failed, func(k string) bool { return strings.HasPrefix(k, sharePrefix) }), slices.Contains(failed, openPrefix+j.ID):
 		n.retryChunk(j, c)
-	case slices.Contains(failed, c.key(j.ID)):
+	case slices.Contains(failed, j.chunkKey(c)):
 		n.reread(j, c)
 	default:
 		// Another job of the same write was cancelled or is over.
@@ -254,8 +255,8 @@
 
 func (n *Node) reread(j *job, c *chunk) {
 	gen := n.owner.gen
-	n.ask(StateOp{Kind: OpGet, Prio: PrioStart, Key: c.key(j.ID)}, func(d StateDone) {
-		if n.owner == nil || n.owner.gen != gen || n.owner.jobs[j.ID] != j {
+	n.ask(StateOp{Kind: OpGet, Prio: PrioStart, Key: j.chunkKey(c)}, func(d StateDone) {
+		if n.owner == nil || n.owner.gen != gen || n.owner.jobs[j.ID] != j || j.chunks[c.n] != c {
 			return
 		}
 		switch d.Status {
@@ -269,7 +270,7 @@
 			n.retryChunk(j, c)
 		default:
 			n.after(n.jitter(retryPause), func() {
-				if n.owner != nil && n.owner.gen == gen {
+				if n.owner != nil && n.owner.gen == gen && j.chunks[c.n] == c {
 					n.reread(j, c)
 				}
 			})
--- a/internal/core/divide.go
+++ b/internal/core/divide.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"time"
 
 	"github.com/micahill/micahill/internal/bounds"
@@ -39,6 +40,21 @@
 	return bounds.Limits{ValueBytes: n.set.ValueBytes, Ops: n.set.TxnOps}
 }
 
+// boundsOf are those that a transaction keeps to. As long as a controller of the version
+// before can come back, records of tasks are as it writes and reads them.
+func (n *Node) boundsOf(op *StateOp) bounds.Limits {
+	l := n.bounds()
+	if n.taskForm().part {
+		return l
+	}
+	for _, a := range op.Apply {
+		if strings.HasPrefix(a.Key, taskPrefix) {
+			l.ValueBytes = n.set.presentBytes()
+		}
+	}
+	return l
+}
+
 func newDividing(n *Node) dividing {
 	return dividing{
 		div:    division.New(n.bounds(), fmt.Sprint(n.sess.leadStamp), n.set.Policy.ShareInterval, n.now),
--- a/internal/core/ends.go
+++ b/internal/core/ends.go
@@ -69,9 +69,10 @@
 			}
 		}
 		op.Apply = append(op.Apply, apply...)
+		e.rest = slices.Clone(j.former)
 		for _, k := range sortedKeys(j.chunks) {
 			if c := j.chunks[k]; c.stamp != 0 || c.busy {
-				e.rest = append(e.rest, c.key(j.ID))
+				e.rest = append(e.rest, j.chunkKey(c))
 			}
 		}
 		j.ending = true
--- a/internal/core/jobs.go
+++ b/internal/core/jobs.go
@@ -3,7 +3,6 @@
 import (
 	"math"
 	"slices"
-	"strconv"
 	"time"
 )
 
@@ -83,9 +82,14 @@
 	ending    bool
 	// endAlone: a write that its end shared was malformed.
 	endAlone bool
-	per      int
-	tasks    []task
-	chunks   map[int]*chunk
+	// taskForm is how the tasks are divided among records. former are keys of records
+	// of other forms, which only go with the job, and covered the tasks of which such
+	// records say nothing that counts, while the job is restored.
+	taskForm
+	former  []string
+	covered []bool
+	tasks   []task
+	chunks  map[int]*chunk
 	// unsaved: some chunk may have changed since it was written.
 	unsaved bool
 	fresh   int
@@ -120,7 +124,7 @@
 
 func newJob(spec Spec, at time.Time, stamp uint64, valueBytes int) *job {
 	return &job{
-		Spec: spec, at: at, stamp: stamp, per: chunkTasks(valueBytes),
+		Spec: spec, at: at, stamp: stamp, taskForm: taskForm{per: chunkTasks(valueBytes)},
 		tasks:  make([]task, spec.Tasks),
 		chunks: map[int]*chunk{}, groups: map[int64]*group{}, zoneLive: map[string]int{},
 	}
@@ -168,7 +172,7 @@
 	return c
 }
 
-func (c *chunk) key(id string) string { return taskPrefix + id + "/" + strconv.Itoa(c.n) }
+func (j *job) chunkKey(c *chunk) string { return j.key(j.ID, c.n) }
 
 // touch notes that task i changed and has to be written.
 func (j *job) touch(i int, now time.Time, urgent bool) {
--- a/internal/core/loans.go
+++ b/internal/core/loans.go
@@ -253,7 +253,8 @@
 		j.lending = true
 		// Without an answer it may be carried out when the job has been started here,
 		// which leaves open/ as it is: the first task's record must not be there either.
-		op.When = append(append(op.When, n.shareConds(j.Team)...), Cond{open, j.stamp}, Cond{(&chunk{}).key(c.Job), 0})
+		op.When = append(append(op.When, n.shareConds(j.Team)...), Cond{open, j.stamp})
+		op.When = append(op.When, n.firstRecords(c.Job)...)
 		item = Item{Key: open, Value: encode(rec)}
 	case LoanBack:
 		if !there || l.rec.Lent == "" || l.rec.LentN != c.N {
@@ -295,6 +296,7 @@
 		}
 		rec := l.rec
 		rec.Cancelled, rec.CancelledAt = true, n.now.UnixMilli()
+		rec.shorten(n.set.ValueBytes)
 		g := guestRecord{Job: c.Job, Cause: c.Cause}
 		op.When = append(op.When, Cond{open, l.stamp})
 		op.Apply = append(op.Apply, Change{Key: jobPrefix + c.Job, Value: encode(overRecord(n, c.Job, Cancelled, &l))},
@@ -339,7 +341,7 @@
 // began says that some task of the job was ever started, is being started or waits
 // for a write: each of these makes a record of its part of the tasks. One that only
 // found no room has none.
-func (j *job) began() bool { return len(j.chunks) > 0 || j.live > 0 }
+func (j *job) began() bool { return len(j.chunks) > 0 || len(j.former) > 0 || j.live > 0 }
 
 // untouched says that the job may be lent: nothing of it can be anywhere.
 func (j *job) untouched() bool {
--- a/internal/core/models.go
+++ b/internal/core/models.go
@@ -55,9 +55,13 @@
 			pinned: map[taskKey]time.Time{}, misfits: map[string]*misfit{}, between: between{refused: map[kind]time.Time{}},
 		}
 	}
+	o.moves.book.Bytes = n.moveBytes()
 	return o.moves
 }
 
+// moveBytes bounds the record of a team's moves, as JSON.
+func (n *Node) moveBytes() int { return n.set.ValueBytes * 3 / 4 }
+
 // readMoves reads the records of moves under way, together with the teams' others, and
 // gives them to then.
 func readMoves(n *Node, then func([]Item)) {
--- a/internal/core/moving.go
+++ b/internal/core/moving.go
@@ -143,7 +143,7 @@
 		tries = append(tries, t.try)
 	}
 	why := mv.book.Begin(n.now, team, &p.Want, plan, p.Dearest, tries, moves.Limits{
-		Bytes: n.set.ValueBytes * 3 / 4, Part: n.set.Product.MovePart,
+		Bytes: n.moveBytes(), Part: n.set.Product.MovePart,
 		Kind: func(host string) (string, int) {
 			m := n.owner.machines[host]
 			if m == nil {
--- a/internal/core/node.go
+++ b/internal/core/node.go
@@ -309,7 +309,7 @@
 		for i, c := range op.Apply {
 			apply[i] = bounds.Change{Key: c.Key, Value: c.Value}
 		}
-		if err := n.bounds().Txn(when, apply); err != nil {
+		if err := n.boundsOf(&op).Txn(when, apply); err != nil {
 			n.defect("a request passes the state service's limits", "err", err)
 			n.after(0, func() { fn(StateDone{ID: op.ID, Status: StateBad, Sent: n.now}) })
 			return
--- a/internal/core/owner.go
+++ b/internal/core/owner.go
@@ -229,7 +229,8 @@
 // newJob takes a job into the owner's books.
 func (n *Node) newJob(spec Spec, at time.Time, stamp uint64) *job {
 	o := n.owner
-	j := newJob(spec, at, stamp, n.set.ValueBytes)
+	j := newJob(spec, at, stamp, n.set.presentBytes())
+	j.taskForm = n.taskForm()
 	o.jobs[j.ID] = j
 	if j.Workload != "" {
 		n.debug("job", "job", j.ID, "workload", j.Workload, "tasks", j.Tasks, "due", j.Due, "image", j.Image, "age", n.now.Sub(j.at))
--- a/internal/core/record.go
+++ b/internal/core/record.go
@@ -112,6 +112,19 @@
 	P int `msgpack:"p,omitempty"`
 }
 
+// shorten has a cancelled job's record fit a value also where the description was written
+// under a larger limit: what it leaves out says only where a task may start.
+func (r *openRecord) shorten(valueBytes int) {
+	for _, leave := range [...]func(){
+		func() { r.Flavours = nil }, func() { r.Image, r.Zone = "", "" }, func() { r.Workload = "" },
+	} {
+		if size, err := bounds.JSON(encode(r)); err == nil && size <= valueBytes {
+			return
+		}
+		leave()
+	}
+}
+
 // taskRow is one task that was ever started: index, attempt, machine ("" when
 // it is on none), its group's start in Unix milliseconds, whether it was
 // relaunched, and whether it is done.
--- a/internal/core/session.go
+++ b/internal/core/session.go
@@ -63,6 +63,13 @@
 	book      *division.Book
 	claiming  bool
 	drain     drainRecord
+	// forms are the controllers that know parts of records, and form the one that all
+	// have come to, of formKey's stamp; forming: a write for that is under way. See
+	// forms.go.
+	forms     map[string]bool
+	form      taskForm
+	formStamp uint64
+	forming   bool
 	// terms counts the grants that this process has lost: each makes another life of
 	// it, since which of its orders are on their way is forgotten with its roles.
 	terms int
@@ -109,7 +116,7 @@
 
 func (n *Node) sessionStart() {
 	n.sess.started, n.sess.born = true, n.now
-	n.sess.nodes = map[string]nodeRecord{}
+	n.sess.nodes, n.sess.forms = map[string]nodeRecord{}, map[string]bool{}
 	n.sess.book = division.NewBook()
 	// The earlier life is ended at once, whatever this one waits for: the others are
 	// to have its duties.
@@ -458,6 +465,8 @@
 		if !it.Removed && decode(it.Value, &s.lead) {
 			s.leadStamp = it.Stamp
 		}
+	case it.Key == formKey, strings.HasPrefix(it.Key, formPrefix):
+		formItem(n, it)
 	case it.Key == rankingKey:
 		rankItem(n, it)
 	case strings.HasPrefix(it.Key, hearsPrefix):
@@ -509,6 +518,7 @@
 		n.dropLead()
 	}
 	n.ownerCheck()
+	formCheck(n)
 }
 
 func (n *Node) claimLead() {
--- a/internal/core/tenure.go
+++ b/internal/core/tenure.go
@@ -423,6 +423,12 @@
 	// more of them, even if they are back by now.
 	teams := slices.DeleteFunc(sortedKeys(come), func(t string) bool { return o.teams[t] != come[t] })
 	restored := map[string]*job{}
+	for _, it := range tasks {
+		// Whoever wrote a part knew that all know parts.
+		if f, _, ok := n.formOf(it.Key); ok {
+			learnForm(n, f)
+		}
+	}
 	for _, id := range sortedKeys(n.users.mirror.open) {
 		l := n.users.mirror.open[id]
 		if !slices.Contains(teams, l.rec.Team) && !(first && l.rec.Cancelled && l.rec.Team == "") || o.jobs[id] != nil {
@@ -444,6 +450,7 @@
 		n.jobRecord(j, l.stamp, &l.rec)
 	}
 	attempts := 0
+	slices.SortStableFunc(tasks, n.byForm)
 	for _, it := range tasks {
 		id := jobID(it.Key, taskPrefix)
 		j := restored[id]
--- a/internal/core/types.go
+++ b/internal/core/types.go
@@ -101,7 +101,10 @@
 	StateWrites   float64
 	TxnOps        int
 	ValueBytes    int
-	ListLag       time.Duration
+	// PresentValueBytes is the limit of values under which records may stand in the
+	// state service, if it is larger than ValueBytes: the service will lower its limit.
+	PresentValueBytes int
+	ListLag           time.Duration
 	// CloudRPS is the cloud's limit of requests a second.
 	CloudRPS float64
 
--- a/internal/core/users.go
+++ b/internal/core/users.go
@@ -556,6 +556,7 @@
 		// their team's limit, under whatever owner.
 		rec := f.open
 		rec.Cancelled, rec.CancelledAt = true, n.now.UnixMilli()
+		rec.shorten(n.set.ValueBytes)
 		open := encode(rec)
 		// Both records change together: the stamp of open/ guards starts.
 		n.ask(StateOp{Kind: OpTxn, Prio: PrioUser, When: []Cond{{openPrefix + id, f.stamp}},
--- a/internal/core/warm.go
+++ b/internal/core/warm.go
@@ -46,7 +46,8 @@
 func (n *Node) warmNext(from int) (warmRecord, int) {
 	var r warmRecord
 	at := map[string]int{}
-	room := n.set.ValueBytes * 3 / 4
+	whole := n.set.ValueBytes * 3 / 4
+	room := whole
 	ms := n.owner.byID
 	for ; from < len(ms); from++ {
 		m := ms[from]
@@ -60,23 +61,31 @@
 		case r.Prefix != prefix || r.Width != width:
 			return r, from
 		}
+		before := room
 		for _, name := range sortedKeys(m.images) {
 			im := m.images[name]
 			if !im.cached {
 				continue
 			}
 			i, ok := at[name]
+			takes := width + 2
+			if !ok {
+				takes += bounds.Text(name) + warmFrame
+			}
+			if takes > room {
+				if before == whole {
+					// No record holds all that it has.
+					return r, from + 1
+				}
+				return r, from
+			}
+			room -= takes
 			if !ok {
 				i = len(r.Images)
 				at[name] = i
 				r.Images = append(r.Images, warmImage{Name: name, GB: im.gb})
-				room -= bounds.Text(name) + warmFrame
 			}
 			r.Images[i].Machines = append(r.Images[i].Machines, value)
-			room -= width + 2
-		}
-		if room < 0 {
-			return r, from + 1
 		}
 	}
 	return r, from
--- a/internal/division/plan.go
+++ b/internal/division/plan.go
@@ -183,6 +183,9 @@
 	if len(p.able) == 0 {
 		return nil
 	}
+	if p.shrink() {
+		return p.writes()
+	}
 	p.inherit()
 	p.settle()
 	p.giveRest()
@@ -297,6 +300,23 @@
 	}
 }
 
+// shrink takes teams out of shares that were written under a larger limit of values: they
+// could not be written again, whoever is to have them. The teams are nobody's until the
+// next plan, so that none is in two shares however many writes it takes.
+func (p *draft) shrink() bool {
+	for _, name := range p.names() {
+		r := p.shares[name]
+		if n, err := bounds.JSON(encode(r)); err != nil || n <= p.d.limits.ValueBytes || p.room() == 0 {
+			continue
+		}
+		for len(r.Teams) > 1 && !p.fits(r) {
+			r.Teams = r.Teams[:len(r.Teams)-1]
+			p.dirty[name] = true
+		}
+	}
+	return len(p.dirty) > 0
+}
+
 func (p *draft) give(team string, to Node) {
 	name := p.shareOf(to, team)
 	r := p.shares[name]
--- a/internal/moves/book.go
+++ b/internal/moves/book.go
@@ -170,7 +170,9 @@
 // Book is the moves under way of one owner.
 type Book struct {
 	// Again is how long a replica that was moved is left alone.
-	Again   time.Duration
+	Again time.Duration
+	// Bytes bounds a record that is taken up, as JSON; 0 for not at all.
+	Bytes   int
 	Tally   Tally
 	entries []*Entry
 	shelves map[string]*shelf
--- a/internal/moves/record.go
+++ b/internal/moves/record.go
@@ -195,9 +195,31 @@
 		}
 		b.add(e)
 	}
+	b.trim(now, team)
 	return nil
 }
 
+// trim lets go of what was written under a larger limit of values than there is now. It
+// only costs: places that were held, and rest between two moves of a replica.
+func (b *Book) trim(now time.Time, team string) {
+	if b.Bytes <= 0 || b.bytes(team) <= b.Bytes {
+		return
+	}
+	b.changed(team, now)
+	s := b.shelf(team)
+	rows := b.record(team).Recent
+	slices.SortStableFunc(rows, func(a, b recentRow) int { return cmp.Compare(a.Until, b.Until) })
+	for len(rows) > 0 && b.bytes(team) > b.Bytes {
+		delete(s.recent, replica{rows[0].Job, rows[0].Index})
+		rows = rows[1:]
+	}
+	for i := len(b.entries) - 1; i >= 0 && b.bytes(team) > b.Bytes; i-- {
+		if b.entries[i].Team == team {
+			b.entries = slices.Delete(b.entries, i, i+1)
+		}
+	}
+}
+
 // decode reads a record and judges it.
 func decode(b []byte) (record, error) {
 	var r record
--- a/internal/promise/pages.go
+++ b/internal/promise/pages.go
@@ -148,9 +148,27 @@
 			}
 		}
 	}
+	b.spread()
 	return b
 }
 
+// spread has the dates of pages that were written under a larger limit go to others.
+func (b *Book) spread() {
+	for _, n := range slices.Sorted(maps.Keys(b.pages)) {
+		p := b.pages[n]
+		if p.left || p.size <= b.limit || len(p.entries) < 2 {
+			continue
+		}
+		es := p.entries
+		p.entries, p.moved = map[string]Entry{}, true
+		p.count()
+		for _, id := range slices.Sorted(maps.Keys(es)) {
+			delete(b.at, id)
+			b.Put(es[id])
+		}
+	}
+}
+
 // Book is a team's pages as their writer has them: the team's owner. What was entered
 // never changes but by the next revision, whatever becomes of the writes.
 type Book struct {
@@ -171,6 +189,9 @@
 	known bool
 	// left: what stands there can't be read, and is let alone.
 	left bool
+	// moved: its dates have gone to other pages, as it is larger than may be written. It
+	// goes when they are durable there.
+	moved bool
 }
 
 // NewBook is a book of pages of up to limit bytes as JSON.
@@ -235,7 +256,7 @@
 	if !there {
 		n = 0
 		for {
-			if p := b.page(n); !p.left && (p.size+rowBytes(e) <= b.limit || len(p.entries) == 0) {
+			if p := b.page(n); !p.left && !p.moved && (p.size+rowBytes(e) <= b.limit || len(p.entries) == 0) {
 				break
 			}
 			n++
@@ -288,6 +309,7 @@
 	for _, n := range slices.Sorted(maps.Keys(b.pages)) {
 		p := b.pages[n]
 		if best >= 0 || len(p.entries) > 0 || p.left {
+			// Dates that have moved are durable where they are before their page goes.
 			continue
 		}
 		if p.stamp == 0 && p.known {
--- /dev/null
+++ b/internal/standin/lower_test.go
@@ -0,0 +1,116 @@
+package standin
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/micahill/micahill/internal/core"
+)
+
+// lowerWorld is one whose state service will have lower limits, of which controllers know
+// only once they have been replaced.
+type lowerWorld struct {
+	*World
+	next core.Settings
+	// replaced are the controllers that know of the limits, and early counts records that
+	// those of before can't read and that were written while some could come back.
+	replaced []bool
+	early    int
+}
+
+func newLowerWorld(seed uint64) *lowerWorld {
+	set := testSettings()
+	set.Zones, set.Teams = []string{"a"}, []core.Team{{Name: "ops"}, {Name: "lab"}}
+	types := []core.Flavour{{Name: "box", Size: core.Resources{CPU: 16, Memory: 64}, DiskGB: 50, PullRate: 0.5, Price: 0.2, Ready: 20 * time.Second, Zones: []string{"a"}}}
+	l := &lowerWorld{World: NewWorld(seed, 3, set, testCancel, types, map[string]int{"box/a/false": 40}), next: set, replaced: make([]bool, 3)}
+	l.next.ValueBytes, l.next.PresentValueBytes, l.next.TxnOps, l.next.StateWrites = 1024, set.ValueBytes, 4, 21
+	l.tune = func(i int, set *core.Settings) {
+		if l.replaced[i] {
+			set.ValueBytes, set.PresentValueBytes = l.next.ValueBytes, l.next.PresentValueBytes
+			set.TxnOps, set.StateWrites = l.next.TxnOps, l.next.StateWrites
+		}
+	}
+	l.state.noted = func(it core.Item) {
+		if strings.HasPrefix(it.Key, "task/") && strings.Contains(it.Key, "/s") && !l.all() {
+			l.early++
+		}
+	}
+	return l
+}
+
+func (l *lowerWorld) all() bool { return l.replaced[0] && l.replaced[1] && l.replaced[2] }
+
+// replace ends a controller, which comes back with the new version.
+func (l *lowerWorld) replace(i int) {
+	l.replaced[i] = true
+	l.Crash(i, 3*time.Second)
+}
+
+// lower has the state service keep the limits to come.
+func (l *lowerWorld) lower() { l.state.Limit(l.next) }
+
+// TestLowerLimits: while jobs of a hundred tasks run, the controllers are replaced one
+// after the other, and then the state service lowers its limits, at every moment of a
+// takeover, with writes that are carried out late, with one that comes back old before its
+// turn. Before this the state service called every further write of a job's tasks
+// malformed, for ever, as their records had been written under the old limits.
+func TestLowerLimits(t *testing.T) {
+	for _, k := range spread(24, 4) {
+		t.Run(fmt.Sprint(k), func(t *testing.T) {
+			l := newLowerWorld(uint64(k))
+			l.Run(time.Minute)
+			ids := l.submitMany("ops", "ops", 6, 100, 1, 50*time.Second)
+			ids = append(ids, l.submitMany("lab", "lab", 6, 100, 1, 35*time.Second)...)
+			l.Run(25 * time.Second)
+			if k%4 == 1 {
+				l.LateWrites(0.3, 2*time.Minute)
+			}
+			l.replace(0)
+			l.Run(12 * time.Second)
+			if k%3 == 1 {
+				l.Crash(2, 2*time.Second)
+				l.Run(8 * time.Second)
+			}
+			l.replace(1)
+			l.Run(12 * time.Second)
+			l.replace(2)
+			l.Run(time.Duration(12+k%5) * time.Second)
+			if k%2 == 1 {
+				l.Crash(l.busiest(), 2*time.Second)
+				l.Run(time.Duration(k) * 500 * time.Millisecond)
+			}
+			l.lower()
+			l.Run(time.Duration(k%7) * time.Second)
+			l.Abort(ids[3])
+			if k%4 > 1 {
+				l.Crash(l.busiest(), 2*time.Second)
+			}
+			l.Run(6 * time.Minute)
+			// Records of ended jobs that an owner had still to remove when it ended go when
+			// one begins that owns nothing yet.
+			for i := range l.nodes {
+				l.Crash(i, 3*time.Second)
+			}
+			l.Run(2 * time.Minute)
+			rulesHold(t, l.World)
+			if l.early > 0 {
+				t.Errorf("%d records that the version before can't read, while it could come back", l.early)
+			}
+			if l.state.Bad > 0 {
+				t.Errorf("%d requests are malformed, the last for %s", l.state.Bad, l.state.LastBad)
+			}
+			for _, id := range ids {
+				if j := l.jobs[id]; j.told != string(core.Done) && j.told != string(core.Cancelled) {
+					t.Errorf("%s is %s", id, j.told)
+				}
+			}
+			for key := range l.state.rows {
+				if strings.HasPrefix(key, "task/") {
+					t.Errorf("%s is left", key)
+				}
+			}
+		})
+	}
+}
