A controller that was cut off since it was replaced holds the change of form no longer

Cause: records become parts when each controller has said that it knows them.

Change: an owner whose record of tasks is called malformed puts a plain text of a size between the two limits. Refused, that proves that the limits are lower, which they are only after the upgrade; the owner then writes ctl/form itself, on condition of its share.

Conclusion: all 18 jobs end, with at most 20 malformed requests. Condition and row added.

--- a/internal/core/chunks.go
+++ b/internal/core/chunks.go
@@ -222,6 +222,7 @@
 	n.info("a record is malformed", "job", j.ID, "chunk", c.n)
 	c.busy, c.urgent, c.alone = false, false, false
 	c.refused = c.ver
+	probeLimit(n)
 	for i := c.n * j.per; i < min((c.n+1)*j.per, j.fresh); i++ {
 		if t := &j.tasks[i]; t.m != nil && !t.sent && t.ver <= ver {
 			t.notBefore = n.now.Add(defectPause)
--- a/internal/core/divide.go
+++ b/internal/core/divide.go
@@ -48,7 +48,7 @@
 		return l
 	}
 	for _, a := range op.Apply {
-		if strings.HasPrefix(a.Key, taskPrefix) {
+		if strings.HasPrefix(a.Key, taskPrefix) || a.Key == probeKey {
 			l.ValueBytes = n.set.presentBytes()
 		}
 	}
--- a/internal/core/forms.go
+++ b/internal/core/forms.go
@@ -7,6 +7,8 @@
 	"slices"
 	"strconv"
 	"strings"
+
+	"github.com/micahill/micahill/internal/bounds"
 )
 
 // forms.go has the records of tasks go over to fewer tasks a record before the state
@@ -121,6 +123,9 @@
 		key := formPrefix + n.set.Host
 		op.When = []Cond{{key, 0}}
 		op.Apply = []Change{{Key: key, Value: rec}}
+	case s.lowered && n.owner != nil:
+		op.When = append(n.shareConds(""), Cond{formKey, s.formStamp})
+		op.Apply = []Change{{Key: formKey, Value: rec}}
 	case n.leader != nil && allKnowParts(n):
 		op.When = []Cond{{leadKey, n.leader.stamp}, {formKey, s.formStamp}}
 		op.Apply = []Change{{Key: formKey, Value: rec}}
@@ -137,6 +142,27 @@
 	})
 }
 
+// probeKey holds a value between the limits, where it was ever asked for.
+const probeKey = "form/probe"
+
+// probeLimit finds out whether the state service has lowered its limit of values, which
+// it does only when the upgrade is over: a controller may have been cut off since it was
+// replaced, and has not said so. A record that was called malformed may be so for another
+// reason; a plain text that is too large for the limit to come is not.
+func probeLimit(n *Node) {
+	s := &n.sess
+	text := encode(strings.Repeat("x", n.set.ValueBytes))
+	if size, err := bounds.JSON(text); err != nil || size > n.set.presentBytes() || s.lowered || s.probing || n.taskForm().part {
+		return
+	}
+	s.probing = true
+	n.ask(StateOp{Kind: OpTxn, Prio: PrioStart, Apply: []Change{{Key: probeKey, Value: text}}}, func(d StateDone) {
+		s.lowered = d.Status == StateBad
+		n.after(defectPause, func() { s.probing = false })
+		formCheck(n)
+	})
+}
+
 // allKnowParts says that every controller of the deployment has said that it knows parts.
 // Its process of the version before is over by then and never comes back.
 func allKnowParts(n *Node) bool {
--- a/internal/core/forms_test.go
+++ b/internal/core/forms_test.go
@@ -377,3 +377,34 @@
 		t.Error("one that fits is shortened")
 	}
 }
+
+// TestLimitIsProbed: a record that is called malformed shows nothing of the limits, which
+// a text between them does: only that has the form change without all having said that
+// they know parts, and by a write that names the owner's share.
+func TestLimitIsProbed(t *testing.T) {
+	for _, status := range []StateStatus{StateOK, StateUnknown, StateBad} {
+		n := formsNode()
+		n.set.Peers = []string{"b"}
+		formItem(n, Item{Key: formPrefix + "a", Stamp: 3})
+		n.sess.loaded, n.sess.grant = true, 1
+		j := takeOver(n, productionRecords(t))
+		n.out = nil
+		n.badRecord(j, j.chunks[0], 1)
+		var probe StateOp
+		for _, e := range n.out {
+			if op, ok := e.(StateOp); ok && op.Apply[0].Key == probeKey {
+				probe = op
+			}
+		}
+		if size, err := bounds.JSON(probe.Apply[0].Value); err != nil || size <= 2048 || size > 4096 {
+			t.Fatalf("the probe has %d bytes, %v", size, err)
+		}
+		n.state[probe.ID](StateDone{ID: probe.ID, Status: status})
+		ops := formWrites(n)
+		if changed := len(ops) > 0 && ops[0].Apply[0].Key == formKey; changed != (status == StateBad) {
+			t.Errorf("answered %v: %+v", status, ops)
+		} else if changed && ops[0].When[0] != n.shareConds("")[0] {
+			t.Errorf("it does not name the share: %+v", ops[0].When)
+		}
+	}
+}
--- a/internal/core/session.go
+++ b/internal/core/session.go
@@ -70,6 +70,9 @@
 	form      taskForm
 	formStamp uint64
 	forming   bool
+	// lowered: the state service has its new limits, and probing: that has lately been
+	// asked for.
+	lowered, probing bool
 	// terms counts the grants that this process has lost: each makes another life of
 	// it, since which of its orders are on their way is forgotten with its roles.
 	terms int
--- a/internal/standin/lower_test.go
+++ b/internal/standin/lower_test.go
@@ -51,6 +51,36 @@
 // lower has the state service keep the limits to come.
 func (l *lowerWorld) lower() { l.state.Limit(l.next) }
 
+// TestLowerLimitsUnseen: the controller that is replaced last has lost the state service
+// until long after the limits are lower, so that nobody is told that it is new: the others
+// find that out by the limit, are refused a few times, and go on.
+func TestLowerLimitsUnseen(t *testing.T) {
+	l := newLowerWorld(7)
+	l.Run(time.Minute)
+	ids := l.submitMany("ops", "ops", 6, 100, 1, 40*time.Second)
+	ids = append(ids, l.submitMany("lab", "lab", 6, 100, 1, 40*time.Second)...)
+	l.Run(15 * time.Second)
+	for i := range 3 {
+		if i == 2 {
+			l.Cut("node-2", "state", 5*time.Minute, false)
+		}
+		l.replace(i)
+		l.Run(8 * time.Second)
+	}
+	cutOff := l.submitMany("late", "ops", 6, 100, 1, 30*time.Second)
+	l.lower()
+	l.Run(5 * time.Minute)
+	rulesHold(t, l.World)
+	for _, id := range append(ids, cutOff...) {
+		if j := l.jobs[id]; j.told != string(core.Done) {
+			t.Errorf("%s is %s", id, j.told)
+		}
+	}
+	if l.state.Bad == 0 || l.state.Bad > 20 {
+		t.Errorf("%d requests are malformed", l.state.Bad)
+	}
+}
+
 // TestLowerLimits: while jobs of a hundred tasks run, the controllers are replaced one
 // after the other, and then the state service lowers its limits, at every moment of a
 // takeover, with writes that are carried out late, with one that comes back old before its
