A job of which a task runs does not fail everywhere

Cause: a job whose tasks met three faulty machines at once, before any of them was done, was held to fail everywhere: one task at a time, ever more seldom (up to two minutes apart), and none while one of them ran. With 30 % faulty machines its other tasks waited for the end of the one that ran, beside room on sound machines.

Change: a task that runs for twice as long as any failure of its job took, and 5 s at least, shows that the others met faulty machines. Should it fail as well, failures take as long and the job is held to fail everywhere again.

--- a/internal/core/owner.go
+++ b/internal/core/owner.go
@@ -320,6 +320,7 @@
 		n.sweep()
 		rankSweep(n)
 		startsNothing(n)
+		worksElsewhere(n)
 		if checkEars(n); n.owner != o {
 			return
 		}
