A team that waits for room in vain goes to the owner that has some

Cause: a machine belongs whole to one owner, and nothing is started across owners. With few machines an owner may have none with room for a job while another's stands half empty and the cloud has no more: only idle machines are handed over, so the job waited until nothing ran there any more.

--- a/internal/core/owner.go
+++ b/internal/core/owner.go
@@ -103,6 +103,8 @@
 	// spare are idle machines that neither what waits nor what is expected needs, the
 	// dearest first: others may have them.
 	spare []string
+	// short is which jobs wait for room that only other owners have; see short.go.
+	short shortages
 	// release is a team that the leader wants to move, and when it last said so.
 	release   division.Ask
 	releaseAt time.Time
