--- a/internal/core/short.go
+++ b/internal/core/short.go
@@ -169,7 +169,7 @@
 // hasRoomFor says that a machine has room that nothing here is to have, for a job that is
 // another owner's.
 func (n *Node) hasRoomFor(m *machine, j *job, zone string) bool {
-	return n.usable(m) && !m.retiring && m.heldFor == "" && (zone == "" || zone == m.zone) &&
+	return n.usable(m) && m.heldFor == "" && (zone == "" || zone == m.zone) &&
 		j.allows(m.flavour, m.zone, m.spot) && j.Need.Fits(m.free())
 }
 
