A job whose team came to room for it takes dear room at once

Cause: its wait begins anew with its new owner, and room on dear machines is for what has waited for 45 s there.

Change: what had room here when its team came counts as left waiting until something of it is given a place.

--- a/internal/core/short.go
+++ b/internal/core/short.go
@@ -225,3 +225,13 @@
 	}
 	return out
 }
+
+// hadRoom says whether a job had room here when its team came. Such a job may
+// have what is kept from others for the sake of the price at once: it has waited already.
+func (h *teamHeld) hadRoom(job string) bool {
+	if h == nil {
+		return false
+	}
+	_, ok := h.beside[job]
+	return ok
+}
--- a/internal/core/short_test.go
+++ b/internal/core/short_test.go
@@ -97,3 +97,26 @@
 		t.Error("there is room for 16 CPUs beside 20 of 32")
 	}
 }
+
+// TestCameToRoom: a job whose team comes since there is room for it has waited already: it
+// may have dear room at once. It waited for the 45 s of a new one.
+func TestCameToRoom(t *testing.T) {
+	n := two(t)
+	for _, id := range []string{"job-wide", "job-other"} {
+		n.users.mirror.open[id] = living{1, openRecord{Team: "lab", Tasks: 1, CPU: 8, Memory: 22, Workload: "wide"}}
+	}
+	n.owner.short.beside = map[string]roomSince{"job-wide": {n.owner.byID[0], n.now}}
+	n.shareOf(t, "a", "a", 5, false, "ops", "lab")
+	n.shareOf(t, "b", "b", 5, false)
+	syncTeams(n, n.sess.book.Holds("a", n.life()))
+	n.owner.short.beside = nil
+	teamsLoaded(n, map[string]*teamHeld{"lab": n.owner.teams["lab"]}, nil, nil, n.now)
+	came := n.owner.jobs["job-wide"]
+	if came == nil || !n.leftWaiting(came) || n.leftWaiting(n.owner.jobs["job-other"]) {
+		t.Fatal("what came to room waits for dear room like what came with it")
+	}
+	came.placedAt = n.now
+	if n.leftWaiting(came) {
+		t.Error("it takes dear room though something of it was given a place just now")
+	}
+}
