Measure clusters of growing size with hollow workers

Need: costs at 12,000 workers are to be worked out from measured slopes, and nothing measured what each role takes as a cluster grows.

Change: micahill-lab scale brings up real controllers and hollow workers on loopback, one rung after another, measures each controller by its role, the state service by kind of request and family of keys, reports, acceptance, urgent starts and a takeover, and fits lines through the rungs. The live world of the stand-ins counts what passes, gives each worker a connection of its own for its reports, and closes the addresses of machines that are gone; the lab's fleet takes the site's figures as settings and up to 19 controllers.

--- a/cmd/micahill-lab/main.go
+++ b/cmd/micahill-lab/main.go
@@ -19,7 +19,7 @@
 		Long:         "Experiments with micahill over the project's own stand-ins: nothing of a real\ncloud is touched, and all traffic stays on this machine.",
 		SilenceUsage: true, SilenceErrors: true,
 	}
-	root.AddCommand(upCommand(), overflowCommand(), conditionsCommand(), daysCommand())
+	root.AddCommand(upCommand(), overflowCommand(), conditionsCommand(), daysCommand(), scaleCommand())
 	if err := root.ExecuteContext(ctx); err != nil {
 		fmt.Fprintln(os.Stderr, "micahill-lab:", err)
 		os.Exit(1)
--- /dev/null
+++ b/cmd/micahill-lab/scale.go
@@ -0,0 +1,100 @@
+package main
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+	"time"
+
+	"github.com/micahill/micahill/internal/lab/scale"
+	"github.com/spf13/cobra"
+)
+
+// errScale says that a rung broke a rule of the protocol.
+var errScale = errors.New("scale: a rule was broken")
+
+// scaleCommand runs clusters of growing size and measures them.
+func scaleCommand() *cobra.Command {
+	var p scale.Plan
+	var workers []int
+	var starts []float64
+	var program_ string
+	var asJSON bool
+	c := &cobra.Command{
+		Use: "scale", Short: "Run clusters of growing size with hollow workers and measure what each role takes", Args: cobra.NoArgs,
+		Long: "For each number of workers: real controllers and hollow workers on loopback, each with an\naddress, a session and tasks of its own that speaks the protocol whole, tasks being\ntimers. Measures processor and memory of each controller by role, requests and changes\nat the state service, reports, acceptance, urgent starts and the takeover when the\ncontroller that runs most is ended, and fits lines through the rungs. What other work\nthe machine had meanwhile stands under OTHERS, in cores.",
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			p.Program, p.Say = program(program_), cmd.ErrOrStderr()
+			plans := make([]scale.Plan, len(workers))
+			for i, n := range workers {
+				plans[i] = p
+				plans[i].Workers, plans[i].Starts = n, starts[min(i, len(starts)-1)]
+				if err := plans[i].Check(); err != nil {
+					return err
+				}
+			}
+			var l scale.Ladder
+			for i := range plans {
+				fmt.Fprintf(p.Say, "rung %d of %d: %d workers, %g starts/s\n", i+1, len(plans), plans[i].Workers, plans[i].Starts)
+				r, err := playRung(cmd, plans[i])
+				if err != nil {
+					return err
+				}
+				l.Rungs = append(l.Rungs, r)
+			}
+			l.Fit()
+			return tellScale(cmd.OutOrStdout(), &l, asJSON)
+		},
+	}
+	f := c.Flags()
+	f.IntSliceVar(&workers, "workers", []int{100}, "hollow workers, one number for each rung")
+	f.IntVar(&p.Controllers, "controllers", 3, "controllers, 1 to 19")
+	f.IntVar(&p.Teams, "teams", 12, "teams, 1 to 250")
+	f.Float64SliceVar(&starts, "starts", []float64{5}, "starts of tasks a second, one number for each rung; the last holds for the rest")
+	f.IntVar(&p.Tasks, "tasks", 20, "tasks of a job")
+	f.DurationVar(&p.Run, "run", 10*time.Second, "how long a task runs")
+	f.DurationVar(&p.For, "for", 40*time.Second, "how long each rung is measured")
+	f.DurationVar(&p.Report, "report", 5*time.Second, "how often workers report; a lease is six times that")
+	f.Float64Var(&p.Requests, "requests", 2000, "requests a second that the state service takes")
+	f.Float64Var(&p.Changes, "changes", 1000, "changes a second that it takes")
+	f.BoolVar(&p.Takeover, "takeover", true, "end the controller that runs most after each measurement")
+	f.StringArrayVar(&p.Enable, "enable", nil, "file that switches something on at all controllers; repeatable")
+	f.StringVar(&program_, "micahill", "", "the controllers' program (default: beside this one)")
+	f.BoolVar(&asJSON, "json", false, "as JSON")
+	return c
+}
+
+// playRung plays one in a folder of its own, which stays if it fails.
+func playRung(cmd *cobra.Command, p scale.Plan) (*scale.Rung, error) {
+	dir, err := os.MkdirTemp("", "micahill-scale")
+	if err != nil {
+		return nil, fmt.Errorf("scale: %w", err)
+	}
+	p.Dir = filepath.Clean(dir)
+	r, err := scale.Play(cmd.Context(), p)
+	if err != nil {
+		return nil, err
+	}
+	return r, os.RemoveAll(dir)
+}
+
+func tellScale(out io.Writer, l *scale.Ladder, asJSON bool) error {
+	if asJSON {
+		e := json.NewEncoder(out)
+		e.SetIndent("", "  ")
+		if err := e.Encode(l); err != nil {
+			return fmt.Errorf("scale: %w", err)
+		}
+	} else if err := l.Print(out); err != nil {
+		return err
+	}
+	for _, r := range l.Rungs {
+		if len(r.Broken) > 0 {
+			return fmt.Errorf("%w: %s", errScale, r.Broken[0])
+		}
+	}
+	return nil
+}
--- a/cmd/micahill-lab/up.go
+++ b/cmd/micahill-lab/up.go
@@ -76,7 +76,7 @@
 		},
 	}
 	c.Flags().IntVar(&opt.Clusters, "clusters", 1, "how many clusters, 1 to 5; more than one lend to each other")
-	c.Flags().IntVar(&opt.Controllers, "controllers", 3, "controllers of each, 1 to 5")
+	c.Flags().IntVar(&opt.Controllers, "controllers", 3, "controllers of each, 1 to 19")
 	c.Flags().IntSliceVar(&opt.Machines, "machines", nil, "machines that each cluster's cloud has, such as 1,20,20")
 	c.Flags().BoolVar(&first, "job", true, "run a first job of four tasks")
 	c.Flags().IntVar(&jobs, "jobs", 0, "hand so many more jobs in, one a second, of the workloads alert, report and reprint")
--- a/internal/lab/fleet/fleet.go
+++ b/internal/lab/fleet/fleet.go
@@ -40,8 +40,34 @@
 	// Enable are files such as those under deploy/, for all controllers.
 	Enable   []string
 	LogLevel string
+	// Site is what the clusters are told of their surroundings; none: DefaultSite.
+	Site *Site
 }
 
+// Site is what a deployment is told of its surroundings, and what these keep to.
+type Site struct {
+	Teams                      []string
+	ReportEvery, Lease, Cancel time.Duration
+	// Requests and Changes a second at the state service, and its limits of sizes.
+	Requests, Changes, ValueKB float64
+	TxnOps                     int
+	CloudRPS                   float64
+	// CPU, RAMMB and Sockets are a controller's quota.
+	CPU, RAMMB float64
+	Sockets    int
+}
+
+// DefaultSite is a small one, for a hundred machines.
+func DefaultSite() Site {
+	return Site{
+		Teams: []string{"ops", "guests"}, ReportEvery: time.Second, Lease: 6 * time.Second, Cancel: 20 * time.Second,
+		Requests: 300, Changes: 150, ValueKB: 8, TxnOps: 16, CloudRPS: 10, CPU: 1, RAMMB: 512, Sockets: 1000,
+	}
+}
+
+// maxControllers bounds a cluster.
+const maxControllers = 19
+
 // names of clusters; there are no more.
 var names = []string{"east", "west", "north", "south", "centre"}
 
@@ -75,16 +101,22 @@
 	Run      time.Duration
 	Due      time.Duration
 	Urgency  string
+	// Standing: its tasks run until it is cancelled.
+	Standing bool
 }
 
 // ErrTooMany says that more was asked for than is sensible on one machine.
-var ErrTooMany = errors.New("fleet: at most 5 clusters of at most 5 controllers")
+var ErrTooMany = errors.New("fleet: at most 5 clusters of at most 19 controllers")
 
 // Up brings the clusters up. Down ends them.
 func Up(ctx context.Context, opt Options) (*Fleet, error) {
-	if opt.Clusters < 1 || opt.Clusters > len(names) || opt.Controllers < 1 || opt.Controllers > 5 {
+	if opt.Clusters < 1 || opt.Clusters > len(names) || opt.Controllers < 1 || opt.Controllers > maxControllers {
 		return nil, ErrTooMany
 	}
+	if opt.Site == nil {
+		site := DefaultSite()
+		opt.Site = &site
+	}
 	if _, err := os.Stat(opt.Program); err != nil {
 		return nil, fmt.Errorf("fleet: the controllers' program: %w; build it first (see README.md)", err)
 	}
@@ -113,7 +145,8 @@
 		Name: "box", Size: core.Resources{CPU: 4, Memory: 16}, DiskGB: 20, PullRate: 2, Price: 0.2, SpotPrice: 0.07,
 		Ready: 2 * time.Second, Zones: []string{"a"},
 	}}
-	set := core.Settings{ReportEvery: time.Second, Lease: 6 * time.Second, ListLag: time.Second}
+	site := f.opt.Site
+	set := core.Settings{ReportEvery: site.ReportEvery, Lease: site.Lease, ListLag: time.Second}
 	for i, name := range names[:f.opt.Clusters] {
 		c := &Cluster{Name: name, fleet: f, dir: filepath.Join(f.opt.Dir, name), procs: make([]*exec.Cmd, f.opt.Controllers)}
 		if err := os.MkdirAll(c.dir, 0o700); err != nil {
@@ -132,7 +165,7 @@
 		if n := len(f.opt.Machines); n > 0 {
 			machines = f.opt.Machines[min(i, n-1)]
 		}
-		c.Live = standin.NewLive(set, 300, 150, types, map[string]int{"box/a/true": machines}, c.API)
+		c.Live = standin.NewLive(set, site.Requests, site.Changes, types, map[string]int{"box/a/true": machines}, c.API)
 		c.Live.Learn(f.learn)
 		go c.Live.Run(ctx)
 		if f.opt.Overflow {
@@ -169,7 +202,7 @@
 		own = OwnID(id)
 	}
 	j, ok := f.jobs[own]
-	return core.Spec{ID: id, Team: j.Team, Tasks: j.Tasks, Need: core.Resources{CPU: j.CPUs, Memory: j.CPUs}, Image: "img", ImageGB: 0.2, Spot: true}, j.Run, ok
+	return core.Spec{ID: id, Team: j.Team, Tasks: j.Tasks, Need: core.Resources{CPU: j.CPUs, Memory: j.CPUs}, Image: "img", ImageGB: 0.2, Spot: true, Standing: j.Standing}, j.Run, ok
 }
 
 // OwnID is the name that a lent job has at home.
@@ -188,31 +221,15 @@
 		}
 	}
 	fmt.Fprintf(&b, "[outside]\ncloud = %q\nstate = %q\n", c.Live.Cloud, c.Live.State)
-	b.WriteString(`[deployment]
-initial_size = 3
-zones = ["a"]
-time_bound_ms = 100.0
-[[deployment.teams]]
-name = "ops"
-[[deployment.teams]]
-name = "guests"
-[deployment.workers]
-report_s = 1.0
-lease_s = 6.0
-cancel_s = 20.0
-[deployment.state]
-rps = 300.0
-write_rps = 150.0
-value_kb = 8.0
-txn_ops = 16
-[deployment.cloud]
-rps = 10.0
-list_lag_s = 1.0
-[deployment.quota]
-cpu = 1.0
-ram_mb = 512.0
-sockets = 1000
-`)
+	site := c.fleet.opt.Site
+	fmt.Fprintf(&b, "[deployment]\ninitial_size = %d\nzones = [\"a\"]\ntime_bound_ms = 100.0\n", len(c.API))
+	for _, team := range site.Teams {
+		fmt.Fprintf(&b, "[[deployment.teams]]\nname = %q\n", team)
+	}
+	fmt.Fprintf(&b, "[deployment.workers]\nreport_s = %.3f\nlease_s = %.3f\ncancel_s = %.3f\n", site.ReportEvery.Seconds(), site.Lease.Seconds(), site.Cancel.Seconds())
+	fmt.Fprintf(&b, "[deployment.state]\nrps = %.1f\nwrite_rps = %.1f\nvalue_kb = %.1f\ntxn_ops = %d\n", site.Requests, site.Changes, site.ValueKB, site.TxnOps)
+	fmt.Fprintf(&b, "[deployment.cloud]\nrps = %.1f\nlist_lag_s = 1.0\n", site.CloudRPS)
+	fmt.Fprintf(&b, "[deployment.quota]\ncpu = %.2f\nram_mb = %.1f\nsockets = %d\n", site.CPU, site.RAMMB, site.Sockets)
 	if err := os.WriteFile(c.file(i, "settings.toml"), []byte(b.String()), 0o600); err != nil {
 		return fmt.Errorf("fleet: %w", err)
 	}
@@ -306,6 +323,11 @@
 
 // call asks the first controller that answers.
 func (c *Cluster) call(ctx context.Context, method, path string, body any) (int, map[string]any, error) {
+	return c.callFrom(ctx, 0, method, path, body)
+}
+
+// callFrom asks the first that answers, from the one with that number on.
+func (c *Cluster) callFrom(ctx context.Context, first int, method, path string, body any) (int, map[string]any, error) {
 	var raw []byte
 	if body != nil {
 		var err error
@@ -316,7 +338,8 @@
 	ctx, cancel := context.WithTimeout(ctx, 3*time.Second)
 	defer cancel()
 	var last error
-	for _, a := range c.API {
+	for i := range c.API {
+		a := c.API[(first+i)%len(c.API)]
 		req, err := http.NewRequestWithContext(ctx, method, "http://"+a+path, bytes.NewReader(raw))
 		if err != nil {
 			return 0, nil, fmt.Errorf("fleet: %w", err)
@@ -337,8 +360,13 @@
 	return 0, nil, fmt.Errorf("fleet: %s: %w", c.Name, last)
 }
 
-// Submit hands a job in; known says that it was accepted, now or before.
+// Submit hands a job in, and says whether it was accepted, now or before.
 func (c *Cluster) Submit(ctx context.Context, j Job) (accepted bool, err error) {
+	return c.SubmitAt(ctx, 0, j)
+}
+
+// SubmitAt hands it in at the controller with that number, or the next that answers.
+func (c *Cluster) SubmitAt(ctx context.Context, first int, j Job) (accepted bool, err error) {
 	c.fleet.mu.Lock()
 	c.fleet.jobs[j.ID] = j
 	c.fleet.mu.Unlock()
@@ -350,10 +378,13 @@
 		"vcpus": j.CPUs, "gpus": 0.0, "memory_gb": j.CPUs, "bundle": "img", "image_gb": 0.2, "flavours": nil, "site": nil,
 		"same_place": false, "apart": false, "loaner": true, "expected_s": j.Run.Seconds(), "snapshot_every_s": 0.0, "snapshot_cost_s": 0.0, "due_s": nil,
 	}
+	if j.Standing {
+		m["shape"], m["expected_s"] = "standing", 0.0
+	}
 	if j.Due > 0 {
 		m["due_s"] = j.Due.Seconds()
 	}
-	s, o, err := c.call(ctx, http.MethodPost, "/v2/runs", m)
+	s, o, err := c.callFrom(ctx, first, http.MethodPost, "/v2/runs", m)
 	if err == nil && s/100 == 4 && s != http.StatusTooManyRequests {
 		return false, fmt.Errorf("fleet: %s: %d %v", j.ID, s, o["error"])
 	}
--- /dev/null
+++ b/internal/lab/scale/table.go
@@ -0,0 +1,100 @@
+package scale
+
+import (
+	"fmt"
+	"io"
+	"strings"
+	"text/tabwriter"
+)
+
+// Ladder is what several rungs gave, and the fits through them.
+type Ladder struct {
+	Rungs []*Rung `json:"rungs"`
+	Fits  []Fit   `json:"fits"`
+}
+
+// figures are what is fitted, each as a number of a rung.
+var figures = []struct {
+	name string
+	of   func(*Rung) float64
+}{
+	{"cores of all controllers", func(r *Rung) float64 { return r.sum("", func(x Role) float64 { return x.Cores }) }},
+	{"cores of the leader", func(r *Rung) float64 { return r.sum("leader", func(x Role) float64 { return x.Cores }) }},
+	{"MB of all controllers", func(r *Rung) float64 { return r.sum("", func(x Role) float64 { return x.RSSMB }) }},
+	{"reports/s", func(r *Rung) float64 { return r.Reports }},
+	{"report KB/s of all workers", func(r *Rung) float64 { return r.KB * float64(r.Workers) }},
+	{"orders/s", func(r *Rung) float64 { return r.Orders }},
+	{"requests/s", func(r *Rung) float64 { return r.Requests }},
+	{"changes/s", func(r *Rung) float64 { return r.Changes }},
+	{"takeover first start s", func(r *Rung) float64 {
+		if r.Takeover == nil {
+			return 0
+		}
+		return r.Takeover.StartS
+	}},
+}
+
+// sum adds up a figure of the roles that begin with the word.
+func (r *Rung) sum(role string, of func(Role) float64) float64 {
+	out := 0.0
+	for _, x := range r.Roles {
+		if strings.HasPrefix(x.Role, role) {
+			out += of(x)
+		}
+	}
+	return out
+}
+
+// Fit fits each figure to workers and starts, or to workers alone where the rungs do not
+// tell the two apart.
+func (l *Ladder) Fit() {
+	for _, f := range figures {
+		var both, one [][]float64
+		var y []float64
+		for _, r := range l.Rungs {
+			w := float64(r.Workers)
+			both, one, y = append(both, []float64{w, r.Starts}), append(one, []float64{w}), append(y, f.of(r))
+		}
+		fit, ok := Line(f.name, both, y)
+		if !ok {
+			fit, ok = Line(f.name, one, y)
+		}
+		if ok {
+			l.Fits = append(l.Fits, fit)
+		}
+	}
+}
+
+// Print writes the ladder as a table.
+func (l *Ladder) Print(out io.Writer) error {
+	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(w, "WORKERS\tSTARTS/S\tFOR\tFILL\tREPORTS/S\tREPORT KB/S\tORDERS/S\tREQUESTS/S\tCHANGES/S\t429\tACCEPT P50/P99\tURGENT P50/P99/MAX\tNEVER\tTAKEOVER\tLAB\tOTHERS\tBROKEN")
+	for _, r := range l.Rungs {
+		takeover := "-"
+		if t := r.Takeover; t != nil {
+			takeover = fmt.Sprintf("%.1f/%.1f", t.NamedS, t.StartS)
+		}
+		fmt.Fprintf(w, "%d\t%.1f\t%.0f\t%.0f\t%.1f\t%.3f\t%.1f\t%.1f\t%.1f\t%d\t%.3f/%.3f\t%.2f/%.2f/%.2f\t%d\t%s\t%.2f\t%.2f\t%d\n", r.Workers, r.Starts, r.ForS, r.FillS, r.Reports, r.KB,
+			r.Orders, r.Requests, r.Changes, r.Refused, r.Accept.P50, r.Accept.P99, r.Urgent.P50, r.Urgent.P99, r.Urgent.Max, r.Urgent.Never, takeover, r.Lab, r.Load, len(r.Broken))
+	}
+	fmt.Fprintln(w, "\nWORKERS\tHOST\tROLE\tTEAMS\tCORES\tMB\tPEAK MB\tFILES\tTHREADS")
+	for _, r := range l.Rungs {
+		for _, x := range r.Roles {
+			fmt.Fprintf(w, "%d\t%s\t%s\t%d\t%.3f\t%.0f\t%.0f\t%d\t%d\n", r.Workers, x.Host, x.Role, x.Teams, x.Cores, x.RSSMB, x.PeakMB, x.Files, x.Threads)
+		}
+	}
+	if len(l.Fits) > 0 {
+		fmt.Fprintln(w, "\nFIT OF\tBASE\tFOR 1000 WORKERS\tFOR A START/S\tRESIDUAL\tPOINTS")
+	}
+	for _, f := range l.Fits {
+		starts := "-"
+		if len(f.Slopes) > 1 {
+			starts = fmt.Sprintf("%.4f", f.Slopes[1])
+		}
+		fmt.Fprintf(w, "%s\t%.3f\t%.3f\t%s\t%.3f\t%d\n", f.Of, f.Base, 1000*f.Slopes[0], starts, f.Residual, f.Points)
+	}
+	if err := w.Flush(); err != nil {
+		return fmt.Errorf("scale: %w", err)
+	}
+	return nil
+}
--- a/internal/standin/live.go
+++ b/internal/standin/live.go
@@ -29,6 +29,11 @@
 	puts    *rate.Limiter
 	away    bool
 	servers []*httptest.Server
+	// hosts serve the machines' own addresses, and clients send their reports.
+	hosts   map[*Worker]*httptest.Server
+	clients map[*Worker]*http.Client
+	counts  LiveCounts
+	traffic liveTraffic
 	State   string
 	Cloud   string
 }
@@ -37,10 +42,13 @@
 
 // NewLive starts state service and cloud. Stop ends them.
 func NewLive(set core.Settings, rps, wps float64, types []core.Flavour, room map[string]int, nodes []string) *Live {
-	l := &Live{nodes: nodes, reqs: rate.NewLimiter(rate.Limit(rps), int(rps)), puts: rate.NewLimiter(rate.Limit(wps), int(wps))}
+	l := &Live{
+		nodes: nodes, reqs: rate.NewLimiter(rate.Limit(rps), int(rps)), puts: rate.NewLimiter(rate.Limit(wps), int(wps)),
+		hosts: map[*Worker]*httptest.Server{}, clients: map[*Worker]*http.Client{}, counts: newCounts(),
+	}
 	l.w = NewWorld(1, 0, set, time.Minute, types, room)
 	l.w.reporter = l.report
-	l.w.rented = func(m *Worker) { m.Addr = l.serve(l.worker(m)) }
+	l.w.rented, l.w.gone = l.host, l.unhost
 	l.State = l.serve(http.HandlerFunc(l.state))
 	l.Cloud = l.serve(http.HandlerFunc(l.cloud))
 	return l
@@ -52,6 +60,28 @@
 	return strings.TrimPrefix(s.URL, "http://")
 }
 
+// host opens a machine's own address, and chooses the node that it reports to first.
+func (l *Live) host(m *Worker) {
+	s := httptest.NewUnstartedServer(l.worker(m))
+	s.Listener = meteredListener{s.Listener, &l.traffic.ordersIn, &l.traffic.ordersOut}
+	s.Start()
+	l.hosts[m], l.clients[m] = s, l.reporterClient()
+	m.Addr = strings.TrimPrefix(s.URL, "http://")
+	m.node = l.w.names % len(l.nodes)
+}
+
+// unhost closes it once the machine is gone.
+func (l *Live) unhost(m *Worker) {
+	s, c := l.hosts[m], l.clients[m]
+	delete(l.hosts, m)
+	delete(l.clients, m)
+	// A request under way waits for the lock that is held here.
+	go func() {
+		s.Close()
+		c.CloseIdleConnections()
+	}()
+}
+
 // Run lets time pass until the context ends.
 func (l *Live) Run(ctx context.Context) {
 	const step = 20 * time.Millisecond
@@ -68,9 +98,7 @@
 		if !l.away {
 			l.w.state.Tick(l.w.now)
 		}
-		for _, id := range sorted(l.w.machine) {
-			l.w.advance(l.w.machine[id], step)
-		}
+		l.w.advanceAll(step)
 		l.w.checkAll()
 		l.mu.Unlock()
 	}
@@ -78,7 +106,14 @@
 
 // Stop ends the servers.
 func (l *Live) Stop() {
-	for _, s := range l.servers {
+	l.mu.Lock()
+	servers := append([]*httptest.Server{}, l.servers...)
+	for m, s := range l.hosts {
+		servers = append(servers, s)
+		l.clients[m].CloseIdleConnections()
+	}
+	l.mu.Unlock()
+	for _, s := range servers {
 		s.CloseClientConnections()
 		s.Close()
 	}
@@ -190,10 +225,12 @@
 		reply(rw, 503, obj{"error": "trouble"})
 		return
 	case !l.reqs.Allow() || writes > 0 && !l.puts.AllowN(time.Now(), writes):
+		l.counts.request(&op, true)
 		l.mu.Unlock()
 		reply(rw, 429, obj{"error": "rate"})
 		return
 	}
+	l.counts.request(&op, false)
 	l.w.state.Do(time.Now(), op, func(d core.StateDone) { out <- d })
 	l.mu.Unlock()
 	var d core.StateDone
@@ -375,6 +412,7 @@
 		if !m.up(l.w.now) || m.tenure == 0 {
 			panic(http.ErrAbortHandler)
 		}
+		l.counts.Orders[r.URL.Path]++
 		op := core.WorkerOp{Ask: r.URL.Path == "/status"}
 		if !op.Ask {
 			o := read(r)
@@ -397,6 +435,7 @@
 func (l *Live) report(m *Worker) {
 	sent, tenure, to := l.w.now, m.tenure, m.node
 	r := m.report(l.w.now)
+	client := l.clients[m]
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), 4*time.Second)
 		defer cancel()
@@ -404,17 +443,24 @@
 		if err != nil {
 			panic(err)
 		}
-		resp, err := http.DefaultClient.Do(req)
+		resp, err := client.Do(req)
 		var o obj
+		status := 0
 		if err == nil {
 			b, _ := io.ReadAll(resp.Body)
 			resp.Body.Close()
 			msgpack.Unmarshal(b, &o)
+			status = resp.StatusCode
+		}
+		if status != http.StatusOK {
+			// It goes elsewhere, and closes this connection.
+			client.CloseIdleConnections()
 		}
 		l.mu.Lock()
 		defer l.mu.Unlock()
 		l.w.now = time.Now()
 		m.reporting = false
+		l.counts.Reports[status]++
 		switch {
 		case err == nil && resp.StatusCode == 200:
 			epoch := num(o["epoch"])
--- a/internal/standin/world.go
+++ b/internal/standin/world.go
@@ -86,9 +86,11 @@
 	sabotage func(core.Effect) core.Effect
 	// coreLease, when set, is the wrong lease that the cores are told.
 	coreLease time.Duration
-	// reporter sends a worker's report, and rented is told of new machines.
+	// reporter sends a worker's report; rented is told of new machines, and gone of
+	// those that are gone for good.
 	reporter func(*Worker)
 	rented   func(*Worker)
+	gone     func(*Worker)
 	// learn, when set, is where workers fetch the description of a job that nobody
 	// told them of.
 	learn func(id string) (core.Spec, time.Duration, bool)
@@ -158,7 +160,7 @@
 	}
 	w.began = w.now
 	w.state.Limit(set)
-	w.reporter, w.rented = w.sendReport, func(*Worker) {}
+	w.reporter, w.rented, w.gone = w.sendReport, func(*Worker) {}, func(*Worker) {}
 	for _, t := range types {
 		w.types[t.Name] = t
 	}
@@ -203,23 +205,29 @@
 	if !w.outage {
 		w.state.Tick(w.now)
 	}
-	// Those that are gone for good are looked at no more.
+	w.advanceAll(tick)
+	w.checkAll()
+	w.bringKept()
+	w.checkWaiting()
+	w.after(tick, w.tick)
+}
+
+// advanceAll moves all machines on. Those that are gone for good are looked at no more.
+func (w *World) advanceAll(step time.Duration) {
 	keep := w.fleet[:0]
 	for _, m := range w.fleet {
 		if !m.recallAt.IsZero() && !w.now.Before(m.recallAt) {
 			w.kill(m)
 			m.taken = true
 		}
-		w.advance(m, tick)
-		if !m.returned && !m.taken {
-			keep = append(keep, m)
+		w.advance(m, step)
+		if m.returned || m.taken {
+			w.gone(m)
+			continue
 		}
+		keep = append(keep, m)
 	}
 	w.fleet = keep
-	w.checkAll()
-	w.bringKept()
-	w.checkWaiting()
-	w.after(tick, w.tick)
 }
 
 func (w *World) nodeIndex(name string) int {
