--- a/cmd/micahill-lab/scale.go
+++ b/cmd/micahill-lab/scale.go
@@ -22,12 +22,16 @@
 	var workers []int
 	var starts []float64
 	var program_ string
+	var earlier []string
 	var asJSON bool
 	c := &cobra.Command{
 		Use: "scale", Short: "Run clusters of growing size with hollow workers and measure what each role takes", Args: cobra.NoArgs,
 		Long: "For each number of workers: real controllers and hollow workers on loopback, each with an\naddress, a session and tasks of its own that speaks the protocol whole, tasks being\ntimers. Measures processor and memory of each controller by role, requests and changes\nat the state service, reports, acceptance, urgent starts and the takeover when the\ncontroller that runs most is ended, and fits lines through the rungs. What other work\nthe machine had meanwhile stands under OTHERS, in cores.",
 		RunE: func(cmd *cobra.Command, _ []string) error {
 			p.Program, p.Say = program(program_), cmd.ErrOrStderr()
+			if len(starts) == 0 {
+				return errors.New("scale: --starts: want at least one number")
+			}
 			plans := make([]scale.Plan, len(workers))
 			for i, n := range workers {
 				plans[i] = p
@@ -37,6 +41,11 @@
 				}
 			}
 			var l scale.Ladder
+			for _, name := range earlier {
+				if err := addLadder(&l, name); err != nil {
+					return err
+				}
+			}
 			for i := range plans {
 				fmt.Fprintf(p.Say, "rung %d of %d: %d workers, %g starts/s\n", i+1, len(plans), plans[i].Workers, plans[i].Starts)
 				r, err := playRung(cmd, plans[i])
@@ -63,10 +72,25 @@
 	f.BoolVar(&p.Takeover, "takeover", true, "end the controller that runs most after each measurement")
 	f.StringArrayVar(&p.Enable, "enable", nil, "file that switches something on at all controllers; repeatable")
 	f.StringVar(&program_, "micahill", "", "the controllers' program (default: beside this one)")
+	f.StringArrayVar(&earlier, "add", nil, "JSON of an earlier run, whose rungs stand in the table and the fits beside the new ones; repeatable; with --workers= nothing new is run")
 	f.BoolVar(&asJSON, "json", false, "as JSON")
 	return c
 }
 
+// addLadder adds the rungs of an earlier run.
+func addLadder(l *scale.Ladder, name string) error {
+	b, err := os.ReadFile(name)
+	if err != nil {
+		return fmt.Errorf("scale: --add: %w", err)
+	}
+	var o scale.Ladder
+	if err := json.Unmarshal(b, &o); err != nil {
+		return fmt.Errorf("scale: --add %s: %w", name, err)
+	}
+	l.Rungs = append(l.Rungs, o.Rungs...)
+	return nil
+}
+
 // playRung plays one in a folder of its own, which stays if it fails.
 func playRung(cmd *cobra.Command, p scale.Plan) (*scale.Rung, error) {
 	dir, err := os.MkdirTemp("", "micahill-scale")
