Measure how long a change of configuration takes to be everywhere

Need: a change has to be in force on all controllers within 4 s. Change: the scale lab sets rankings by turns, the one record that controllers follow while they run, and waits until each of them says that it has it.

--- a/cmd/micahill-lab/scale.go
+++ b/cmd/micahill-lab/scale.go
@@ -69,6 +69,7 @@
 	f.DurationVar(&p.Report, "report", 5*time.Second, "how often workers report; a lease is six times that")
 	f.Float64Var(&p.Requests, "requests", 2000, "requests a second that the state service takes")
 	f.Float64Var(&p.Changes, "changes", 1000, "changes a second that it takes")
+	f.DurationVar(&p.ChangeEvery, "change-every", 0, "switch the ranking on and change it that long after all controllers had the last change; 0: not")
 	f.BoolVar(&p.Takeover, "takeover", true, "end the controller that runs most after each measurement")
 	f.StringArrayVar(&p.Enable, "enable", nil, "file that switches something on at all controllers; repeatable")
 	f.StringVar(&program_, "micahill", "", "the controllers' program (default: beside this one)")
--- a/internal/lab/scale/plan.go
+++ b/internal/lab/scale/plan.go
@@ -26,6 +26,8 @@
 	// service takes a second.
 	Report            time.Duration
 	Requests, Changes float64
+	// ChangeEvery is how often the ranking is changed; 0: it is off.
+	ChangeEvery time.Duration
 	// Takeover: a controller is ended at the end.
 	Takeover bool
 	// Program is the controllers', and Dir an empty folder.
@@ -78,6 +80,8 @@
 		return wrong("--for %s: want 1s to %s", p.For, maxFor)
 	case p.Report < 500*time.Millisecond || p.Report > time.Minute:
 		return wrong("--report %s: want 500ms to 1m", p.Report)
+	case p.ChangeEvery < 0:
+		return wrong("--change-every %s: want 0 for none, or a time", p.ChangeEvery)
 	case p.Requests < 10 || p.Changes < 4:
 		return wrong("--requests %g, --changes %g: want at least 10 and 4", p.Requests, p.Changes)
 	}
--- a/internal/lab/scale/rung.go
+++ b/internal/lab/scale/rung.go
@@ -49,9 +49,11 @@
 	Jobs       int                `json:"jobs"`
 	Accept     Waits              `json:"accept"`
 	Urgent     Waits              `json:"urgent_start"`
-	Takeover   *Takeover          `json:"takeover,omitempty"`
-	Lost       int                `json:"lost_to_lease"`
-	Broken     []string           `json:"broken"`
+	// Change is how long a change of the ranking took until all controllers had it.
+	Change   Waits     `json:"change"`
+	Takeover *Takeover `json:"takeover,omitempty"`
+	Lost     int       `json:"lost_to_lease"`
+	Broken   []string  `json:"broken"`
 }
 
 // Role is a controller, what it was, and what it took.
@@ -112,9 +114,13 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, fillMost+p.For+urgentMost+takeoverMost+time.Minute)
 	defer cancel()
+	enable, err := p.enable()
+	if err != nil {
+		return nil, err
+	}
 	f, err := fleet.Up(ctx, fleet.Options{
 		Program: p.Program, Dir: p.Dir, Clusters: 1, Controllers: p.Controllers, Machines: []int{p.Workers},
-		Enable: p.Enable, LogLevel: "info", Site: p.site(),
+		Enable: enable, LogLevel: "info", Site: p.site(),
 	})
 	if err != nil {
 		return nil, err
@@ -306,6 +312,7 @@
 	if err != nil {
 		return err
 	}
+	changed := l.changes(ctx)
 	due, given, urgent := 0.0, 0, before.at
 	const step = 50 * time.Millisecond
 	for told := before.at; time.Since(before.at) < l.plan.For && ctx.Err() == nil; sleep(ctx, step) {
@@ -336,6 +343,7 @@
 	}
 	r.Up, r.Running = l.c.Live.Workers()
 	l.wg.Wait()
+	r.Change = changed()
 	r.Accept = waits(l.accept, l.failed)
 	r.Jobs = len(l.accept)
 	r.Urgent = l.urgentWaits(ctx)
--- a/internal/lab/scale/scale_test.go
+++ b/internal/lab/scale/scale_test.go
@@ -15,7 +15,7 @@
 func small(t *testing.T) Plan {
 	return Plan{
 		Workers: 20, Controllers: 3, Teams: 4, Starts: 5, Tasks: 5, Run: time.Second, For: 4 * time.Second,
-		Report: time.Second, Requests: 500, Changes: 250, Takeover: true, Dir: t.TempDir(), Say: io.Discard,
+		Report: time.Second, Requests: 500, Changes: 250, ChangeEvery: time.Second, Takeover: true, Dir: t.TempDir(), Say: io.Discard,
 	}
 }
 
@@ -56,6 +56,9 @@
 	if r.Urgent.N == 0 || r.Urgent.Never > 0 || r.Accept.N == 0 {
 		t.Errorf("urgent %+v, accepted %+v", r.Urgent, r.Accept)
 	}
+	if r.Change.N == 0 || r.Change.Never > 0 {
+		t.Errorf("changes %+v", r.Change)
+	}
 	if k := r.Takeover; k == nil || k.StartS <= 0 {
 		t.Errorf("takeover %+v", k)
 	}
@@ -64,15 +67,16 @@
 // TestPlansThatCannotWork are told by the flag that is wrong, before anything starts.
 func TestPlansThatCannotWork(t *testing.T) {
 	for flag, change := range map[string]func(*Plan){
-		"--workers":     func(p *Plan) { p.Workers = maxWorkers + 1 },
-		"--controllers": func(p *Plan) { p.Controllers = 20 },
-		"--teams":       func(p *Plan) { p.Teams = 21 },
-		"--tasks":       func(p *Plan) { p.Tasks = 0 },
-		"--run":         func(p *Plan) { p.Run = 0 },
-		"--starts":      func(p *Plan) { p.Starts = 1000 },
-		"--for":         func(p *Plan) { p.For = time.Hour },
-		"--report":      func(p *Plan) { p.Report = 0 },
-		"--requests":    func(p *Plan) { p.Requests = 0 },
+		"--workers":      func(p *Plan) { p.Workers = maxWorkers + 1 },
+		"--controllers":  func(p *Plan) { p.Controllers = 20 },
+		"--teams":        func(p *Plan) { p.Teams = 21 },
+		"--tasks":        func(p *Plan) { p.Tasks = 0 },
+		"--run":          func(p *Plan) { p.Run = 0 },
+		"--starts":       func(p *Plan) { p.Starts = 1000 },
+		"--for":          func(p *Plan) { p.For = time.Hour },
+		"--report":       func(p *Plan) { p.Report = 0 },
+		"--change-every": func(p *Plan) { p.ChangeEvery = -1 },
+		"--requests":     func(p *Plan) { p.Requests = 0 },
 	} {
 		p := small(t)
 		change(&p)
