--- a/cmd/micahill-lab/scale.go
+++ b/cmd/micahill-lab/scale.go
@@ -29,6 +29,9 @@
 		Long: "For each number of workers: real controllers and hollow workers on loopback, each with an\naddress, a session and tasks of its own that speaks the protocol whole, tasks being\ntimers. Measures processor and memory of each controller by role, requests and changes\nat the state service, reports, acceptance, urgent starts and the takeover when the\ncontroller that runs most is ended, and fits lines through the rungs. What other work\nthe machine had meanwhile stands under OTHERS, in cores.",
 		RunE: func(cmd *cobra.Command, _ []string) error {
 			p.Program, p.Say = program(program_), cmd.ErrOrStderr()
+			if len(earlier) > 0 && !cmd.Flags().Changed("workers") {
+				workers = nil
+			}
 			if len(starts) == 0 {
 				return errors.New("scale: --starts: want at least one number")
 			}
@@ -73,7 +76,7 @@
 	f.BoolVar(&p.Takeover, "takeover", true, "end the controller that runs most after each measurement")
 	f.StringArrayVar(&p.Enable, "enable", nil, "file that switches something on at all controllers; repeatable")
 	f.StringVar(&program_, "micahill", "", "the controllers' program (default: beside this one)")
-	f.StringArrayVar(&earlier, "add", nil, "JSON of an earlier run, whose rungs stand in the table and the fits beside the new ones; repeatable; with --workers= nothing new is run")
+	f.StringArrayVar(&earlier, "add", nil, "JSON of an earlier run, whose rungs stand in the table and the fits beside the new ones; repeatable; without --workers nothing new is run")
 	f.BoolVar(&asJSON, "json", false, "as JSON")
 	return c
 }
--- /dev/null
+++ b/cmd/micahill-lab/scale_test.go
@@ -0,0 +1,51 @@
+package main
+
+import (
+	"bytes"
+	"encoding/json"
+	"os"
+	"path/filepath"
+	"regexp"
+	"strings"
+	"testing"
+
+	"github.com/micahill/micahill/internal/lab/scale"
+)
+
+// TestEarlierRungs: rungs of earlier runs are fitted without a new one, a broken rule in one
+// of them fails the command, and what can't be run is told before anything starts.
+func TestEarlierRungs(t *testing.T) {
+	name := filepath.Join(t.TempDir(), "ladder.json")
+	run := func(l scale.Ladder, args ...string) (string, error) {
+		b, err := json.Marshal(l)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if err := os.WriteFile(name, b, 0o600); err != nil {
+			t.Fatal(err)
+		}
+		c := scaleCommand()
+		var out bytes.Buffer
+		c.SetOut(&out)
+		c.SetErr(&out)
+		c.SetArgs(append([]string{"--add", name}, args...))
+		err = c.Execute()
+		return out.String(), err
+	}
+	var l scale.Ladder
+	for i := range 5 {
+		r := &scale.Rung{Workers: 100 << i, Starts: float64(7 * i * i), Reports: 20 * float64(int(1)<<i)}
+		l.Rungs = append(l.Rungs, r)
+	}
+	out, err := run(l)
+	if err != nil || !regexp.MustCompile(`\nreports/s +-?0\.000 +200\.000 `).MatchString(out) {
+		t.Errorf("%v\n%s", err, out)
+	}
+	l.Rungs[2].Broken = []string{"ran_twice"}
+	if _, err := run(l); err == nil || !strings.Contains(err.Error(), "ran_twice") {
+		t.Errorf("a broken rule: %v", err)
+	}
+	if _, err := run(l, "--workers", "100,12001"); err == nil || !strings.Contains(err.Error(), "--workers 12001") {
+		t.Errorf("too many workers: %v", err)
+	}
+}
--- a/internal/lab/scale/table.go
+++ b/internal/lab/scale/table.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"io"
+	"math"
 	"strings"
 	"text/tabwriter"
 )
@@ -13,7 +14,7 @@
 	Fits  []Fit   `json:"fits"`
 }
 
-// figures are what is fitted, each as a number of a rung.
+// figures are what is fitted, each as a number of a rung; NaN: it has none.
 var figures = []struct {
 	name string
 	of   func(*Rung) float64
@@ -28,7 +29,7 @@
 	{"changes/s", func(r *Rung) float64 { return r.Changes }},
 	{"takeover first start s", func(r *Rung) float64 {
 		if r.Takeover == nil {
-			return 0
+			return math.NaN()
 		}
 		return r.Takeover.StartS
 	}},
@@ -52,6 +53,9 @@
 		var both, one [][]float64
 		var y []float64
 		for _, r := range l.Rungs {
+			if math.IsNaN(f.of(r)) {
+				continue
+			}
 			w := float64(r.Workers)
 			both, one, y = append(both, []float64{w, r.Starts}), append(one, []float64{w}), append(y, f.of(r))
 		}
