--- a/cmd/micahill-lab/scale.go
+++ b/cmd/micahill-lab/scale.go
@@ -73,6 +73,7 @@
 	f.Float64Var(&p.Requests, "requests", 2000, "requests a second that the state service takes")
 	f.Float64Var(&p.Changes, "changes", 1000, "changes a second that it takes")
 	f.DurationVar(&p.ChangeEvery, "change-every", 0, "switch the ranking on and change it that long after all controllers had the last change; 0: not")
+	f.IntVar(&p.Lose, "lose", 0, "lose so many workers at once after each measurement, and wait until their tasks run elsewhere")
 	f.BoolVar(&p.Takeover, "takeover", true, "end the controller that runs most after each measurement")
 	f.StringArrayVar(&p.Enable, "enable", nil, "file that switches something on at all controllers; repeatable")
 	f.StringVar(&program_, "micahill", "", "the controllers' program (default: beside this one)")
--- a/internal/lab/scale/plan.go
+++ b/internal/lab/scale/plan.go
@@ -28,6 +28,8 @@
 	Requests, Changes float64
 	// ChangeEvery is how often the ranking is changed; 0: it is off.
 	ChangeEvery time.Duration
+	// Lose is how many workers are lost at once after the measurement.
+	Lose int
 	// Takeover: a controller is ended at the end.
 	Takeover bool
 	// Program is the controllers', and Dir an empty folder.
@@ -80,6 +82,8 @@
 		return wrong("--for %s: want 1s to %s", p.For, maxFor)
 	case p.Report < 500*time.Millisecond || p.Report > time.Minute:
 		return wrong("--report %s: want 500ms to 1m", p.Report)
+	case p.Lose < 0 || p.Lose > p.Workers/2:
+		return wrong("--lose %d: want 0 to half of the workers", p.Lose)
 	case p.ChangeEvery < 0:
 		return wrong("--change-every %s: want 0 for none, or a time", p.ChangeEvery)
 	case p.Requests < 10 || p.Changes < 4:
--- a/internal/lab/scale/rung.go
+++ b/internal/lab/scale/rung.go
@@ -52,8 +52,10 @@
 	// Change is how long a change of the ranking took until all controllers had it.
 	Change   Waits     `json:"change"`
 	Takeover *Takeover `json:"takeover,omitempty"`
-	Lost     int       `json:"lost_to_lease"`
-	Broken   []string  `json:"broken"`
+	// LossS is how long after the loss of workers all that stands ran again.
+	LossS  float64  `json:"loss_s,omitempty"`
+	Lost   int      `json:"lost_to_lease"`
+	Broken []string `json:"broken"`
 }
 
 // Role is a controller, what it was, and what it took.
@@ -104,6 +106,7 @@
 	urgentEvery  = 500 * time.Millisecond
 	urgentMost   = 30 * time.Second
 	takeoverMost = time.Minute
+	lossMost     = 3 * time.Minute
 	askEvery     = 100 * time.Millisecond
 )
 
@@ -112,7 +115,7 @@
 	if err := p.Check(); err != nil {
 		return nil, err
 	}
-	ctx, cancel := context.WithTimeout(ctx, fillMost+p.For+urgentMost+takeoverMost+time.Minute)
+	ctx, cancel := context.WithTimeout(ctx, fillMost+lossMost+p.For+urgentMost+takeoverMost+time.Minute)
 	defer cancel()
 	enable, err := p.enable()
 	if err != nil {
@@ -134,6 +137,11 @@
 	if err := l.measure(ctx, r); err != nil {
 		return nil, err
 	}
+	if p.Lose > 0 {
+		if err := l.lose(ctx, r); err != nil {
+			return nil, err
+		}
+	}
 	if p.Takeover {
 		if err := l.takeover(ctx, r); err != nil {
 			return nil, err
@@ -214,8 +222,8 @@
 		l.hand(ctx, i, l.job(fleet.Job{Workload: "standing", Tasks: n, CPUs: largeCPUs, Urgency: "normal", Standing: true}))
 	}
 	for told := began; ; sleep(ctx, askEvery) {
-		up, tasks := l.c.Live.Workers()
-		if up >= l.plan.Workers && tasks >= l.plan.Workers {
+		up, tasks, standing := l.c.Live.Workers()
+		if up >= l.plan.Workers && standing >= l.plan.Workers {
 			break
 		}
 		if err := l.alive(); err != nil {
@@ -341,7 +349,7 @@
 	if err := l.roles(ctx, r, before, after); err != nil {
 		return err
 	}
-	r.Up, r.Running = l.c.Live.Workers()
+	r.Up, r.Running, _ = l.c.Live.Workers()
 	l.wg.Wait()
 	r.Change = changed()
 	r.Accept = waits(l.accept, l.failed)
@@ -492,6 +500,22 @@
 	return nil
 }
 
+// lose ends workers all at once, and waits until everything that stands runs again.
+func (l *load) lose(ctx context.Context, r *Rung) error {
+	lost := l.c.Live.Lose(l.plan.Lose)
+	l.say("%d workers are lost", lost)
+	began := time.Now()
+	for ; ctx.Err() == nil && time.Since(began) < lossMost; sleep(ctx, askEvery) {
+		if _, _, standing := l.c.Live.Workers(); standing >= l.plan.Workers {
+			r.LossS = time.Since(began).Seconds()
+			l.say("%5.1f s: all that stands runs again", r.LossS)
+			return nil
+		}
+	}
+	_, _, standing := l.c.Live.Workers()
+	return fmt.Errorf("scale: %s after the loss of %d workers %d of %d tasks that stand run", lossMost, lost, standing, l.plan.Workers)
+}
+
 // weight orders controllers by what their end takes away.
 func weight(r Role) int {
 	w := r.Teams
--- a/internal/lab/scale/scale_test.go
+++ b/internal/lab/scale/scale_test.go
@@ -15,7 +15,7 @@
 func small(t *testing.T) Plan {
 	return Plan{
 		Workers: 20, Controllers: 3, Teams: 4, Starts: 5, Tasks: 5, Run: time.Second, For: 4 * time.Second,
-		Report: time.Second, Requests: 500, Changes: 250, ChangeEvery: time.Second, Takeover: true, Dir: t.TempDir(), Say: io.Discard,
+		Report: time.Second, Requests: 500, Changes: 250, ChangeEvery: time.Second, Lose: 3, Takeover: true, Dir: t.TempDir(), Say: io.Discard,
 	}
 }
 
@@ -56,6 +56,9 @@
 	if r.Urgent.N == 0 || r.Urgent.Never > 0 || r.Accept.N == 0 {
 		t.Errorf("urgent %+v, accepted %+v", r.Urgent, r.Accept)
 	}
+	if r.LossS == 0 {
+		t.Error("a loss that takes no time")
+	}
 	if r.Change.N == 0 || r.Change.Never > 0 {
 		t.Errorf("changes %+v", r.Change)
 	}
@@ -75,6 +78,7 @@
 		"--starts":       func(p *Plan) { p.Starts = 1000 },
 		"--for":          func(p *Plan) { p.For = time.Hour },
 		"--report":       func(p *Plan) { p.Report = 0 },
+		"--lose":         func(p *Plan) { p.Lose = 11 },
 		"--change-every": func(p *Plan) { p.ChangeEvery = -1 },
 		"--requests":     func(p *Plan) { p.Requests = 0 },
 	} {
--- a/internal/lab/scale/table.go
+++ b/internal/lab/scale/table.go
@@ -72,14 +72,14 @@
 // Print writes the ladder as a table.
 func (l *Ladder) Print(out io.Writer) error {
 	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
-	fmt.Fprintln(w, "WORKERS\tSTARTS/S\tFOR\tFILL\tREPORTS/S\tREPORT KB/S\tORDERS/S\tREQUESTS/S\tCHANGES/S\t429\tACCEPT P50/P99\tURGENT P50/P99/MAX\tNEVER\tCHANGE P50/MAX\tTAKEOVER\tLAB\tOTHERS\tBROKEN")
+	fmt.Fprintln(w, "WORKERS\tSTARTS/S\tFOR\tFILL\tREPORTS/S\tREPORT KB/S\tORDERS/S\tREQUESTS/S\tCHANGES/S\t429\tACCEPT P50/P99\tURGENT P50/P99/MAX\tNEVER\tCHANGE P50/MAX\tLOSS\tTAKEOVER\tLAB\tOTHERS\tBROKEN")
 	for _, r := range l.Rungs {
 		takeover := "-"
 		if t := r.Takeover; t != nil {
 			takeover = fmt.Sprintf("%.1f/%.1f", t.NamedS, t.StartS)
 		}
-		fmt.Fprintf(w, "%d\t%.1f\t%.0f\t%.0f\t%.1f\t%.3f\t%.1f\t%.1f\t%.1f\t%d\t%.3f/%.3f\t%.2f/%.2f/%.2f\t%d\t%.2f/%.2f\t%s\t%.2f\t%.2f\t%d\n", r.Workers, r.Starts, r.ForS, r.FillS, r.Reports, r.KB,
-			r.Orders, r.Requests, r.Changes, r.Refused, r.Accept.P50, r.Accept.P99, r.Urgent.P50, r.Urgent.P99, r.Urgent.Max, r.Urgent.Never, r.Change.P50, r.Change.Max, takeover, r.Lab, r.Load, len(r.Broken))
+		fmt.Fprintf(w, "%d\t%.1f\t%.0f\t%.0f\t%.1f\t%.3f\t%.1f\t%.1f\t%.1f\t%d\t%.3f/%.3f\t%.2f/%.2f/%.2f\t%d\t%.2f/%.2f\t%.1f\t%s\t%.2f\t%.2f\t%d\n", r.Workers, r.Starts, r.ForS, r.FillS, r.Reports, r.KB,
+			r.Orders, r.Requests, r.Changes, r.Refused, r.Accept.P50, r.Accept.P99, r.Urgent.P50, r.Urgent.P99, r.Urgent.Max, r.Urgent.Never, r.Change.P50, r.Change.Max, r.LossS, takeover, r.Lab, r.Load, len(r.Broken))
 	}
 	fmt.Fprintln(w, "\nWORKERS\tHOST\tROLE\tTEAMS\tCORES\tMB\tPEAK MB\tFILES\tTHREADS")
 	for _, r := range l.Rungs {
--- a/internal/standin/livecount.go
+++ b/internal/standin/livecount.go
@@ -98,8 +98,22 @@
 	return out
 }
 
-// Workers counts machines that report, and tasks on them.
-func (l *Live) Workers() (up, tasks int) {
+// Lose ends so many machines that are up, without a word, and says how many there were.
+func (l *Live) Lose(machines int) int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	lost := 0
+	for _, m := range l.w.fleet {
+		if lost < machines && m.up(l.w.now) {
+			l.w.kill(m)
+			lost++
+		}
+	}
+	return lost
+}
+
+// Workers counts machines that report, tasks on them, and those of them that stand.
+func (l *Live) Workers() (up, tasks, standing int) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for _, m := range l.w.fleet {
@@ -107,12 +121,16 @@
 			up++
 		}
 		for _, t := range m.tasks {
-			if t.onMachine() {
-				tasks++
+			if !t.onMachine() {
+				continue
+			}
+			tasks++
+			if t.job.spec.Standing {
+				standing++
 			}
 		}
 	}
-	return up, tasks
+	return up, tasks, standing
 }
 
 // Began is when a job's first task began, if one did.
