No team moves to room where one controller runs all teams; late writes and lower limits

A write that was sent before the limits were lowered, and carried out late after it, counted as a malformed request of ours in TestLowerLimits/1. Change: only owners beside which others run teams look for room there; the stand-in refuses such a late write without counting it.

--- a/internal/core/short.go
+++ b/internal/core/short.go
@@ -78,10 +78,13 @@
 	lookRoom(n, s)
 }
 
-// otherHolders says that others hold shares, with teams or with machines alone.
+// otherHolders says that others run teams. Where one controller runs all of them, the
+// machines that others still hold come to it by themselves, and a move of its team would
+// only put its work into other hands: on a pool of hundreds of machines with one team that
+// cost its large jobs minutes.
 func (n *Node) otherHolders() bool {
 	for _, s := range n.sess.book.Shares() {
-		if s.Host != n.set.Host {
+		if s.Host != n.set.Host && len(s.Teams) > 0 {
 			return true
 		}
 	}
--- a/internal/standin/proc.go
+++ b/internal/standin/proc.go
@@ -278,7 +278,15 @@
 	}
 	p.callUnless(e.Kind == core.OpTxn, until.Sub(w.now), func(answer func(core.Command)) {
 		if d, ok := w.writeLate(e); ok {
-			w.after(d, func() { exec(func(core.Command) {}) })
+			lawful := !w.state.malformed(&e)
+			w.after(d, func() {
+				if lawful && w.state.malformed(&e) {
+					// The limits were lowered while it was on its way: it is refused, and
+					// nobody waits for its answer.
+					return
+				}
+				exec(func(core.Command) {})
+			})
 			return
 		}
 		exec(answer)
--- a/internal/standin/state.go
+++ b/internal/standin/state.go
@@ -160,6 +160,11 @@
 	return out
 }
 
+// malformed says that a request breaks the limits of now.
+func (s *StateService) malformed(op *core.StateOp) bool {
+	return s.limits != nil && s.limits.malformed(op) != ""
+}
+
 // Do executes a request; the answer may come later, for a watch. Without limits, set
 // by Limit, it takes requests of any size, as often as they come.
 func (s *StateService) Do(now time.Time, op core.StateOp, answer func(core.StateDone)) {
