--- a/internal/blame/blame.go
+++ b/internal/blame/blame.go
@@ -21,14 +21,9 @@
 	machineJobs = 2
 	// firstPause is how long a job that fails everywhere waits before one of its
 	// tasks is tried again; it doubles up to longestPause. It is never given up: its
-	// user may mend what it needs, and only its user may end it. One that has only met
-	// faulty machines is not to be left beside a sound one for longer either.
+	// user may mend what it needs, and only its user may end it.
 	firstPause   = 2 * time.Second
-	longestPause = 45 * time.Second
-	// outlasts is how many times as long as any failure of a job took, and at least
-	// worksLeast, a task of it must run to show that it does not fail everywhere.
-	outlasts   = 2
-	worksLeast = 5 * time.Second
+	longestPause = 2 * time.Minute
 )
 
 // Book is the account of failures. The zero value is empty and ready.
@@ -45,9 +40,6 @@
 	// done: some task of it was done. tries counts failures since it is broken.
 	done  bool
 	tries int
-	// failedAfter is how long the longest attempt that failed had run, and ran how long
-	// the longest that has not.
-	failedAfter, ran time.Duration
 }
 
 type machine struct {
@@ -57,10 +49,7 @@
 	proven bool
 }
 
-func (j *job) broken() bool { return !j.done && len(j.places) >= jobPlaces && !j.works() }
-
-// works says that a task has run for longer than what is at fault lets any run.
-func (j *job) works() bool { return j.ran >= max(worksLeast, outlasts*j.failedAfter) }
+func (j *job) broken() bool { return !j.done && len(j.places) >= jobPlaces }
 
 // excused says that a failure of the task says nothing of the machine.
 func (j *job) excused(index int) bool { return j.broken() || len(j.tasks[index]) >= jobPlaces }
@@ -112,29 +101,6 @@
 // under whichever owner: such a job does not fail everywhere.
 func (b *Book) Works(id string) { b.job(id).done = true }
 
-// Lasted takes in, before a failure, how long the task had run.
-func (b *Book) Lasted(id string, ran time.Duration) {
-	j := b.job(id)
-	j.failedAfter = max(j.failedAfter, ran)
-}
-
-// Runs takes in how long a task of a job has run by now, and says whether the job is no
-// longer held to fail everywhere for it. It may be again: should that task fail as well,
-// failures take as long.
-func (b *Book) Runs(id string, ran time.Duration) bool {
-	j := b.jobs[id]
-	if j == nil {
-		return false
-	}
-	was := j.broken()
-	j.ran = max(j.ran, ran)
-	if j.broken() == was {
-		return false
-	}
-	j.tries = 0
-	return true
-}
-
 // others says that another task of the job, not excused, failed on the machine.
 func (j *job) others(index int, host string) bool {
 	for i, places := range j.tasks {
--- a/internal/core/divide.go
+++ b/internal/core/divide.go
@@ -69,7 +69,7 @@
 	if x.busy || s.rev < x.rev || !s.loaded || n.now.After(s.sureUntil) {
 		return
 	}
-	in := division.Input{Book: s.book, Self: n.set.Host, Load: x.loads, Offers: x.offers, Room: roomForTeams(n), Gone: n.surelyGone}
+	in := division.Input{Book: s.book, Self: n.set.Host, Load: x.loads, Offers: x.offers, Gone: n.surelyGone}
 	for _, h := range sortedKeys(s.nodes) {
 		r := s.nodes[h]
 		deaf := r.Deaf || h == n.set.Host && s.deaf(n.now)
--- a/internal/core/effects.go
+++ b/internal/core/effects.go
@@ -112,11 +112,6 @@
 	// the receiver to empty. See emptying.go.
 	Needs, Lacks, Empty []HostNeed
 	Costs               []HostCost
-	// Short are jobs that wait for room that their owner does not have: the sender's, or,
-	// told by the leader, others'. Room names those of others' for which the sender has
-	// some. See short.go.
-	Short []Shortage
-	Room  []string
 	// Quotes are what dates for the sender's teams rest on.
 	Quotes []TeamQuotes
 	// Came are reports of the receiver's machines that came to the sender.
--- a/internal/core/fleet.go
+++ b/internal/core/fleet.go
@@ -301,10 +301,6 @@
 func (n *Node) tellOwners() {
 	l := n.leader
 	lacks, empty := brokerHosts(n)
-	short, _ := shortAll(n)
-	if n.owner != nil {
-		takeShort(n, shortFor(short, n.set.Host))
-	}
 	news := map[string]*PeerNews{}
 	for _, x := range n.sess.book.Shares() {
 		if x.Host != n.set.Host && slices.Contains(n.set.Peers, x.Host) && news[x.Host] == nil {
@@ -353,7 +349,6 @@
 		m := news[host]
 		m.Seq, m.Blocked, m.Spare = l.seq, blocked, spareFor(n, host)
 		m.Lacks, m.Empty = lacks[host], empty[host]
-		m.Short = shortFor(short, host)
 		if some && asked.From == host {
 			m.Release = []division.Ask{asked}
 		}
@@ -415,7 +410,6 @@
 	}
 	o.view = v
 	takeNeeds(n, c.Lacks, c.Empty)
-	takeShort(n, c.Short)
 	for _, a := range c.Release {
 		o.release, o.releaseAt = a, n.now
 	}
--- a/internal/core/jobs.go
+++ b/internal/core/jobs.go
@@ -114,10 +114,8 @@
 	// given a place, and waitsFrom since when some wait for one without a break.
 	overdue, early      bool
 	placedAt, waitsFrom time.Time
-	// cameToRoom: it came here since there is room for it, after it had waited elsewhere.
-	cameToRoom bool
-	zoneLive   map[string]int
-	lastTold   Progress
+	zoneLive            map[string]int
+	lastTold            Progress
 	// rank is its place in the table of rankVer.
 	rank, rankVer int
 	behind
--- a/internal/core/owner.go
+++ b/internal/core/owner.go
@@ -104,8 +104,6 @@
 	// spare are idle machines that neither what waits nor what is expected needs, the
 	// dearest first: others may have them.
 	spare []string
-	// short is which jobs wait for room that only other owners have; see short.go.
-	short shortages
 	// release is a team that the leader wants to move, and when it last said so.
 	release   division.Ask
 	releaseAt time.Time
@@ -332,7 +330,6 @@
 		n.sweep()
 		rankSweep(n)
 		startsNothing(n)
-		worksElsewhere(n)
 		if checkEars(n); n.owner != o {
 			return
 		}
--- a/internal/core/pass.go
+++ b/internal/core/pass.go
@@ -121,7 +121,6 @@
 		return
 	}
 	tellStuck(n, n.stuckKinds())
-	lookShort(n)
 	if n.now.Sub(o.retired) >= leaderPeriod*time.Duration(1+len(o.byID)/retireSlow) {
 		n.retire(r, t)
 		o.retired = n.now
--- a/internal/core/reports.go
+++ b/internal/core/reports.go
@@ -319,9 +319,6 @@
 		// What was done before its first failure, or under a former owner, counts.
 		b.Works(j.ID)
 	}
-	if !t.started.IsZero() && !t.inherited {
-		b.Lasted(j.ID, n.now.Sub(t.started))
-	}
 	was := b.Broken(j.ID)
 	n.judge(b.Failed(j.ID, index, m.id))
 	if pause := b.Pause(j.ID); pause > 0 {
@@ -332,30 +329,6 @@
 	}
 }
 
-// worksElsewhere tells internal/blame how long tasks of jobs that are held to fail
-// everywhere have run, as far as their machines have said so: one that goes on shows that
-// the others met faulty machines, and they need not wait for its end.
-func worksElsewhere(n *Node) {
-	b := &n.owner.blame
-	for _, id := range sortedKeys(n.owner.jobs) {
-		j := n.owner.jobs[id]
-		if j.running == 0 || !b.Broken(id) {
-			continue
-		}
-		for i := range j.tasks[:j.fresh] {
-			t := &j.tasks[i]
-			if t.m == nil || t.started.IsZero() || t.inherited || !t.isRunning() {
-				continue
-			}
-			if b.Runs(id, t.m.lastHeard.Sub(t.started)) {
-				j.notBefore = time.Time{}
-				n.info("a task of the job runs: it does not fail on every machine", "job", id, "task", i, "machine", t.m.id)
-				break
-			}
-		}
-	}
-}
-
 // judge looks again at machines of which internal/blame thinks otherwise now.
 func (n *Node) judge(hosts []string) {
 	for _, id := range hosts {
--- a/internal/core/round.go
+++ b/internal/core/round.go
@@ -133,9 +133,6 @@
 const besideRoom = 45 * time.Second
 
 func (n *Node) leftWaiting(j *job) bool {
-	if j.cameToRoom && j.placedAt.IsZero() {
-		return true
-	}
 	return !j.waitsFrom.IsZero() && n.now.Sub(later(j.waitsFrom, j.placedAt)) > besideRoom
 }
 
--- a/internal/core/tell.go
+++ b/internal/core/tell.go
@@ -82,7 +82,6 @@
 			if o.moves != nil {
 				out.Needs, out.Costs = o.moves.between.needs, o.moves.between.costs
 			}
-			out.Short, out.Room = o.short.mine, o.short.room
 			out.Asks = true
 		}
 		if len(out.Progress) > 0 || len(out.Loads) > 0 || len(out.Quotes) > 0 || len(out.Hosts) > 0 || out.Asks {
--- a/internal/core/tenure.go
+++ b/internal/core/tenure.go
@@ -22,8 +22,6 @@
 	// away: it has been another's since it came, even if it is back by now. That other
 	// has written of its jobs, so that what is in the books is not what stands there.
 	away bool
-	// beside are jobs of it that had room here while they waited elsewhere; see short.go.
-	beside map[string]roomSince
 }
 
 // teamsAway notes which teams are another's as of the revision that ctl/ has just been
@@ -107,7 +105,7 @@
 	for _, t := range sortedKeys(now) {
 		if now[t] && o.teams[t] == nil {
 			n.info("a team comes", "team", t)
-			o.teams[t] = &teamHeld{term: int(n.id()), beside: o.short.beside}
+			o.teams[t] = &teamHeld{term: int(n.id())}
 		}
 	}
 	loadTeams(n)
@@ -449,7 +447,6 @@
 		}
 		j := n.newJob(spec, time.UnixMilli(l.rec.At), l.stamp)
 		restored[id] = j
-		j.cameToRoom = o.teams[j.Team].hadRoom(id)
 		n.jobRecord(j, l.stamp, &l.rec)
 	}
 	attempts := 0
--- a/internal/division/plan.go
+++ b/internal/division/plan.go
@@ -36,9 +36,6 @@
 	// with a team, and refusedPause how long it is left alone when it doesn't.
 	offerPatience = 6 * time.Second
 	refusedPause  = 30 * time.Second
-	// roomStay is how long, in share intervals, the loads move no team away from a
-	// controller to which one went for want of room: it would want to go there again.
-	roomStay = 20
 	// shareFull is the part of a value's limit that a share's teams may take.
 	shareFull = 0.75
 )
@@ -75,9 +72,6 @@
 	Load  map[string]float64
 	// Offers are what controllers answer to Asks, by team.
 	Offers map[string]Offer
-	// Room names, for a team that has waited in vain for a machine with room, the other
-	// controllers that have some. See internal/core/short.go.
-	Room map[string][]string
 	// New are machines rented for a controller that no lot names yet.
 	New []Rented
 	// Gone says that a machine is known to be gone, or surely forgotten.
@@ -114,10 +108,6 @@
 	ask     *Ask
 	asked   time.Time
 	refused map[string]time.Time
-	// toRoom says that what is asked for is a move to room, and roomed when a team has
-	// last moved for that.
-	toRoom bool
-	roomed map[string]time.Time
 	// uneven is since when a move would win enough.
 	uneven time.Time
 }
@@ -127,7 +117,7 @@
 func New(limits bounds.Limits, term string, interval time.Duration, now time.Time) *Divider {
 	return &Divider{
 		limits: limits, term: term, interval: interval, changed: now, tidied: now,
-		moved: map[string]time.Time{}, refused: map[string]time.Time{}, roomed: map[string]time.Time{},
+		moved: map[string]time.Time{}, refused: map[string]time.Time{},
 	}
 }
 
@@ -200,7 +190,7 @@
 	p.settle()
 	p.giveRest()
 	if len(p.dirty) == 0 {
-		p.move(now)
+		p.balance(now)
 	}
 	p.newLots(now)
 	if len(p.dirty) == 0 && len(p.lots) == 0 {
@@ -226,13 +216,11 @@
 	return sum
 }
 
-// least is the controller with the least load of those that get anything.
-func (p *draft) least() Node { return p.leastOf(p.takers) }
-
-// leastOf is the one of some with the least load; of equals, the one that divides.
-func (p *draft) leastOf(nodes []Node) Node {
-	best := nodes[0]
-	for _, n := range nodes {
+// least is the controller with the least load of those that get anything; of equals,
+// the one that divides.
+func (p *draft) least() Node {
+	best := p.takers[0]
+	for _, n := range p.takers {
 		if l, b := p.load[n.Host], p.load[best.Host]; l < b || l == b && n.Host == p.in.Self {
 			best = n
 		}
@@ -375,49 +363,20 @@
 	}
 }
 
-// move carries on the move of a team that is under way, or begins one. A team moves when
-// its owner has said which machines go along, so that the receiver does not begin with
-// none; nothing of it stops meanwhile.
-func (p *draft) move(now time.Time) {
-	d := p.d
-	if d.ask != nil && p.answered(now) || d.ask != nil || len(p.able) < 2 {
-		return
-	}
-	if !p.findRoom(now) && now.Sub(d.changed) >= d.interval {
-		p.balance(now)
-	}
-}
-
-// findRoom asks for the first team that waits in vain for a machine with room to move to
-// a controller that has some, and says whether it has. A machine belongs whole to one
-// owner, and others' work is not started there; so the work goes to the machine's owner.
-// A team does that once in a while only, and not for the sake of the loads.
-func (p *draft) findRoom(now time.Time) bool {
-	d := p.d
-	for _, team := range slices.Sorted(maps.Keys(p.in.Room)) {
-		s := p.in.Book.Team(team)
-		if s == nil || within(now, d.roomed[team], returnPause*d.interval) || within(now, d.refused[team], refusedPause) {
-			continue
-		}
-		var hosts []Node
-		for _, n := range p.takers {
-			if n.Host != s.Host && slices.Contains(p.in.Room[team], n.Host) {
-				hosts = append(hosts, n)
-			}
-		}
-		if len(hosts) > 0 {
-			d.ask, d.asked, d.toRoom = &Ask{team, s.Host, p.leastOf(hosts).Host}, now, true
-			return true
-		}
-	}
-	return false
-}
-
 // balance moves a share or a team from the controller with the most to the one with
 // the least load, when that wins enough and nothing has moved for a while. A share
-// moves as it is, a team when its owner has said which machines go along.
+// moves as it is. A team moves when its owner has said which machines go along, so
+// that the receiver does not begin with none; nothing of it stops meanwhile.
 func (p *draft) balance(now time.Time) {
 	d := p.d
+	if d.ask != nil {
+		if p.answered(now) {
+			return
+		}
+	}
+	if d.ask != nil || now.Sub(d.changed) < d.interval || len(p.able) < 2 {
+		return
+	}
 	most, least := p.able[0], p.least()
 	for _, n := range p.able {
 		if p.load[n.Host] > p.load[most.Host] {
@@ -434,11 +393,6 @@
 		if r := p.shares[n]; r.Host == most.Host && len(r.Teams) > 0 {
 			mine = append(mine, n)
 		}
-		for _, t := range p.shares[n].Teams {
-			if p.shares[n].Host == most.Host && within(now, d.roomed[t], roomStay*d.interval) {
-				return
-			}
-		}
 	}
 	for _, n := range mine {
 		if w := level(p.weigh(p.shares[n])); len(mine) > 1 && w >= enough && w > won {
@@ -466,7 +420,7 @@
 	}
 	d.uneven = time.Time{}
 	if share == "" {
-		d.ask, d.asked, d.toRoom = &Ask{team, most.Host, least.Host}, now, false
+		d.ask, d.asked = &Ask{team, most.Host, least.Host}, now
 		return
 	}
 	r := p.shares[share]
@@ -478,12 +432,10 @@
 // stays says that a team is not to move: it has moved not long ago, or its owner has
 // lately not said which machines go along.
 func (d *Divider) stays(team string, now time.Time) bool {
-	return within(now, d.moved[team], returnPause*d.interval) || within(now, d.refused[team], refusedPause)
+	within := func(at time.Time, t time.Duration) bool { return !at.IsZero() && now.Sub(at) < t }
+	return within(d.moved[team], returnPause*d.interval) || within(d.refused[team], refusedPause)
 }
 
-// within says that something has been, and not longer ago than t.
-func within(now, at time.Time, t time.Duration) bool { return !at.IsZero() && now.Sub(at) < t }
-
 // answered carries a move on that was asked for, and says whether it is written now.
 func (p *draft) answered(now time.Time) bool {
 	d := p.d
@@ -501,9 +453,6 @@
 	case ok:
 		d.ask = nil
 		d.changed, d.moved[a.Team] = now, now
-		if d.toRoom {
-			d.roomed[a.Team] = now
-		}
 		r := p.shares[from]
 		r.Teams = slices.DeleteFunc(r.Teams, func(t string) bool { return t == a.Team })
 		p.dirty[from] = true
--- a/internal/peer/wire.go
+++ b/internal/peer/wire.go
@@ -11,7 +11,7 @@
 // wire is news in its protobuf form, and core, below, the way back.
 func wire(n core.PeerNews) *News {
 	m := &News{
-		From: n.From, Life: n.Life, Asks: n.Asks, Seq: n.Seq, Wants: wireWants(n.Wants), Idle: n.Idle, Room: n.Room,
+		From: n.From, Life: n.Life, Asks: n.Asks, Seq: n.Seq, Wants: wireWants(n.Wants), Idle: n.Idle,
 		Tells: n.Tells, Blocked: wireWants(n.Blocked), ToSpare: n.ToSpare, Spare: wireWants(n.Spare), StateAway: n.StateAway,
 	}
 	for _, x := range n.Cancelled {
@@ -63,9 +63,6 @@
 		m.Told = append(m.Told, x)
 	}
 	m.Needs, m.Lacks, m.Empty = wireNeeds(n.Needs), wireNeeds(n.Lacks), wireNeeds(n.Empty)
-	for _, x := range n.Short {
-		m.Short = append(m.Short, &Shortage{Job: x.Job, Team: x.Team, Zone: x.Zone})
-	}
 	for _, c := range n.Costs {
 		m.Costs = append(m.Costs, &HostCost{Flavour: c.Flavour, Zone: c.Zone, Spot: c.Spot, DownMs: c.Down.Milliseconds()})
 	}
@@ -98,7 +95,7 @@
 
 func (m *News) core() core.PeerNews {
 	n := core.PeerNews{
-		From: m.From, Life: m.Life, Asks: m.Asks, Seq: m.Seq, Wants: coreWants(m.Wants), Idle: m.Idle, Room: m.Room,
+		From: m.From, Life: m.Life, Asks: m.Asks, Seq: m.Seq, Wants: coreWants(m.Wants), Idle: m.Idle,
 		Tells: m.Tells, Blocked: coreWants(m.Blocked), ToSpare: m.ToSpare, Spare: coreWants(m.Spare), StateAway: m.StateAway,
 	}
 	for _, x := range m.Cancelled {
@@ -150,9 +147,6 @@
 		n.Told = append(n.Told, x)
 	}
 	n.Needs, n.Lacks, n.Empty = coreNeeds(m.Needs), coreNeeds(m.Lacks), coreNeeds(m.Empty)
-	for _, x := range m.Short {
-		n.Short = append(n.Short, core.Shortage{Job: x.Job, Team: x.Team, Zone: x.Zone})
-	}
 	for _, c := range m.Costs {
 		n.Costs = append(n.Costs, core.HostCost{Flavour: c.Flavour, Zone: c.Zone, Spot: c.Spot, Down: time.Duration(c.DownMs) * time.Millisecond})
 	}
