Jobs left waiting: status and metrics say which, and why nothing of them is placed

Cause: a job that waits beside free capacity on another owner's machine could be told neither from one that waits for its turn nor from one at its team's limit. Change: status lists the jobs of which nothing was placed for 45 s with the reason; micahill_left_waiting_jobs and micahill_left_waiting_longest_seconds count them.

--- a/cmd/micahill/run.go
+++ b/cmd/micahill/run.go
@@ -170,6 +170,7 @@
 		InternalError: recorder.InternalError,
 		ObserveStep:   recorder.Step,
 		GPUCapacity:   recorder.GPUCapacity,
+		Waits:         recorder.Waits,
 	}
 	if capabilities.Promises {
 		handlers.PromiseTotals = metrics.RegisterPromises(recorder.Registry())
--- a/cmd/micahill/status.go
+++ b/cmd/micahill/status.go
@@ -128,6 +128,12 @@
 			fmt.Fprintf(w, "%s\t%d\t%d\t%d\t%d\t%.2f\t%.2f\n", l.Name, l.Jobs, l.Waiting, l.Live, l.Done, l.TasksPerSecond, l.RunToEstimate)
 		}
 	}
+	if len(s.WaitingJobs) > 0 {
+		fmt.Fprintln(w, "\nLEFT WAITING\tTEAM\tWORKLOAD\tFOR\tREASON")
+		for _, j := range s.WaitingJobs {
+			fmt.Fprintf(w, "%s\t%s\t%s\t%.0f s\t%s\n", j.Job, j.Team, j.Workload, j.WaitedSeconds, j.Reason)
+		}
+	}
 	if s.Pipelines > 0 {
 		fmt.Fprintf(w, "\njobs here that wait for others: %d\n", s.Pipelines)
 		for _, h := range s.BlockingJobs {
--- a/internal/controller/scheduler.go
+++ b/internal/controller/scheduler.go
@@ -43,6 +43,11 @@
 	packingProfile *packingProfile
 	// freeCapacityReportedAt is when free GPU capacity was last reported to the metrics.
 	freeCapacityReportedAt time.Time
+
+	// waitsReportedAt is when the jobs left waiting were last reported to the metrics;
+	// waitsReported says that there were any.
+	waitsReportedAt time.Time
+	waitsReported   bool
 }
 
 // requestPlacement asks for a placement round: a task has become pending, or capacity free.
--- a/internal/controller/shard_leader.go
+++ b/internal/controller/shard_leader.go
@@ -184,5 +184,6 @@
 	s.controller.promises.tick()
 	s.persistence.writePrewarmed()
 	s.scheduler.reportGPUFreeCapacity()
+	s.scheduler.reportWaits()
 	s.scheduler.requestPlacement()
 }
--- a/internal/controller/status.go
+++ b/internal/controller/status.go
@@ -28,6 +28,7 @@
 		reply.Workloads = s.workloadStatuses()
 		reply.Pipelines, reply.BlockingJobs = s.dependencies.blockingJobs()
 		reply.Machines = s.machineStatuses()
+		reply.WaitingJobs = s.scheduler.waitingStatuses()
 	}
 	c.emit(reply)
 }
--- a/internal/message/message.go
+++ b/internal/message/message.go
@@ -13,6 +13,8 @@
 // that operators and their programs read, and do not change.
 package message
 
+import "time"
+
 // Command is an input of the controller.
 type Command interface{ command() }
 
@@ -32,6 +34,20 @@
 	Migrations *MigrationsStatus
 }
 
+// WaitReport has the jobs that are left waiting, by team, for the metrics. Teams without such a
+// job are left out.
+type WaitReport struct {
+	Teams []TeamWaits
+}
+
+// TeamWaits is a team's jobs that are left waiting: how many for each reason, and the longest
+// wait.
+type TeamWaits struct {
+	Team    string
+	Jobs    map[string]int
+	Longest time.Duration
+}
+
 // Log is a line of the log. It is an info line unless Debug or Error is set.
 type Log struct {
 	Debug   bool
@@ -53,6 +69,8 @@
 
 func (GPUFreeCapacityReport) effect() {}
 
+func (WaitReport) effect() {}
+
 func (Log) effect() {}
 
 func (Rates) effect() {}
--- a/internal/message/status.go
+++ b/internal/message/status.go
@@ -32,6 +32,8 @@
 	// most of them wait for.
 	Pipelines    int                 `json:"pipelines,omitempty"`
 	BlockingJobs []BlockingJobStatus `json:"behind,omitempty"`
+	// WaitingJobs are jobs that are left waiting, the longest wait first.
+	WaitingJobs []WaitingJobStatus `json:"left_waiting,omitempty"`
 	// Migrations and GPUFreeCapacity are there while models are switched on.
 	Migrations      *MigrationsStatus `json:"moves,omitempty"`
 	GPUFreeCapacity []GPUFreeCapacity `json:"gpu_rooms,omitempty"`
@@ -114,6 +116,16 @@
 	State string `json:"state"`
 }
 
+// WaitingJobStatus is a job of which no task was placed for long, and why.
+type WaitingJobStatus struct {
+	Job      string `json:"job"`
+	Team     string `json:"team"`
+	Workload string `json:"workload"`
+	// WaitedSeconds counts from when the job was ready, or when a task of it was last placed.
+	WaitedSeconds float64 `json:"waited_s"`
+	Reason        string  `json:"reason"`
+}
+
 // MigrationsStatus sums up the replica migrations of this controller.
 type MigrationsStatus struct {
 	// Plans counts the migration plans started, Moved the replicas that run on their new
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -31,6 +31,8 @@
 	// migrations and gpuCapacity are registered by the first report of them.
 	migrations, gpuCapacity *prometheus.GaugeVec
 	gpuRegistered           bool
+	// waitingJobs and longestWait are of the jobs left waiting, by team.
+	waitingJobs, longestWait *prometheus.GaugeVec
 }
 
 // New returns a recorder with its metrics registered.
@@ -57,9 +59,11 @@
 		internalErrors: prometheus.NewCounter(prometheus.CounterOpts{Namespace: namespace, Name: "defects_total", Help: "Mistakes of the program's own that it went on with, such as malformed requests."}),
 		migrations:     newGauge("moves", "Replicas on the move: how many, the longest time that one of them is expected to be down, and what this owner has planned, moved and dropped since it began.", "of"),
 		gpuCapacity:    newGauge("gpu_room", "Room on usable machines with GPUs: hosts, whole hosts, free GPUs, those on hosts that are not whole, and the most that one replica could have now.", "flavour", "zone", "spot", "of"),
+		waitingJobs:    newGauge("left_waiting_jobs", "Jobs of which no task was placed for 45 s.", "team", "reason"),
+		longestWait:    newGauge("left_waiting_longest_seconds", "The longest wait of a job of which no task was placed for 45 s.", "team"),
 		stateRates:     newGauge("state_part", "This controller's part of the state service's limits, a second.", "of"),
 	}
-	r.registry.MustRegister(r.requests, r.state, r.cloud, r.commands, r.steps, r.batch, r.role, r.stateRates, r.internalErrors)
+	r.registry.MustRegister(r.requests, r.state, r.cloud, r.commands, r.steps, r.batch, r.role, r.stateRates, r.internalErrors, r.waitingJobs, r.longestWait)
 	return r
 }
 
@@ -147,6 +151,20 @@
 	}
 }
 
+// Waits sets how many jobs of each team are left waiting, by reason, and the longest wait. It must
+// be called from one goroutine only.
+func (r *Recorder) Waits(report message.WaitReport) {
+	// Teams come and go, and with them their label values.
+	r.waitingJobs.Reset()
+	r.longestWait.Reset()
+	for _, team := range report.Teams {
+		r.longestWait.WithLabelValues(team.Team).Set(team.Longest.Seconds())
+		for reason, jobs := range team.Jobs {
+			r.waitingJobs.WithLabelValues(team.Team, reason).Set(float64(jobs))
+		}
+	}
+}
+
 // Role sets the controller's roles.
 func (r *Recorder) Role(role message.Role) {
 	for name, on := range map[string]bool{"leader": role.Leader, "owner": role.ShardLeader} {
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -42,6 +42,8 @@
 	PromiseTotals func(message.PromiseTotals)
 	// GPUCapacity gets the free capacity on machines with GPUs, while models are enabled.
 	GPUCapacity func(message.GPUFreeCapacityReport)
+	// Waits gets the jobs that are left waiting, by team.
+	Waits func(message.WaitReport)
 	// InternalError is called for every internal error that the controller survives.
 	InternalError func()
 	// ObserveStep gets the duration of every step and the number of its commands; may be nil.
@@ -233,6 +235,8 @@
 		}
 	case message.GPUFreeCapacityReport:
 		s.handlers.GPUCapacity(e)
+	case message.WaitReport:
+		s.handlers.Waits(e)
 	case message.Log:
 		s.log(e)
 	}
--- a/internal/server/server_test.go
+++ b/internal/server/server_test.go
@@ -33,6 +33,7 @@
 		RoleChanged:    func(message.Role) {},
 		SetRates:       func(message.Rates) {},
 		GPUCapacity:    func(message.GPUFreeCapacityReport) {},
+		Waits:          func(message.WaitReport) {},
 		InternalError:  func() { t.Error("internal error, want none") },
 	})
 }
