Machines in use change owners for jobs that are left waiting

Cause: owners asked only for machines to rent or idle ones, and offered only idle ones, so a machine in use never changed owners. A machine handed over to a controller that lost its shard meanwhile was kept from all.

--- a/internal/controller/exchange.go
+++ b/internal/controller/exchange.go
@@ -6,7 +6,6 @@
 
 	"github.com/micahill/micahill/internal/exchange"
 	"github.com/micahill/micahill/internal/message"
-	"github.com/micahill/micahill/internal/sharding"
 )
 
 // exchange.go is the leader's part of scaling: it hands over machines that one shard leader can spare
@@ -89,13 +88,9 @@
 		},
 	})
 	for _, m := range handovers {
-		l.sharding.unrecordedMachines[m.ID] = sharding.NewMachine{ID: m.ID, Host: m.To, KnownAt: l.now}
-		l.handedOverAt[m.ID] = l.now
-		l.rentals[m.ID].handedOverAt = l.now
-		// Its requests count again when it knows of this machine.
-		l.requiredSeq[m.To] = l.seq + 1
-		l.debug("machine handed over", "machine", m.ID, "from", m.From, "to", m.To)
+		l.handOver(m)
 	}
+	l.transferMachines()
 	for i := range requests {
 		w := &requests[i]
 		if w.host == l.settings.Host {
--- a/internal/controller/leader.go
+++ b/internal/controller/leader.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/micahill/micahill/internal/exchange"
 	"github.com/micahill/micahill/internal/message"
 	"github.com/micahill/micahill/internal/migration"
 )
@@ -74,6 +75,8 @@
 	sharding shardPlanning
 	// handedOverAt has the machines that were handed over within handoverCooldown, by ID.
 	handedOverAt map[string]time.Time
+	// transferQuota bounds the transfers of machines in use to each team.
+	transferQuota exchange.TransferQuota
 	// evacuations are the hosts that shard leaders are asked to empty for others.
 	evacuations migration.Evacuations
 }
--- a/internal/controller/leader_updates.go
+++ b/internal/controller/leader_updates.go
@@ -61,11 +61,16 @@
 			blocked = append(blocked, message.CapacityRequest{MachineType: k.machineType, Zone: k.zone, Spot: k.spot, Count: 1})
 		}
 	}
+	others := l.requestsOfOthers(append(sortedKeys(updates), l.settings.Host))
+	if s := l.controller.shardLeader; s != nil && s.ready {
+		s.transfers.receiveRequests(others[l.settings.Host])
+	}
 	request, hasRequest := l.sharding.planner.PendingMove()
 	for _, host := range sortedKeys(updates) {
 		update := updates[host]
 		update.Seq, update.Blocked, update.SurplusElsewhere = l.seq, blocked, l.surplusExcept(host)
 		update.OthersNeeds, update.EvacuationRequests = othersNeeds[host], evacuations[host]
+		update.OthersTransferRequests = others[host]
 		if hasRequest && request.From == host {
 			update.TeamRelease = []sharding.MoveRequest{request}
 		}
@@ -128,6 +133,7 @@
 	}
 	s.fleet.setView(v)
 	c.shardLeader.migration.receiveHostNeeds(update.OthersNeeds, update.EvacuationRequests)
+	s.transfers.receiveRequests(update.OthersTransferRequests)
 	for _, a := range update.TeamRelease {
 		s.receiveTeamRelease(a)
 	}
--- a/internal/controller/left_waiting.go
+++ b/internal/controller/left_waiting.go
@@ -42,7 +42,6 @@
 type waitingJob struct {
 	job    *job
 	waited time.Duration
-	reason waitReason
 }
 
 // unservedFor is how long a job has had tasks to place without a task of it being placed, also
@@ -73,7 +72,7 @@
 			continue
 		}
 		if waited := s.unservedFor(j); waited > leftWaitingAfter {
-			out = append(out, waitingJob{job: j, waited: waited, reason: s.waitReasonOf(j, waited)})
+			out = append(out, waitingJob{job: j, waited: waited})
 		}
 	}
 	slices.SortFunc(out, func(a, b waitingJob) int {
@@ -82,38 +81,71 @@
 	return out
 }
 
-// waitReasonOf says why no task of a job is placed.
-func (s *scheduler) waitReasonOf(j *job, waited time.Duration) waitReason {
+// waitDiagnosis finds the reasons of waits. It looks at all machines, which in a large pool is
+// done once for all jobs whose tasks are alike.
+type waitDiagnosis struct {
+	scheduler *scheduler
+	byShape   map[taskShape]shapeCapacity
+}
+
+// shapeCapacity is the capacity for one kind of task: free here, and expected soon.
+type shapeCapacity struct {
+	free, machineComing, freeSoon bool
+}
+
+func (s *scheduler) newWaitDiagnosis() *waitDiagnosis {
+	return &waitDiagnosis{scheduler: s, byShape: map[taskShape]shapeCapacity{}}
+}
+
+// reason says why no task of a job is placed.
+func (d *waitDiagnosis) reason(w waitingJob) waitReason {
 	switch {
-	case s.controller.shardLeader.faultAttribution.FailsEverywhere(j.ID):
+	case d.scheduler.controller.shardLeader.faultAttribution.FailsEverywhere(w.job.ID):
 		return waitsForRetry
-	case !s.withinQuotaLimit(j):
+	case !d.scheduler.withinQuotaLimit(w.job):
 		return waitsForQuotaLimit
-	case j.Gang:
+	case w.job.Gang:
 		return waitsForGang
 	}
+	switch c := d.capacity(w.job); {
+	case c.free:
+		return waitsForTurn
+	case w.waited >= maxWaitForSoon:
+		return waitsForCapacity
+	case c.machineComing:
+		return waitsForMachine
+	case c.freeSoon:
+		return waitsForTaskEnd
+	}
+	return waitsForCapacity
+}
+
+// capacity is the capacity for a task of a job.
+func (d *waitDiagnosis) capacity(j *job) shapeCapacity {
 	avoided := j.avoidedMachine()
-	soon := false
-	for _, m := range s.controller.shardLeader.machinesByID {
-		if m.id == avoided || !s.usable(m) || !j.allowsMachine(m.machineType, m.zone, m.spot) || !j.zoneAllowed(m.zone) || m.reservedForOther(j) {
+	alike := avoided == "" && !j.SameZone && !j.SpreadZones
+	shape := j.taskShape()
+	if c, known := d.byShape[shape]; known && alike {
+		return c
+	}
+	c := shapeCapacity{machineComing: d.scheduler.machineComing(j)}
+	for _, m := range d.scheduler.controller.shardLeader.machinesByID {
+		if m.id == avoided || !j.Need.Fits(m.size) || !j.allowsMachine(m.machineType, m.zone, m.spot) || !j.zoneAllowed(m.zone) || m.reservedForOther(j) || !d.scheduler.usable(m) {
 			continue
 		}
 		if j.Need.Fits(m.free()) {
-			return waitsForTurn
+			c.free = true
+			break
 		}
-		if in, fits := s.timeUntilFits(m, j.Need); fits && in <= capacitySoon {
-			soon = true
+		if !c.freeSoon {
+			in, fits := d.scheduler.timeUntilFits(m, j.Need)
+			c.freeSoon = fits && in <= capacitySoon
 		}
 	}
-	switch {
-	case waited >= maxWaitForSoon:
-		return waitsForCapacity
-	case s.machineComing(j):
-		return waitsForMachine
-	case soon:
-		return waitsForTaskEnd
+	if alike {
+		d.byShape[shape] = c
 	}
-	return waitsForCapacity
+	return c
 }
 
 // machineComing reports whether a machine for the job is expected to be ready soon.
@@ -131,11 +163,12 @@
 // maxWaitingStatuses.
 func (s *scheduler) waitingStatuses() []message.WaitingJobStatus {
 	var out []message.WaitingJobStatus
+	diagnosis := s.newWaitDiagnosis()
 	for _, w := range s.jobsLeftWaiting() {
 		if len(out) >= maxWaitingStatuses {
 			break
 		}
-		out = append(out, message.WaitingJobStatus{Job: w.job.ID, Team: w.job.Team, Workload: w.job.Workload, WaitedSeconds: w.waited.Seconds(), Reason: string(w.reason)})
+		out = append(out, message.WaitingJobStatus{Job: w.job.ID, Team: w.job.Team, Workload: w.job.Workload, WaitedSeconds: w.waited.Seconds(), Reason: string(diagnosis.reason(w))})
 	}
 	return out
 }
@@ -152,10 +185,10 @@
 		t := byTeam[w.job.Team]
 		if t == nil {
 			// The first of a team has waited longest.
-			t = &message.TeamWaits{Team: w.job.Team, Longest: w.waited, Jobs: map[string]int{}}
+			t = &message.TeamWaits{Team: w.job.Team, Longest: w.waited}
 			byTeam[w.job.Team] = t
 		}
-		t.Jobs[string(w.reason)]++
+		t.Jobs++
 	}
 	report := message.WaitReport{}
 	for _, team := range sortedKeys(byTeam) {
--- a/internal/controller/left_waiting_test.go
+++ b/internal/controller/left_waiting_test.go
@@ -62,7 +62,7 @@
 			var got waitReason
 			for _, w := range c.shardLeader.scheduler.jobsLeftWaiting() {
 				if w.job == j {
-					got = w.reason
+					got = c.shardLeader.scheduler.newWaitDiagnosis().reason(w)
 				}
 			}
 			if got != tc.want {
--- a/internal/controller/publish.go
+++ b/internal/controller/publish.go
@@ -92,6 +92,7 @@
 	for _, k := range sortedKinds(s.fleet.capacityRequests) {
 		out.CapacityRequests = append(out.CapacityRequests, message.CapacityRequest{MachineType: k.machineType, Zone: k.zone, Spot: k.spot, Count: s.fleet.capacityRequests[k]})
 	}
+	out.TransferRequests, out.TransferOffers = s.transfers.requests, s.transfers.offers
 	if s.migration.state != nil {
 		out.HostNeeds, out.EvacuationCosts = s.migration.state.evacuation.needs, s.migration.state.evacuation.costs
 	}
--- a/internal/controller/shard_leader.go
+++ b/internal/controller/shard_leader.go
@@ -85,6 +85,7 @@
 	persistence    persistence
 	remoteAttempts remoteAttempts
 	scheduler      scheduler
+	transfers      machineTransfers
 }
 
 // newShardLeader makes a shard leader that leads nothing yet.
@@ -115,6 +116,7 @@
 	s.remoteAttempts.component = shared
 	s.heartbeats.component = shared
 	s.migration.component = shared
+	s.transfers.component = shared
 }
 
 // dropShardLeader ends the shard leadership with all of its state.
@@ -178,6 +180,7 @@
 	s.failover.maybeBumpEpoch()
 	s.migration.tick()
 	s.fleet.planFleet(true)
+	s.transfers.update()
 	s.publishToPeers()
 	s.remoteAttempts.requestRemoteAttempts()
 	s.dependencies.updateCriticalPaths()
--- a/internal/controller/shard_planning.go
+++ b/internal/controller/shard_planning.go
@@ -84,7 +84,8 @@
 }
 
 // planningInput is what the planner decides on. Machines whose record has come, or that are gone, are
-// unrecorded no longer.
+// unrecorded no longer. Nor are those whose receiver has no shard any more: they stay with the owner
+// that the shard map names, instead of being kept from all.
 func (l *leader) planningInput() sharding.Input {
 	m := &l.controller.membership
 	planning := &l.sharding
@@ -99,7 +100,7 @@
 	}
 	for _, id := range sortedKeys(planning.unrecordedMachines) {
 		r := planning.unrecordedMachines[id]
-		if s, ok := m.shardMap.Owner(id); ok && s.Host == r.Host || l.confirmedGone(id) {
+		if s, ok := m.shardMap.Owner(id); ok && s.Host == r.Host || l.confirmedGone(id) || !m.shardMap.CanReceiveMachines(r.Host) {
 			delete(planning.unrecordedMachines, id)
 			continue
 		}
--- a/internal/exchange/transfer.go
+++ b/internal/exchange/transfer.go
@@ -21,10 +21,10 @@
 
 const (
 	// MinOwnership is how long an owner keeps a machine before it offers the machine to others.
-	// It bounds the transfers of one machine to 3600/40 = 90 an hour, whoever leads: the owner
-	// itself counts the time. It is less than the time after which jobs are asked for, so a
-	// machine that has just come delays nobody beyond the bound on waiting.
-	MinOwnership = 40 * time.Second
+	// It bounds the transfers of one machine to 3600/20 = 180 an hour, whoever leads: the owner
+	// itself counts the time, and one that takes over counts anew. Beside the time after which
+	// jobs are asked for it leaves enough of the bound on waiting to decide and begin.
+	MinOwnership = 20 * time.Second
 	// OldWait is how long a job has waited when it goes before waiting work of the machine's
 	// owner that the machine has no free capacity for now. Before, the longer wait decides.
 	OldWait = time.Minute
@@ -92,15 +92,17 @@
 	slices.SortFunc(candidates, func(a, b Candidate) int { return compareCost(&a.TransferOffer, &b.TransferOffer) })
 	offered := make([]bool, len(candidates))
 	var out []TransferOffer
-	for _, r := range byWait(requests) {
+	for _, r := range ByWait(requests) {
 		jobs := r.Jobs
 		for i := range candidates {
 			c := &candidates[i]
 			if jobs <= 0 || len(out) >= limit {
 				break
 			}
-			blocked := slices.ContainsFunc(waiting, func(t WaitingTask) bool { return !t.yieldsTo(&r, &c.TransferOffer, c.Size) })
-			if offered[i] || blocked || !r.suits(&c.TransferOffer) {
+			if offered[i] || !r.suits(&c.TransferOffer) {
+				continue
+			}
+			if slices.ContainsFunc(waiting, func(t WaitingTask) bool { return !t.yieldsTo(&r, &c.TransferOffer, c.Size) }) {
 				continue
 			}
 			offered[i] = true
@@ -117,8 +119,8 @@
 	return cmp.Or(a.Attempts-b.Attempts, cmp.Compare(a.Free.CPU, b.Free.CPU), strings.Compare(a.ID, b.ID))
 }
 
-// byWait returns the requests with the longest wait first.
-func byWait(requests []TransferRequest) []TransferRequest {
+// ByWait returns the requests with the longest wait first.
+func ByWait(requests []TransferRequest) []TransferRequest {
 	out := slices.Clone(requests)
 	slices.SortStableFunc(out, func(a, b TransferRequest) int { return cmp.Compare(b.Waited, a.Waited) })
 	return out
--- a/internal/exchange/transfer_test.go
+++ b/internal/exchange/transfer_test.go
@@ -212,7 +212,7 @@
 	now := time.Unix(1_750_000_000, 0)
 	count := func(team string) int {
 		n := 0
-		for q.Allow(now, team) {
+		for n < 2*quotaBurst && q.Allow(now, team) {
 			n++
 		}
 		return n
--- a/internal/message/message.go
+++ b/internal/message/message.go
@@ -40,11 +40,10 @@
 	Teams []TeamWaits
 }
 
-// TeamWaits is a team's jobs that are left waiting: how many for each reason, and the longest
-// wait.
+// TeamWaits is a team's jobs that are left waiting: how many, and the longest wait.
 type TeamWaits struct {
 	Team    string
-	Jobs    map[string]int
+	Jobs    int
 	Longest time.Duration
 }
 
--- a/internal/message/peer.go
+++ b/internal/message/peer.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/micahill/micahill/internal/exchange"
 	"github.com/micahill/micahill/internal/model"
 	"github.com/micahill/micahill/internal/remote"
 	"github.com/micahill/micahill/internal/sharding"
@@ -12,6 +13,11 @@
 	// MaxCancellationsPerUpdate bounds the Cancellations of an update, of some hundred bytes
 	// each, and the CancellationAcks. More are left to the jobs' records.
 	MaxCancellationsPerUpdate = 200
+	// MaxTransferRequests bounds the TransferRequests of an update, MaxTransferKinds the kinds
+	// of one, and MaxTransferOffers the TransferOffers.
+	MaxTransferRequests = 16
+	MaxTransferKinds    = 64
+	MaxTransferOffers   = 200
 	// MaxReroutedHeartbeats bounds the Rerouted of an update.
 	MaxReroutedHeartbeats = 1000
 )
@@ -73,6 +79,11 @@
 	// need, and EvacuationRequests, what the receiver is to evacuate.
 	HostNeeds, OthersNeeds, EvacuationRequests []HostNeed
 	EvacuationCosts                            []HostCost
+	// TransferRequests ask for free capacity on machines of other shards, and TransferOffers
+	// are the sender's machines that others may have for theirs. The leader publishes with
+	// OthersTransferRequests what other shards request.
+	TransferRequests, OthersTransferRequests []exchange.TransferRequest
+	TransferOffers                           []exchange.TransferOffer
 	// Quotes are what completion dates for the sender's teams rest on.
 	Quotes []TeamQuotes
 	// Rerouted are heartbeats of the receiver's machines that reached the sender.
--- a/internal/message/peer_validate.go
+++ b/internal/message/peer_validate.go
@@ -1,6 +1,7 @@
 package message
 
 import (
+	"github.com/micahill/micahill/internal/exchange"
 	"github.com/micahill/micahill/internal/model"
 	"github.com/micahill/micahill/internal/sizelimit"
 	"github.com/micahill/micahill/internal/validate"
@@ -16,6 +17,7 @@
 	u.validateCancellations(&check)
 	u.validateRemoteAttempts(&check)
 	u.validateEvacuations(&check)
+	u.validateTransfers(&check)
 	u.validateRemoteStatuses(&check)
 	return check.Err()
 }
@@ -107,14 +109,44 @@
 	}
 }
 
+func (u *PeerUpdate) validateTransfers(check *validate.Check) {
+	checkTransferRequests(check, "transfer_requests", u.TransferRequests)
+	checkTransferRequests(check, "others_transfer_requests", u.OthersTransferRequests)
+	check.Count("transfer_offers", len(u.TransferOffers), 0, MaxTransferOffers)
+	for _, o := range u.TransferOffers {
+		check.Name("transfer_offers.machine", o.ID, true)
+		checkResources(check, "transfer_offers", o.Free)
+		check.Count("transfer_offers.attempts", o.Attempts, 0, validate.MaxTasks)
+	}
+}
+
+func checkTransferRequests(check *validate.Check, field string, requests []exchange.TransferRequest) {
+	check.Count(field, len(requests), 0, MaxTransferRequests)
+	for _, r := range requests {
+		check.Name(field+".team", r.Team, true)
+		check.Count(field+".kinds", len(r.Kinds), 1, MaxTransferKinds)
+		for _, k := range r.Kinds {
+			check.Name(field+".kinds.machine_type", k.MachineType, true)
+			check.Name(field+".kinds.zone", k.Zone, true)
+		}
+		checkResources(check, field, r.Need)
+		check.Count(field+".jobs", r.Jobs, 1, validate.MaxTasks)
+		check.Amount(field+".waited", r.Waited.Seconds())
+	}
+}
+
+func checkResources(check *validate.Check, field string, r model.Resources) {
+	check.Amount(field+".cpu", r.CPU)
+	check.Amount(field+".gpu", r.GPU)
+	check.Amount(field+".memory", r.Memory)
+}
+
 func checkNeeds(check *validate.Check, field string, needs []HostNeed) {
 	for _, n := range needs {
 		check.Name(field+".flavour", n.MachineType, true)
 		check.Name(field+".zone", n.Zone, false)
 		check.Name(field+".workload", n.Workload, false)
-		check.Amount(field+".cpu", n.Need.CPU)
-		check.Amount(field+".gpu", n.Need.GPU)
-		check.Amount(field+".memory", n.Need.Memory)
+		checkResources(check, field, n.Need)
 		check.Count(field+".urgency", int(n.Urgency), int(model.BestEffort), int(model.Critical))
 	}
 }
--- a/internal/message/peer_validate_test.go
+++ b/internal/message/peer_validate_test.go
@@ -7,12 +7,15 @@
 	"testing"
 	"time"
 
+	"github.com/micahill/micahill/internal/exchange"
+	"github.com/micahill/micahill/internal/model"
 	"github.com/micahill/micahill/internal/remote"
 	"github.com/micahill/micahill/internal/validate"
 )
 
 // TestPeerUpdateValidate has an update with one fault in each part: the fault's field is named.
 func TestPeerUpdateValidate(t *testing.T) {
+	kinds := []exchange.Kind{{MachineType: "g8", Zone: "a"}}
 	attempt := remote.AttemptID{Job: "job-000412", Index: -1, Attempt: 2}
 	for _, c := range []struct {
 		name   string
@@ -38,6 +41,16 @@
 		{"others' need", PeerUpdate{OthersNeeds: []HostNeed{{}}}, "lacks.flavour"},
 		{"evacuation request", PeerUpdate{EvacuationRequests: []HostNeed{{}}}, "empty.flavour"},
 		{"evacuation cost", PeerUpdate{EvacuationCosts: []HostCost{{MachineType: "g8", Downtime: -time.Second}}}, "costs.down"},
+		{"transfer request", PeerUpdate{TransferRequests: []exchange.TransferRequest{{Team: "ops", Kinds: kinds, Need: model.Resources{CPU: -1}, Jobs: 1}}}, "transfer_requests.cpu"},
+		{"transfer request of no kind", PeerUpdate{TransferRequests: []exchange.TransferRequest{{Team: "ops", Jobs: 1}}}, "transfer_requests.kinds"},
+		{"transfer request for no job", PeerUpdate{TransferRequests: []exchange.TransferRequest{{Team: "ops", Kinds: kinds}}}, "transfer_requests.jobs"},
+		{"transfer request with a wait below zero", PeerUpdate{TransferRequests: []exchange.TransferRequest{{Team: "ops", Kinds: kinds, Jobs: 1, Waited: -time.Second}}}, "transfer_requests.waited"},
+		{"too many transfer requests", PeerUpdate{TransferRequests: make([]exchange.TransferRequest, MaxTransferRequests+1)}, "transfer_requests"},
+		{"others' transfer request", PeerUpdate{OthersTransferRequests: []exchange.TransferRequest{{Kinds: kinds, Jobs: 1}}}, "others_transfer_requests.team"},
+		{"others' transfer request of a kind without zone", PeerUpdate{OthersTransferRequests: []exchange.TransferRequest{{Team: "ops", Kinds: []exchange.Kind{{MachineType: "g8"}}, Jobs: 1}}}, "others_transfer_requests.kinds.zone"},
+		{"transfer offer", PeerUpdate{TransferOffers: []exchange.TransferOffer{{}}}, "transfer_offers.machine"},
+		{"transfer offer of no number", PeerUpdate{TransferOffers: []exchange.TransferOffer{{ID: "vm-1", Free: model.Resources{Memory: math.NaN()}}}}, "transfer_offers.memory"},
+		{"transfer offer with attempts below zero", PeerUpdate{TransferOffers: []exchange.TransferOffer{{ID: "vm-1", Attempts: -1}}}, "transfer_offers.attempts"},
 		{"remote status", PeerUpdate{RemoteStatuses: []remote.MachineStatus{{Machine: "vm-1", Attempts: []remote.AttemptStatus{{AttemptID: attempt}}}}}, "told.index"},
 		{"the first fault stands", PeerUpdate{CapacityRequests: []CapacityRequest{{Count: -1}}, RemoteStatuses: []remote.MachineStatus{{}}}, "wants.count"},
 	} {
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -59,7 +59,7 @@
 		internalErrors: prometheus.NewCounter(prometheus.CounterOpts{Namespace: namespace, Name: "defects_total", Help: "Mistakes of the program's own that it went on with, such as malformed requests."}),
 		migrations:     newGauge("moves", "Replicas on the move: how many, the longest time that one of them is expected to be down, and what this owner has planned, moved and dropped since it began.", "of"),
 		gpuCapacity:    newGauge("gpu_room", "Room on usable machines with GPUs: hosts, whole hosts, free GPUs, those on hosts that are not whole, and the most that one replica could have now.", "flavour", "zone", "spot", "of"),
-		waitingJobs:    newGauge("left_waiting_jobs", "Jobs of which no task was placed for 45 s.", "team", "reason"),
+		waitingJobs:    newGauge("left_waiting_jobs", "Jobs of which no task was placed for 45 s; the status says why.", "team"),
 		longestWait:    newGauge("left_waiting_longest_seconds", "The longest wait of a job of which no task was placed for 45 s.", "team"),
 		stateRates:     newGauge("state_part", "This controller's part of the state service's limits, a second.", "of"),
 	}
@@ -151,7 +151,7 @@
 	}
 }
 
-// Waits sets how many jobs of each team are left waiting, by reason, and the longest wait. It must
+// Waits sets how many jobs of each team are left waiting, and the longest wait. It must
 // be called from one goroutine only.
 func (r *Recorder) Waits(report message.WaitReport) {
 	// Teams come and go, and with them their label values.
@@ -159,9 +159,7 @@
 	r.longestWait.Reset()
 	for _, team := range report.Teams {
 		r.longestWait.WithLabelValues(team.Team).Set(team.Longest.Seconds())
-		for reason, jobs := range team.Jobs {
-			r.waitingJobs.WithLabelValues(team.Team, reason).Set(float64(jobs))
-		}
+		r.waitingJobs.WithLabelValues(team.Team).Set(float64(team.Jobs))
 	}
 }
 
--- a/internal/metrics/metrics_test.go
+++ b/internal/metrics/metrics_test.go
@@ -27,7 +27,7 @@
 		Kinds:      []message.GPUFreeCapacity{{MachineType: "g8", Zone: "a", Spot: true, Machines: 7, EmptyMachines: 2, FreeGPUs: 21, FragmentedGPUs: 5, LargestReplicaGPUs: 8}},
 		Migrations: &message.MigrationsStatus{Plans: 4, Moved: 3, Dropped: 1, LongestDownSeconds: 16},
 	})
-	r.Waits(message.WaitReport{Teams: []message.TeamWaits{{Team: "ops", Jobs: map[string]int{"no free capacity here": 2}, Longest: 51500 * time.Millisecond}}})
+	r.Waits(message.WaitReport{Teams: []message.TeamWaits{{Team: "ops", Jobs: 2, Longest: 51500 * time.Millisecond}}})
 	totals := message.PromiseTotals{MedianRatio: 1.25}
 	totals.Sum.Jobs, totals.Sum.Made, totals.Sum.Kept, totals.Sum.Broken, totals.Sum.Revised, totals.Sum.Worst = 9, 8, 6, 2, 1, 40*time.Second
 	setPromises(totals)
--- a/internal/peer/golden_test.go
+++ b/internal/peer/golden_test.go
@@ -4,6 +4,7 @@
 	"testing"
 	"time"
 
+	"github.com/micahill/micahill/internal/exchange"
 	"github.com/micahill/micahill/internal/message"
 	"github.com/micahill/micahill/internal/model"
 	"github.com/micahill/micahill/internal/remote"
@@ -50,6 +51,12 @@
 	OthersNeeds:        []message.HostNeed{{MachineType: "g4", Zone: "b", Need: model.Resources{CPU: 48}, Workload: "infer", Urgency: model.Critical}},
 	EvacuationRequests: []message.HostNeed{{MachineType: "g2", Zone: "c", Need: model.Resources{Memory: 350}, Urgency: model.Normal}},
 	EvacuationCosts:    []message.HostCost{{MachineType: "g1", Zone: "d", Spot: true, Downtime: 16_125 * time.Millisecond}},
+	TransferRequests: []exchange.TransferRequest{{
+		Team: "ops", Kinds: []exchange.Kind{{MachineType: "g8", Zone: "a", Spot: true}, {MachineType: "g4", Zone: "b"}},
+		Need: model.Resources{CPU: 8.5, GPU: 1, Memory: 30.25}, Jobs: 3, Waited: 51_250 * time.Millisecond,
+	}},
+	OthersTransferRequests: []exchange.TransferRequest{{Team: "lab", Kinds: []exchange.Kind{{MachineType: "g2", Zone: "c"}}, Need: model.Resources{CPU: 2}, Jobs: 1, Waited: time.Minute}},
+	TransferOffers:         []exchange.TransferOffer{{ID: "vm-000021", Kind: exchange.Kind{MachineType: "g8", Zone: "a", Spot: true}, Free: model.Resources{CPU: 16.5, GPU: 2, Memory: 64}, Attempts: 4}},
 	Quotes: []message.TeamQuotes{
 		{Team: "ops", Value: []byte{0x81, 0xa1, 'v', 0x01}},
 	},
--- a/internal/peer/wire.go
+++ b/internal/peer/wire.go
@@ -33,6 +33,10 @@
 		Empty: mapSlice(update.EvacuationRequests, encodeHostNeed),
 		Costs: mapSlice(update.EvacuationCosts, encodeHostCost),
 
+		TransferRequests:       mapSlice(update.TransferRequests, encodeTransferRequest),
+		OthersTransferRequests: mapSlice(update.OthersTransferRequests, encodeTransferRequest),
+		TransferOffers:         mapSlice(update.TransferOffers, encodeTransferOffer),
+
 		Quotes: mapSlice(update.Quotes, encodeTeamQuotes),
 		Came:   mapSlice(update.Rerouted, encodeReroutedHeartbeat),
 
@@ -68,6 +72,10 @@
 		EvacuationRequests: mapSlice(pb.Empty, decodeHostNeed),
 		EvacuationCosts:    mapSlice(pb.Costs, decodeHostCost),
 
+		TransferRequests:       mapSlice(pb.TransferRequests, decodeTransferRequest),
+		OthersTransferRequests: mapSlice(pb.OthersTransferRequests, decodeTransferRequest),
+		TransferOffers:         mapSlice(pb.TransferOffers, decodeTransferOffer),
+
 		Quotes:   mapSlice(pb.Quotes, decodeTeamQuotes),
 		Rerouted: mapSlice(pb.Came, decodeReroutedHeartbeat),
 
--- a/internal/peer/wire_parts.go
+++ b/internal/peer/wire_parts.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/micahill/micahill/internal/exchange"
 	"github.com/micahill/micahill/internal/message"
 	"github.com/micahill/micahill/internal/model"
 	"github.com/micahill/micahill/internal/remote"
@@ -156,3 +157,30 @@
 }
 
 func milliseconds(n int64) time.Duration { return time.Duration(n) * time.Millisecond }
+
+func encodeTransferRequest(r exchange.TransferRequest) *TransferRequest {
+	return &TransferRequest{Team: r.Team, Kinds: mapSlice(r.Kinds, encodeMachineKind), Cpu: r.Need.CPU, Gpu: r.Need.GPU, Memory: r.Need.Memory, Jobs: int64(r.Jobs), WaitedMs: r.Waited.Milliseconds()}
+}
+
+func decodeTransferRequest(pb *TransferRequest) exchange.TransferRequest {
+	return exchange.TransferRequest{
+		Team: pb.Team, Kinds: mapSlice(pb.Kinds, decodeMachineKind), Need: model.Resources{CPU: pb.Cpu, GPU: pb.Gpu, Memory: pb.Memory},
+		Jobs: int(pb.Jobs), Waited: milliseconds(pb.WaitedMs),
+	}
+}
+
+func encodeMachineKind(k exchange.Kind) *MachineKind {
+	return &MachineKind{MachineType: k.MachineType, Zone: k.Zone, Spot: k.Spot}
+}
+
+func decodeMachineKind(pb *MachineKind) exchange.Kind {
+	return exchange.Kind{MachineType: pb.GetMachineType(), Zone: pb.GetZone(), Spot: pb.GetSpot()}
+}
+
+func encodeTransferOffer(o exchange.TransferOffer) *TransferOffer {
+	return &TransferOffer{Machine: o.ID, Kind: encodeMachineKind(o.Kind), Cpu: o.Free.CPU, Gpu: o.Free.GPU, Memory: o.Free.Memory, Attempts: int64(o.Attempts)}
+}
+
+func decodeTransferOffer(pb *TransferOffer) exchange.TransferOffer {
+	return exchange.TransferOffer{ID: pb.Machine, Kind: decodeMachineKind(pb.Kind), Free: model.Resources{CPU: pb.Cpu, GPU: pb.Gpu, Memory: pb.Memory}, Attempts: int(pb.Attempts)}
+}
--- a/internal/sharding/shard_map.go
+++ b/internal/sharding/shard_map.go
@@ -246,6 +246,14 @@
 	return out
 }
 
+// CanReceiveMachines reports whether a host leads a shard that new machines are named for.
+func (m *Map) CanReceiveMachines(host string) bool {
+	return slices.ContainsFunc(m.shardNames, func(name string) bool {
+		s := m.shards[name]
+		return s.Host == host && (len(s.Teams) > 0 || s.CatchAll)
+	})
+}
+
 // Counts returns the number of segments, and of the machines that they name.
 func (m *Map) Counts() (segments, machines int) { return len(m.segments), len(m.current) }
 
