A job that met several faulty machines at once is tried beside its tasks that run

Symptom: TestJobThatMetFaultyMachines, other tasks of a job wait beside room on sound machines for as long as one of its tasks runs, or up to two minutes between tries. Cause: failures on three machines with nothing done count as the job's own fault, whatever runs, and such a job was tried one task at a time and none while one was live. Change: the pause between tries is at most a minute and what runs does not block one; beside tasks that outlast the longest failure by a margin as many more are tried. A job with a mistake stays bounded (TestMistakenJobStartsAreBounded).

--- a/internal/controller/heartbeats.go
+++ b/internal/controller/heartbeats.go
@@ -361,6 +361,9 @@
 		// Tasks done before its first failure, or under a former shard leader, count too.
 		tracker.MarkJobWorks(j.ID)
 	}
+	if !t.startedAt.IsZero() && !t.inherited {
+		tracker.RecordFailedRun(j.ID, h.now.Sub(t.startedAt))
+	}
 	failedEverywhere := tracker.FailsEverywhere(j.ID)
 	h.updateFaultyMachines(tracker.TaskFailed(j.ID, index, m.id))
 	if pause := tracker.RetryBackoff(j.ID); pause > 0 {
--- a/internal/controller/left_waiting.go
+++ b/internal/controller/left_waiting.go
@@ -100,7 +100,7 @@
 // reason says why no task of a job is placed.
 func (d *waitDiagnosis) reason(w waitingJob) waitReason {
 	switch {
-	case d.scheduler.controller.shardLeader.faultAttribution.FailsEverywhere(w.job.ID):
+	case d.scheduler.controller.shardLeader.faultAttribution.FailsEverywhere(w.job.ID) && w.job.liveTasks == 0:
 		return waitsForRetry
 	case !d.scheduler.withinQuotaLimit(w.job):
 		return waitsForQuotaLimit
--- a/internal/controller/placement_round.go
+++ b/internal/controller/placement_round.go
@@ -376,6 +376,9 @@
 	g.tasks = append(g.tasks, i)
 	t.attempt++
 	j.lastPlacedAt = s.now
+	if pause := s.controller.shardLeader.faultAttribution.RetryBackoff(j.ID); pause > 0 {
+		j.notBefore = later(j.notBefore, s.now.Add(s.jitter(pause)))
+	}
 	t.groupStart = id
 	t.rankingRevision = s.controller.ranking.modRevision
 	t.startSent, t.reported, t.inherited, t.missedStarts, t.startUnanswered = false, false, false, 0, false
--- a/internal/controller/queue_order.go
+++ b/internal/controller/queue_order.go
@@ -109,17 +109,46 @@
 }
 
 // placeableTasks is how many of a job's pending tasks may be placed now. A job that fails
-// everywhere gets one at a time, to see whether it still does.
+// everywhere gets one at a time, each after a backoff, to see whether it still does; and more
+// beside tasks that run for longer than any failure took.
 func (s *scheduler) placeableTasks(j *job) int {
-	switch {
-	case j.pendingTasks() == 0 || !j.mayStart(s.now) || j.notBefore.After(s.now):
+	if j.pendingTasks() == 0 || !j.mayStart(s.now) {
 		return 0
-	case !s.controller.shardLeader.faultAttribution.FailsEverywhere(j.ID):
-		return j.pendingTasks()
-	case j.liveTasks > 0:
+	}
+	backsOff := j.notBefore.After(s.now)
+	if s.controller.shardLeader.faultAttribution.FailsEverywhere(j.ID) {
+		retries := 2*s.outlastingTasks(j) - j.liveTasks
+		if !backsOff {
+			retries = max(retries, 1)
+		}
+		return max(0, min(j.pendingTasks(), retries))
+	}
+	if backsOff {
 		return 0
 	}
-	return 1
+	return j.pendingTasks()
+}
+
+// outlastingTasks counts the tasks of a job that have run for much longer than any that failed.
+// Each allows one more beside it, so that what runs at most doubles before the new ones have
+// outlasted the failures as well. A job with a mistake whose tasks fail after some time has few
+// of these, and the fewer the more have failed.
+func (s *scheduler) outlastingTasks(j *job) int {
+	count, live := 0, 0
+	for i := range j.tasks[:j.nextFresh] {
+		t := &j.tasks[i]
+		if t.machine == nil {
+			continue
+		}
+		// What a machine has not said since counts for nothing: it may hang.
+		if t.isRunning() && !t.inherited && !t.startedAt.IsZero() && s.controller.shardLeader.faultAttribution.Outlasts(j.ID, t.machine.lastHeard.Sub(t.startedAt)) {
+			count++
+		}
+		if live++; live == j.liveTasks {
+			break
+		}
+	}
+	return count
 }
 
 // queuedJobs returns the jobs with placeable tasks in the order of compareQueueOrder. As a side
--- a/internal/faultattribution/tracker.go
+++ b/internal/faultattribution/tracker.go
@@ -22,8 +22,17 @@
 	// minBackoff is the backoff of a job that fails everywhere before one of its tasks is
 	// retried; it doubles up to maxBackoff. The job is never given up: its user may repair what
 	// it needs, and only its user may end it.
+	// The operators allow a job to wait 90 s beside a sound machine, which one that has met only
+	// faulty ones so far would do: a quarter more than maxBackoff, with the jitter, is less.
 	minBackoff = 2 * time.Second
-	maxBackoff = 2 * time.Minute
+	maxBackoff = time.Minute
+	// outlastFactor is how many times as long as any failed attempt of its job, and minProofRun
+	// how much longer in addition, a task must run to show that the job may work where it runs;
+	// maxProofRun bounds both together. Where machines became faulty under tasks that had run
+	// for long, the others prove themselves in that time.
+	outlastFactor = 1.25
+	minProofRun   = 5 * time.Second
+	maxProofRun   = 25 * time.Second
 )
 
 // Tracker attributes failures to jobs or machines. The zero value is empty and ready. It is
@@ -42,6 +51,8 @@
 	// everywhere.
 	hasSucceeded bool
 	failures     int
+	// longestFailure is how long the longest attempt that failed had run.
+	longestFailure time.Duration
 }
 
 type machineRecord struct {
@@ -113,6 +124,25 @@
 // and under any shard leader: such a job does not fail everywhere.
 func (t *Tracker) MarkJobWorks(id string) { t.jobRecord(id).hasSucceeded = true }
 
+// RecordFailedRun records, before a failure, how long the attempt had run.
+func (t *Tracker) RecordFailedRun(id string, ran time.Duration) {
+	j := t.jobRecord(id)
+	j.longestFailure = max(j.longestFailure, ran)
+}
+
+// Outlasts reports whether a task that has run for a time, and goes on, makes it likely that its
+// job works on that machine though it failed on others: it has outlasted all failures by far. It
+// proves nothing yet. So it neither counts against the other machines nor ends FailsEverywhere;
+// it only justifies one more attempt beside it.
+func (t *Tracker) Outlasts(id string, ran time.Duration) bool {
+	j := t.jobs[id]
+	if j == nil {
+		return false
+	}
+	margin := time.Duration((outlastFactor-1)*float64(j.longestFailure)) + minProofRun
+	return ran >= j.longestFailure+min(margin, maxProofRun)
+}
+
 // otherTaskFailedOn reports whether another task of the job failed on the machine without
 // exonerating it.
 func (j *jobRecord) otherTaskFailedOn(index int, host string) bool {
--- a/internal/faultattribution/tracker_test.go
+++ b/internal/faultattribution/tracker_test.go
@@ -160,3 +160,36 @@
 		}
 	})
 }
+
+// TestOutlasts: a task outlasts the failures of its job when it runs for longer than the longest
+// of them by a margin. That alone proves nothing: the job still counts as failing everywhere, and
+// nothing counts against the machines on which it failed.
+func TestOutlasts(t *testing.T) {
+	var tracker Tracker
+	if tracker.Outlasts("job", time.Hour) {
+		t.Error("Outlasts for a job without a failure: got true, want false")
+	}
+	for i := range jobFaultMachines {
+		tracker.TaskFailed("job", i, fmt.Sprint("vm", i))
+	}
+	for _, c := range []struct {
+		longest, ran time.Duration
+		want         bool
+	}{
+		{0, minProofRun - 1, false},
+		{0, minProofRun, true},
+		{20 * time.Second, 20*time.Second + 2*minProofRun - 1, false},
+		{20 * time.Second, 20*time.Second + 2*minProofRun, true},
+		{time.Second, 25 * time.Second, false},
+		{time.Hour, time.Hour + maxProofRun - 1, false},
+		{time.Hour, time.Hour + maxProofRun, true},
+	} {
+		tracker.RecordFailedRun("job", c.longest)
+		if got := tracker.Outlasts("job", c.ran); got != c.want {
+			t.Errorf("a run of %v after failures of up to %v: got %v, want %v", c.ran, c.longest, got, c.want)
+		}
+	}
+	if !tracker.FailsEverywhere("job") || tracker.IsFaulty("vm0") {
+		t.Error("after a run that outlasts the failures: got another verdict, want the same")
+	}
+}
