A drain switch names the one before it

Symptom: an older switch of an operator, carried out late, took the place of a newer one; the answer to an older one undid what the watch had brought. Cause: ctl/drain was written without a compare, as the only record. Change: the write names the revision that its controller knows; after a conflict the records are read, and the operator is told that the switch stands or is to be repeated (409). Records as before.

--- a/cmd/micahill/overflow.go
+++ b/cmd/micahill/overflow.go
@@ -136,7 +136,11 @@
 			effect, err := srv.Ask(ctx, func(r uint64) message.Command {
 				return message.DrainCommand{Reply: r, Enabled: enabled, Deadline: time.Now().Add(within)}
 			})
-			if reply, ok := effect.(message.LoanReply); err != nil || !ok || reply.Status != message.LoanDurable {
+			reply, ok := effect.(message.LoanReply)
+			if err == nil && ok && reply.Status == message.LoanNotApplied {
+				return echo.NewHTTPError(http.StatusConflict, "not written: the drain was switched elsewhere meanwhile; look at peers and switch again")
+			}
+			if err != nil || !ok || reply.Status != message.LoanDurable {
 				return echo.NewHTTPError(http.StatusServiceUnavailable, "not written: the state service does not answer")
 			}
 			return c.JSON(http.StatusOK, map[string]bool{"draining": enabled})
--- a/internal/controller/control_records.go
+++ b/internal/controller/control_records.go
@@ -50,7 +50,8 @@
 
 // replaceControlRecords takes what was read of ctl/ for all that is there, as of a time.
 func (m *membership) replaceControlRecords(items []message.KeyValue, asOf time.Time) {
-	m.leader, m.leaderModRevision, m.drain = record.Leader{}, 0, record.Drain{}
+	m.leader, m.leaderModRevision = record.Leader{}, 0
+	m.drain, m.drainModRevision = record.Drain{}, 0
 	clear(m.controllers)
 	oldShardMap := m.shardMap
 	m.shardMap = sharding.NewMap()
@@ -155,9 +156,10 @@
 	var err error
 	switch {
 	case it.Key == record.DrainKey:
-		m.drain = record.Drain{}
+		m.drain, m.drainModRevision = record.Drain{}, 0
 		if !it.Deleted {
 			record.Decode(it.Value, &m.drain)
+			m.drainModRevision = it.ModRevision
 		}
 	case it.Key == record.LeaderKey:
 		m.leader, m.leaderModRevision = record.Leader{}, 0
--- a/internal/controller/loans.go
+++ b/internal/controller/loans.go
@@ -175,15 +175,34 @@
 	}
 }
 
-// runDrainCommand writes whether borrowed jobs are being drained from this cluster.
+// runDrainCommand writes whether borrowed jobs are being drained from this cluster. It names the
+// switch that this controller knows, so that one carried out late undoes no newer one.
 func (l *lending) runDrainCommand(c message.DrainCommand) {
-	rec := record.Encode(record.Drain{Enabled: c.Enabled, Deadline: c.Deadline.UnixMilli()})
-	l.controller.requests.toStore(message.StoreRequest{Kind: message.OpTxn, Priority: message.PriorityUser, Writes: []message.Write{{Key: record.DrainKey, Value: rec}}}, func(d message.StoreResponse) {
-		s := message.LoanUncertain
-		if d.Status == message.StoreOK {
-			s = message.LoanDurable
-			l.controller.membership.applyControlRecord(message.KeyValue{Key: record.DrainKey, Value: rec, ModRevision: d.Revision})
+	members := &l.controller.membership
+	wanted := record.Drain{Enabled: c.Enabled, Deadline: c.Deadline.UnixMilli()}
+	op := message.StoreRequest{
+		Kind: message.OpTxn, Priority: message.PriorityUser,
+		Compares: []message.Compare{{Key: record.DrainKey, ModRevision: members.drainModRevision}},
+		Writes:   []message.Write{{Key: record.DrainKey, Value: record.Encode(wanted)}},
+	}
+	l.controller.requests.toStore(op, func(d message.StoreResponse) {
+		switch d.Status {
+		case message.StoreOK:
+			if d.Revision > members.drainModRevision {
+				members.applyControlRecord(message.KeyValue{Key: record.DrainKey, Value: op.Writes[0].Value, ModRevision: d.Revision})
+			}
+			l.emit(message.LoanReply{Reply: c.Reply, Status: message.LoanDurable})
+		case message.StoreConflict:
+			// Another's is newer, or its own stands there and the first answer was lost.
+			members.confirmControlRecords(func() {
+				status := message.LoanNotApplied
+				if members.drain == wanted {
+					status = message.LoanDurable
+				}
+				l.emit(message.LoanReply{Reply: c.Reply, Status: status})
+			})
+		default:
+			l.emit(message.LoanReply{Reply: c.Reply, Status: message.LoanUncertain})
 		}
-		l.emit(message.LoanReply{Reply: c.Reply, Status: s})
 	})
 }
--- a/internal/controller/membership.go
+++ b/internal/controller/membership.go
@@ -82,6 +82,7 @@
 	controllers        map[string]record.Member
 	shardMap           *sharding.Map
 	drain              record.Drain
+	drainModRevision   uint64 // 0 when it was never switched
 	formats            formatMigration
 
 	// confirmWaiters wait until ctl/ is known as of a moment after their call; confirming:
