Relaunch timers hold across a takeover

Symptom: after a change of shard leader stragglers of a large group were not relaunched, others only when they had run for the whole limit once more. Cause: records did not say in which group done tasks were, so a tenth counted what was unfinished alone; a restored task's run time counted from when it was seen.

--- a/internal/controller/heartbeats.go
+++ b/internal/controller/heartbeats.go
@@ -7,6 +7,7 @@
 	"github.com/micahill/micahill/internal/disruption"
 	"github.com/micahill/micahill/internal/message"
 	"github.com/micahill/micahill/internal/model"
+	"github.com/micahill/micahill/internal/record"
 	"github.com/micahill/micahill/internal/remote"
 )
 
@@ -286,7 +287,7 @@
 	case model.Running, model.Checkpointing:
 		m.noteImage(j, h.now, true)
 		if t.startedAt.IsZero() {
-			t.startedAt = h.now
+			t.startedAt = h.firstSeenRunning(m, j, t)
 			h.debug("task running", "job", j.ID, "task", k.index, "attempt", t.attempt, "machine", m.id,
 				"age", h.now.Sub(j.submittedAt), "fetched", h.now.Sub(time.UnixMilli(t.groupStart)))
 		}
@@ -295,6 +296,20 @@
 	}
 }
 
+// firstSeenRunning is when a task began to run that is now reported as running for the first time.
+// One that a former shard leader started has run since its group was started and its image was
+// fetched, at half the machine's rate: several images may have shared it.
+func (h *heartbeatTracker) firstSeenRunning(m *machine, j *job, t *task) time.Time {
+	if !t.inherited {
+		return h.now
+	}
+	began := time.UnixMilli(t.groupStart)
+	if j.Image != "" {
+		began = began.Add(record.DurationOfSeconds(2 * j.ImageGB / h.controller.knowledge.imageFetchRate(m)))
+	}
+	return earlier(h.now, began)
+}
+
 // applyEndedTask takes in the end of a live attempt, with the worker's cause for it.
 func (h *heartbeatTracker) applyEndedTask(m *machine, j *job, index int, cause string) {
 	t := &j.tasks[index]
--- a/internal/controller/jobs.go
+++ b/internal/controller/jobs.go
@@ -64,6 +64,18 @@
 	startedAt       time.Time
 	tasks           []int
 	relaunchDecided bool
+	// finishedBefore counts, by segment, the tasks that were done under a former shard leader
+	// and are not among tasks.
+	finishedBefore map[int]int64
+}
+
+// size is how many tasks were started together.
+func (g *group) size() int {
+	size := len(g.tasks)
+	for _, count := range g.finishedBefore {
+		size += int(count)
+	}
+	return size
 }
 
 // taskSegment is the durable record of some consecutive tasks.
@@ -281,10 +293,12 @@
 	r := record.TaskSegment{RankingRevision: seg.rankingRevision}
 	first, end := seg.index*j.tasksPerSegment, min((seg.index+1)*j.tasksPerSegment, len(j.tasks))
 	groups := map[int64]bool{}
+	finished := map[int64]int64{}
 	for i := first; i < end; i++ {
 		t := &j.tasks[i]
 		switch {
 		case t.done:
+			finished[t.groupStart]++
 			if k := len(r.DoneRanges); k > 0 && r.DoneRanges[k-1] == i-1 {
 				r.DoneRanges[k-1] = i
 			} else {
@@ -305,6 +319,11 @@
 		}
 	}
 	slices.Sort(r.RelaunchedGroups)
+	for _, id := range sortedKeys(j.groups) {
+		if count := finished[id] + j.groups[id].finishedBefore[seg.index]; count > 0 {
+			r.FinishedInGroups = append(r.FinishedInGroups, id, count)
+		}
+	}
 	r.FactorMachinePrefix()
 	for _, d := range j.recentRunTimes[max(0, len(j.recentRunTimes)-keptRunTimes):] {
 		r.RunTimes = append(r.RunTimes, d.Milliseconds())
--- a/internal/controller/recovery.go
+++ b/internal/controller/recovery.go
@@ -29,6 +29,9 @@
 	defer j.markCovered(format, segmentIndex)
 	f.recoverDone(j, format, r)
 	f.recoverRows(j, format, it.Key, r)
+	if format == j.segmentFormat {
+		f.recoverFinished(j, segmentIndex, it.Key, r)
+	}
 	if len(j.sortedRunTimes) == 0 {
 		for _, ms := range r.RunTimes {
 			if ms > 0 && ms < maxRunTime.Milliseconds() {
@@ -83,16 +86,44 @@
 			f.controller.shardLeader.attachAttempt(j, row.Index, m)
 			t.startSent, t.inherited = true, true
 			t.rankingRevision = r.RankingRevision
-			g := j.groups[row.Group]
-			if g == nil {
-				g = &group{startedAt: time.UnixMilli(row.Group), relaunchDecided: relaunched[row.Group]}
-				j.groups[row.Group] = g
-			}
+			g := j.recoveredGroup(row.Group)
+			g.relaunchDecided = g.relaunchDecided || relaunched[row.Group]
 			g.tasks = append(g.tasks, row.Index)
 		}
 	}
 }
 
+// recoveredGroup is the group of a job that a record names, made if there is none.
+func (j *job) recoveredGroup(id int64) *group {
+	g := j.groups[id]
+	if g == nil {
+		g = &group{startedAt: time.UnixMilli(id)}
+		j.groups[id] = g
+	}
+	return g
+}
+
+// recoverFinished applies in which groups the done tasks of a segment were: what part of a group
+// is unfinished decides whether it is relaunched.
+func (f *failover) recoverFinished(j *job, segmentIndex int, key string, r *record.TaskSegment) {
+	if len(r.FinishedInGroups)%2 != 0 {
+		f.rejectInput("record", key, "gd: an odd number of values, want pairs of a group and a count")
+		return
+	}
+	for i := 0; i < len(r.FinishedInGroups); i += 2 {
+		id, count := r.FinishedInGroups[i], r.FinishedInGroups[i+1]
+		if id <= 0 || count <= 0 || count > int64(j.tasksPerSegment) {
+			f.rejectInput("record", key, "gd: a group that is no time, or a count that is no part of the segment")
+			continue
+		}
+		g := j.recoveredGroup(id)
+		if g.finishedBefore == nil {
+			g.finishedBefore = map[int]int64{}
+		}
+		g.finishedBefore[segmentIndex] = count
+	}
+}
+
 // markCovered notes that a sized segment takes precedence over records of former formats: it
 // was written later, and has all of its tasks.
 func (j *job) markCovered(f segmentFormat, k int) {
--- a/internal/controller/relaunch.go
+++ b/internal/controller/relaunch.go
@@ -56,7 +56,7 @@
 			}
 			// A tenth of a small group is less than one task: one may always be
 			// relaunched.
-			if len(stragglers) > max(1, int(relaunchFraction*float64(len(g.tasks)))) {
+			if len(stragglers) > max(1, int(relaunchFraction*float64(g.size()))) {
 				continue
 			}
 			if relaunched+len(stragglers) > maxRelaunchesPerScan && relaunched > 0 {
--- a/internal/controller/size_limits_test.go
+++ b/internal/controller/size_limits_test.go
@@ -181,3 +181,53 @@
 		t.Errorf("got damaged record decoded as %+v, want it refused", r)
 	}
 }
+
+// TestSegmentsOfFinishedGroups: a segment stays within a value also when every other task is done,
+// each in a group of its own, and a successor restores the groups with them.
+func TestSegmentsOfFinishedGroups(t *testing.T) {
+	for _, maxBytes := range []int{1 << 10, 4 << 10, 16 << 10} {
+		c := largePool(0)
+		j := newJob(model.JobSpec{ID: "job-1", Team: "ops", Tasks: 10_000, Need: model.Resources{CPU: 1, Memory: 1}}, c.now, 1, maxBytes)
+		c.shardLeader.jobs[j.ID] = j
+		for i := range j.tasksPerSegment {
+			x := &j.tasks[i]
+			j.nextFresh++
+			x.attempt, x.groupStart = 12, c.now.UnixMilli()+int64(i/2)
+			j.recoveredGroup(x.groupStart).tasks = append(j.recoveredGroup(x.groupStart).tasks, i)
+			if x.done = i%2 == 0; !x.done {
+				c.shardLeader.attachAttempt(j, i, c.shardLeader.ensureMachine(fmt.Sprintf("machine-of-a-provider-with-names-longer-than-any-%06d", i)))
+			}
+		}
+		r := j.segmentRecord(j.segmentOf(0))
+		if size, err := sizelimit.JSON(record.Encode(r)); err != nil || size > maxBytes {
+			t.Errorf("got %d rows of %d bytes (error %v), want at most %d bytes", j.tasksPerSegment, size, err, maxBytes)
+		}
+		successor := largePool(0)
+		recovered := newJob(j.JobSpec, c.now, 1, maxBytes)
+		successor.shardLeader.jobs[recovered.ID] = recovered
+		successor.shardLeader.failover.recoverSegment(recovered, message.KeyValue{Key: record.TaskSegmentPrefix + "job-1/0", ModRevision: 1}, &r)
+		for id, g := range recovered.groups {
+			if g.size() != j.groups[id].size() {
+				t.Errorf("group %d: got %d tasks, want %d", id, g.size(), j.groups[id].size())
+			}
+		}
+		// What the successor writes says the same, though it never knew the done tasks' groups.
+		if again := recovered.segmentRecord(recovered.segmentOf(0)); !slices.Equal(again.FinishedInGroups, r.FinishedInGroups) {
+			t.Errorf("got groups %v written by the successor, want %v", again.FinishedInGroups, r.FinishedInGroups)
+		}
+	}
+}
+
+// TestInvalidFinishedGroups: a record whose groups of done tasks make no sense is told, and the
+// rest of it counts.
+func TestInvalidFinishedGroups(t *testing.T) {
+	for _, pairs := range [][]int64{{5}, {0, 1}, {1_750_000_000_000, 0}, {1_750_000_000_000, 1 << 40}} {
+		c := largePool(0)
+		j := newJob(model.JobSpec{ID: "job-1", Team: "ops", Tasks: 4, Need: model.Resources{CPU: 1, Memory: 1}}, c.now, 1, 4096)
+		c.shardLeader.jobs[j.ID] = j
+		c.shardLeader.failover.recoverSegment(j, message.KeyValue{Key: record.TaskSegmentPrefix + "job-1/0", ModRevision: 1}, &record.TaskSegment{DoneRanges: []int{0, 1}, FinishedInGroups: pairs})
+		if c.rejectedInputs != 1 || j.doneTasks != 2 || len(j.groups) != 0 {
+			t.Errorf("%v: got %d rejected inputs, %d done tasks and groups %v, want 1, 2 and none", pairs, c.rejectedInputs, j.doneTasks, j.groups)
+		}
+	}
+}
--- a/internal/record/task.go
+++ b/internal/record/task.go
@@ -34,6 +34,10 @@
 	// RelaunchedGroups are the groups whose relaunch has been decided, by their start in Unix
 	// milliseconds.
 	RelaunchedGroups []int64 `msgpack:"m,omitempty"`
+	// FinishedInGroups are the groups of DoneRanges, as pairs of a group and of how many tasks of
+	// the segment were done in it. Each pair takes less space than the row of a task that was
+	// done, which went. A version that lacks the field counts the unfinished tasks alone.
+	FinishedInGroups []int64 `msgpack:"gd,omitempty"`
 	// RunTimes are the last few run times in milliseconds, from which a successor rebuilds
 	// the median.
 	RunTimes []int64 `msgpack:"rt,omitempty"`
