Retries of a job that fails everywhere go beside tasks that run, not beside any

Cause: a probe was placed also while another fetched its image, though only a task that runs is a sign. Change: a retry after its backoff needs that none is live or that one has run for 5 s.

--- a/internal/controller/queue_order.go
+++ b/internal/controller/queue_order.go
@@ -7,6 +7,7 @@
 	"strings"
 	"time"
 
+	"github.com/micahill/micahill/internal/faultattribution"
 	"github.com/micahill/micahill/internal/record"
 )
 
@@ -109,16 +110,17 @@
 }
 
 // placeableTasks is how many of a job's pending tasks may be placed now. A job that fails
-// everywhere gets one at a time, each after a backoff, to see whether it still does; and more
-// beside tasks that run for longer than any failure took.
+// everywhere gets one at a time, each after a backoff, to see whether it still does: when none is
+// live, or beside tasks that run; and more beside those that run for longer than any failure took.
 func (s *scheduler) placeableTasks(j *job) int {
 	if j.pendingTasks() == 0 || !j.mayStart(s.now) {
 		return 0
 	}
 	backsOff := j.notBefore.After(s.now)
 	if s.controller.shardLeader.faultAttribution.FailsEverywhere(j.ID) {
-		retries := 2*s.outlastingTasks(j) - j.liveTasks
-		if !backsOff {
+		outlasting, running := s.provenTasks(j)
+		retries := 2*outlasting - j.liveTasks
+		if !backsOff && (j.liveTasks == 0 || running > 0) {
 			retries = max(retries, 1)
 		}
 		return max(0, min(j.pendingTasks(), retries))
@@ -129,26 +131,33 @@
 	return j.pendingTasks()
 }
 
-// outlastingTasks counts the tasks of a job that have run for much longer than any that failed.
-// Each allows one more beside it, so that what runs at most doubles before the new ones have
-// outlasted the failures as well. A job with a mistake whose tasks fail after some time has few
-// of these, and the fewer the more have failed.
-func (s *scheduler) outlastingTasks(j *job) int {
-	count, live := 0, 0
+// provenTasks counts the tasks of a job that have run for longer than any that failed, and those
+// that run at all. Each of the first allows one more beside it, so that what runs at most doubles
+// before the new ones have outlasted the failures as well. A job with a mistake whose tasks fail
+// after some time has few of these, and the fewer the more have failed; one whose tasks fail at
+// once has none of either.
+func (s *scheduler) provenTasks(j *job) (outlasting, running int) {
+	live := 0
 	for i := range j.tasks[:j.nextFresh] {
 		t := &j.tasks[i]
 		if t.machine == nil {
 			continue
 		}
 		// What a machine has not said since counts for nothing: it may hang.
-		if t.isRunning() && !t.inherited && !t.startedAt.IsZero() && s.controller.shardLeader.faultAttribution.Outlasts(j.ID, t.machine.lastHeard.Sub(t.startedAt)) {
-			count++
+		if t.isRunning() && !t.inherited && !t.startedAt.IsZero() {
+			ran := t.machine.lastHeard.Sub(t.startedAt)
+			if ran >= faultattribution.MinProofRun {
+				running++
+			}
+			if s.controller.shardLeader.faultAttribution.Outlasts(j.ID, ran) {
+				outlasting++
+			}
 		}
 		if live++; live == j.liveTasks {
 			break
 		}
 	}
-	return count
+	return outlasting, running
 }
 
 // queuedJobs returns the jobs with placeable tasks in the order of compareQueueOrder. As a side
--- a/internal/faultattribution/tracker.go
+++ b/internal/faultattribution/tracker.go
@@ -26,15 +26,18 @@
 	// faulty ones so far would do: a quarter more than maxBackoff, with the jitter, is less.
 	minBackoff = 2 * time.Second
 	maxBackoff = time.Minute
-	// outlastFactor is how many times as long as any failed attempt of its job, and minProofRun
+	// outlastFactor is how many times as long as any failed attempt of its job, and MinProofRun
 	// how much longer in addition, a task must run to show that the job may work where it runs;
 	// maxProofRun bounds both together. Where machines became faulty under tasks that had run
 	// for long, the others prove themselves in that time.
 	outlastFactor = 1.25
-	minProofRun   = 5 * time.Second
 	maxProofRun   = 25 * time.Second
 )
 
+// MinProofRun is how long a task must run for that to be a sign that its job may work there: a
+// mistake mostly shows at once.
+const MinProofRun = 5 * time.Second
+
 // Tracker attributes failures to jobs or machines. The zero value is empty and ready. It is
 // not safe for concurrent use.
 type Tracker struct {
@@ -139,7 +142,7 @@
 	if j == nil {
 		return false
 	}
-	margin := time.Duration((outlastFactor-1)*float64(j.longestFailure)) + minProofRun
+	margin := time.Duration((outlastFactor-1)*float64(j.longestFailure)) + MinProofRun
 	return ran >= j.longestFailure+min(margin, maxProofRun)
 }
 
