Transfers: small machines first, and later for jobs of which tasks run

Change: owners give small machines first, as larger work is expected on large ones; a job of which tasks run is requested for after 65 s.

--- a/internal/controller/transfer_requests.go
+++ b/internal/controller/transfer_requests.go
@@ -14,6 +14,10 @@
 // machines with free capacity, and the leader transfers what suits; see transfers.go. A
 // transferred machine changes shards like any other: what runs there goes on as remote attempts.
 
+// partlyRunningWait is how long a job must be left waiting of which tasks run: their ends mostly make
+// room for the next. It leaves enough of the 90 s that the operators allow for the transfer.
+const partlyRunningWait = 65 * time.Second
+
 // transferSettleTime is how long a machine that came may take until tasks are placed there. Until
 // then nothing more is requested for as many jobs as it could serve.
 const transferSettleTime = 8 * time.Second
@@ -60,7 +64,7 @@
 	}
 	x.requests = x.newRequests(s.scheduler.jobsLeftWaiting())
 	if len(x.othersRequests) > 0 && x.now.Sub(x.receivedAt) <= updateTTL {
-		x.offers = exchange.SelectOffers(x.othersRequests, x.candidates(), x.ownWaitingTasks(), message.MaxTransferOffers)
+		x.offers = exchange.SelectOffers(x.othersRequests, x.candidates(), x.ownWaitingTasks(), x.controller.knowledge.sizeOfKind, message.MaxTransferOffers)
 	}
 }
 
@@ -71,7 +75,7 @@
 	index := map[taskShape]int{}
 	diagnosis := x.controller.shardLeader.scheduler.newWaitDiagnosis()
 	for _, w := range waiting {
-		if w.job.borrowedLoan != "" || diagnosis.reason(w) != waitsForCapacity {
+		if w.job.borrowedLoan != "" || w.job.liveTasks > 0 && w.waited < partlyRunningWait || diagnosis.reason(w) != waitsForCapacity {
 			continue
 		}
 		shape := w.job.taskShape()
@@ -144,20 +148,22 @@
 }
 
 // candidates are the machines here that could be offered.
-func (x *machineTransfers) candidates() []exchange.Candidate {
-	var out []exchange.Candidate
+func (x *machineTransfers) candidates() []exchange.TransferOffer {
+	var out []exchange.TransferOffer
 	for _, m := range x.controller.shardLeader.machinesByID {
-		if !x.mayOffer(m) {
-			continue
+		if x.mayOffer(m) {
+			kind := exchange.Kind{MachineType: m.machineType, Zone: m.zone, Spot: m.spot}
+			out = append(out, exchange.TransferOffer{ID: m.id, Kind: kind, Free: m.free(), Attempts: len(m.attempts)})
 		}
-		out = append(out, exchange.Candidate{
-			TransferOffer: exchange.TransferOffer{ID: m.id, Kind: exchange.Kind{MachineType: m.machineType, Zone: m.zone, Spot: m.spot}, Free: m.free(), Attempts: len(m.attempts)},
-			Size:          m.size,
-		})
 	}
 	return out
 }
 
+// sizeOfKind is the size of the machines of a kind.
+func (k *fleetKnowledge) sizeOfKind(kind exchange.Kind) model.Resources {
+	return k.machineTypes[kind.MachineType].Capacity
+}
+
 // mayOffer reports whether a machine could go to another owner now.
 func (x *machineTransfers) mayOffer(m *machine) bool {
 	s := x.controller.shardLeader
--- a/internal/controller/transfers.go
+++ b/internal/controller/transfers.go
@@ -51,7 +51,7 @@
 	for i := range owners {
 		owners[i].Offers = l.validOffers(owners[i].Host, owners[i].Offers)
 	}
-	transfers := exchange.MatchOffers(owners, maxHandovers, func(team string) bool { return l.transferQuota.Allow(l.now, team) })
+	transfers := exchange.MatchOffers(owners, l.controller.knowledge.sizeOfKind, maxHandovers, func(team string) bool { return l.transferQuota.Allow(l.now, team) })
 	for _, t := range transfers {
 		l.handOver(t)
 		l.info("machine transferred for waiting jobs", "machine", t.ID, "from", t.From, "to", t.To)
--- a/internal/controller/transfers_test.go
+++ b/internal/controller/transfers_test.go
@@ -37,6 +37,8 @@
 		want   int
 	}{
 		{"a job left waiting", false, waited, nil, 1},
+		{"tasks of it run", false, waited, func(_ *Controller, j *job) { j.liveTasks = 1 }, 0},
+		{"tasks of it run, and it has waited for longer", false, partlyRunningWait, func(_ *Controller, j *job) { j.liveTasks = 1 }, 1},
 		{"no other shard leader", true, waited, nil, 0},
 		{"not left waiting yet", false, leftWaitingAfter - time.Second, nil, 0},
 		{"a machine is about to be ready", false, waited, (*Controller).expectRack, 0},
--- a/internal/exchange/transfer.go
+++ b/internal/exchange/transfer.go
@@ -78,45 +78,43 @@
 	return r.Waited >= OldWait || t.Waited < r.Waited
 }
 
-// Candidate is a machine that an owner could offer, with its whole size.
-type Candidate struct {
-	TransferOffer
-	Size resource.Resources
-}
-
-// SelectOffers returns the machines that an owner offers for the requests of others: for each
-// request as many as it needs, those first whose loss costs the owner least. No machine is
-// offered that the owner's own waiting tasks could use.
-func SelectOffers(requests []TransferRequest, candidates []Candidate, waiting []WaitingTask, limit int) []TransferOffer {
-	candidates = slices.Clone(candidates)
-	slices.SortFunc(candidates, func(a, b Candidate) int { return compareCost(&a.TransferOffer, &b.TransferOffer) })
-	offered := make([]bool, len(candidates))
+// SizeOf returns the size of the machines of a kind.
+type SizeOf func(Kind) resource.Resources
+
+// SelectOffers returns which of its machines an owner offers for the requests of others: for each
+// request as many as it needs, those first whose loss costs the owner least. No machine is offered
+// that the owner's own waiting tasks could use.
+func SelectOffers(requests []TransferRequest, machines []TransferOffer, waiting []WaitingTask, sizeOf SizeOf, limit int) []TransferOffer {
+	machines = slices.Clone(machines)
+	slices.SortFunc(machines, func(a, b TransferOffer) int { return compareCost(&a, &b, sizeOf) })
+	offered := make([]bool, len(machines))
 	var out []TransferOffer
 	for _, r := range ByWait(requests) {
 		jobs := r.Jobs
-		for i := range candidates {
-			c := &candidates[i]
+		for i := range machines {
+			m := &machines[i]
 			if jobs <= 0 || len(out) >= limit {
 				break
 			}
-			if offered[i] || !r.suits(&c.TransferOffer) {
+			if offered[i] || !r.suits(m) {
 				continue
 			}
-			if slices.ContainsFunc(waiting, func(t WaitingTask) bool { return !t.yieldsTo(&r, &c.TransferOffer, c.Size) }) {
+			if slices.ContainsFunc(waiting, func(t WaitingTask) bool { return !t.yieldsTo(&r, m, sizeOf(m.Kind)) }) {
 				continue
 			}
 			offered[i] = true
-			jobs -= c.Free.FitCount(r.Need)
-			out = append(out, c.TransferOffer)
+			jobs -= m.Free.FitCount(r.Need)
+			out = append(out, *m)
 		}
 	}
 	return out
 }
 
-// compareCost orders machines by what their loss costs an owner: few attempts first, which
-// become remote ones, then little free capacity.
-func compareCost(a, b *TransferOffer) int {
-	return cmp.Or(a.Attempts-b.Attempts, cmp.Compare(a.Free.CPU, b.Free.CPU), strings.Compare(a.ID, b.ID))
+// compareCost orders machines by what their loss costs an owner: small machines first, since the
+// whole machine goes, on which larger work may be expected; then few attempts, which become remote
+// ones, and little free capacity.
+func compareCost(a, b *TransferOffer, sizeOf SizeOf) int {
+	return cmp.Or(cmp.Compare(sizeOf(a.Kind).CPU, sizeOf(b.Kind).CPU), a.Attempts-b.Attempts, cmp.Compare(a.Free.CPU, b.Free.CPU), strings.Compare(a.ID, b.ID))
 }
 
 // ByWait returns the requests with the longest wait first.
@@ -136,7 +134,7 @@
 // MatchOffers returns the transfers that meet the requests, at most limit. The longest waits are
 // met first, each with the machine that costs its owner least. allow is asked once for each
 // transfer to a team and counts it.
-func MatchOffers(owners []Exchanger, limit int, allow func(team string) bool) []Transfer {
+func MatchOffers(owners []Exchanger, sizeOf SizeOf, limit int, allow func(team string) bool) []Transfer {
 	type request struct {
 		TransferRequest
 		host string
@@ -158,7 +156,7 @@
 	slices.SortStableFunc(requests, func(a, b request) int {
 		return cmp.Or(cmp.Compare(b.Waited, a.Waited), strings.Compare(a.host, b.host))
 	})
-	slices.SortFunc(offers, func(a, b offer) int { return compareCost(&a.TransferOffer, &b.TransferOffer) })
+	slices.SortFunc(offers, func(a, b offer) int { return compareCost(&a.TransferOffer, &b.TransferOffer, sizeOf) })
 	var out []Transfer
 	for _, r := range requests {
 		for r.Jobs > 0 && len(out) < limit {
--- a/internal/exchange/transfer_test.go
+++ b/internal/exchange/transfer_test.go
@@ -18,6 +18,7 @@
 	machines []*modelMachine
 	waiting  []*modelJob
 	quota    TransferQuota
+	sizes    map[Kind]resource.Resources
 	// transferredAt are all transfers, by machine.
 	transferredAt map[string][]time.Time
 }
@@ -25,7 +26,7 @@
 type modelMachine struct {
 	id, host   string
 	kind       Kind
-	size, free resource.Resources
+	free       resource.Resources
 	ownedSince time.Time
 	attempts   int
 }
@@ -37,6 +38,8 @@
 	since time.Time
 }
 
+func (w *transferModel) sizeOf(k Kind) resource.Resources { return w.sizes[k] }
+
 // placeJobs starts what fits on machines of its owner.
 func (w *transferModel) placeJobs() {
 	w.waiting = slices.DeleteFunc(w.waiting, func(j *modelJob) bool {
@@ -70,15 +73,15 @@
 				others = append(others, requests[from]...)
 			}
 		}
-		var candidates []Candidate
+		var candidates []TransferOffer
 		for _, m := range w.machines {
 			if m.host == host && w.now.Sub(m.ownedSince) >= MinOwnership {
-				candidates = append(candidates, Candidate{TransferOffer{m.id, m.kind, m.free, m.attempts}, m.size})
+				candidates = append(candidates, TransferOffer{m.id, m.kind, m.free, m.attempts})
 			}
 		}
-		owners = append(owners, Exchanger{host, requests[host], SelectOffers(others, candidates, waiting[host], 50)})
+		owners = append(owners, Exchanger{host, requests[host], SelectOffers(others, candidates, waiting[host], w.sizeOf, 50)})
 	}
-	transfers := MatchOffers(owners, 200, func(team string) bool { return w.quota.Allow(w.now, team) })
+	transfers := MatchOffers(owners, w.sizeOf, 200, func(team string) bool { return w.quota.Allow(w.now, team) })
 	moved := map[string]bool{}
 	for _, x := range transfers {
 		m := w.machines[slices.IndexFunc(w.machines, func(m *modelMachine) bool { return m.id == x.ID })]
@@ -110,9 +113,13 @@
 		drawResources := func(name string, most int) resource.Resources {
 			return resource.Resources{CPU: float64(rapid.IntRange(1, most).Draw(t, name+" CPUs")), Memory: float64(rapid.IntRange(1, most).Draw(t, name+" memory"))}
 		}
+		w.sizes = map[Kind]resource.Resources{}
+		for _, k := range kinds {
+			w.sizes[k] = drawResources("size", 16)
+		}
 		for i := range rapid.IntRange(1, 12).Draw(t, "machines") {
-			size := drawResources("size", 16)
-			w.machines = append(w.machines, &modelMachine{id: fmt.Sprintf("vm-%06d", i), host: rapid.SampledFrom(w.hosts).Draw(t, "owner"), kind: rapid.SampledFrom(kinds).Draw(t, "kind"), size: size, free: size})
+			kind := rapid.SampledFrom(kinds).Draw(t, "kind")
+			w.machines = append(w.machines, &modelMachine{id: fmt.Sprintf("vm-%06d", i), host: rapid.SampledFrom(w.hosts).Draw(t, "owner"), kind: kind, free: w.sizes[kind]})
 		}
 		for range rapid.IntRange(1, 20).Draw(t, "jobs") {
 			allowed := []Kind{rapid.SampledFrom(kinds).Draw(t, "allowed"), rapid.SampledFrom(kinds).Draw(t, "allowed too")}
@@ -156,7 +163,8 @@
 		{Host: "a", Requests: []TransferRequest{{Team: "ops", Kinds: []Kind{box}, Need: need, Jobs: 1, Waited: 50 * time.Second}}, Offers: []TransferOffer{{ID: "vm-1", Kind: rack, Free: free, Attempts: 1}}},
 		{Host: "b", Requests: []TransferRequest{{Team: "lab", Kinds: []Kind{rack}, Need: need, Jobs: 1, Waited: 50 * time.Second}}, Offers: []TransferOffer{{ID: "vm-2", Kind: box, Free: free, Attempts: 1}}},
 	}
-	got := MatchOffers(owners, 10, func(string) bool { return true })
+	sizeOf := func(Kind) resource.Resources { return resource.Resources{CPU: 16, Memory: 16} }
+	got := MatchOffers(owners, sizeOf, 10, func(string) bool { return true })
 	if want := []Transfer{{"vm-2", "b", "a"}, {"vm-1", "a", "b"}}; !slices.Equal(got, want) {
 		t.Errorf("got transfers %v, want %v", got, want)
 	}
@@ -166,17 +174,26 @@
 func TestSelectOffers(t *testing.T) {
 	box := Kind{"box", "a", false}
 	size := resource.Resources{CPU: 16, Memory: 16}
-	machine := func(id string, attempts int, freeCPU float64) Candidate {
-		return Candidate{TransferOffer{id, box, resource.Resources{CPU: freeCPU, Memory: 8}, attempts}, size}
+	rack := Kind{"rack", "a", false}
+	sizeOf := func(k Kind) resource.Resources {
+		if k == rack {
+			return size.AddScaled(size, 1)
+		}
+		return size
+	}
+	machine := func(id string, attempts int, freeCPU float64) TransferOffer {
+		return TransferOffer{id, box, resource.Resources{CPU: freeCPU, Memory: 8}, attempts}
 	}
-	request := TransferRequest{Team: "lab", Kinds: []Kind{box}, Need: resource.Resources{CPU: 4, Memory: 4}, Jobs: 1, Waited: 46 * time.Second}
+	request := TransferRequest{Team: "lab", Kinds: []Kind{box, rack}, Need: resource.Resources{CPU: 4, Memory: 4}, Jobs: 1, Waited: 46 * time.Second}
 	many, old := request, request
 	many.Jobs, old.Waited = 3, OldWait
-	candidates := []Candidate{machine("vm-1", 3, 8), machine("vm-2", 1, 8), machine("vm-3", 1, 6), machine("vm-4", 0, 2)}
-	fitting := WaitingTask{[]Kind{box}, resource.Resources{CPU: 7, Memory: 4}, time.Second}
-	large := WaitingTask{[]Kind{box}, resource.Resources{CPU: 12, Memory: 4}, 50 * time.Second}
-	newer := WaitingTask{[]Kind{box}, resource.Resources{CPU: 12, Memory: 4}, 10 * time.Second}
-	elsewhere := WaitingTask{[]Kind{{"rack", "a", false}}, resource.Resources{CPU: 4, Memory: 4}, time.Hour}
+	large := machine("vm-0", 0, 8)
+	large.Kind = rack
+	candidates := []TransferOffer{large, machine("vm-1", 3, 8), machine("vm-2", 1, 8), machine("vm-3", 1, 6), machine("vm-4", 0, 2)}
+	fitting := WaitingTask{[]Kind{box, rack}, resource.Resources{CPU: 7, Memory: 4}, time.Second}
+	largeTask := WaitingTask{[]Kind{box, rack}, resource.Resources{CPU: 12, Memory: 4}, 50 * time.Second}
+	newer := WaitingTask{[]Kind{box, rack}, resource.Resources{CPU: 12, Memory: 4}, 10 * time.Second}
+	elsewhere := WaitingTask{[]Kind{{"shelf", "a", false}}, resource.Resources{CPU: 4, Memory: 4}, time.Hour}
 	for _, c := range []struct {
 		name    string
 		request TransferRequest
@@ -184,18 +201,18 @@
 		limit   int
 		want    []string
 	}{
-		{"few attempts and little free capacity first", request, nil, 10, []string{"vm-3"}},
+		{"small machines, few attempts and little free capacity first", request, nil, 10, []string{"vm-3"}},
 		{"as many as are needed", many, nil, 10, []string{"vm-3", "vm-2"}},
 		{"at most as many as allowed", many, nil, 1, []string{"vm-3"}},
 		{"none that a waiting task fits on", many, []WaitingTask{fitting}, 10, []string{"vm-3"}},
-		{"none before a longer wait for the same machines", request, []WaitingTask{large}, 10, nil},
+		{"none before a longer wait for the same machines", request, []WaitingTask{largeTask}, 10, nil},
 		{"after a shorter wait", request, []WaitingTask{newer}, 10, []string{"vm-3"}},
-		{"an old wait goes first", old, []WaitingTask{large}, 10, []string{"vm-3"}},
+		{"an old wait goes first", old, []WaitingTask{largeTask}, 10, []string{"vm-3"}},
 		{"waits for other kinds do not count", request, []WaitingTask{elsewhere}, 10, []string{"vm-3"}},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			var got []string
-			for _, o := range SelectOffers([]TransferRequest{c.request}, candidates, c.waiting, c.limit) {
+			for _, o := range SelectOffers([]TransferRequest{c.request}, candidates, c.waiting, sizeOf, c.limit) {
 				got = append(got, o.ID)
 			}
 			if !slices.Equal(got, c.want) {
