--- a/internal/controller/machines.go
+++ b/internal/controller/machines.go
@@ -126,7 +126,9 @@
 	// Its use (scheduler, migrationManager, fleetPlanner).
 
 	idleSince time.Time
-	faulty    bool
+	// lastPlacedAt is when an attempt was last placed here.
+	lastPlacedAt time.Time
+	faulty       bool
 	// reclaimNoticed: the cloud has announced that it takes the machine at reclaimAt.
 	reclaimNoticed bool
 	reclaimAt      time.Time
--- a/internal/controller/placement_round.go
+++ b/internal/controller/placement_round.go
@@ -383,6 +383,7 @@
 	t.rankingRevision = s.controller.ranking.modRevision
 	t.startSent, t.reported, t.inherited, t.missedStarts, t.startUnanswered = false, false, false, 0, false
 	s.controller.shardLeader.attachAttempt(j, i, m)
+	m.lastPlacedAt = s.now
 	m.noteImage(j, s.now, false)
 	j.markChanged(i, s.now, true)
 	s.debug("task placed", "job", j.ID, "task", i, "try", t.attempt, "machine", m.id, "ranking", t.rankingRevision)
--- a/internal/controller/transfer_requests.go
+++ b/internal/controller/transfer_requests.go
@@ -18,6 +18,13 @@
 // room for the next. It leaves enough of the 90 s that the operators allow for the transfer.
 const partlyRunningWait = 65 * time.Second
 
+// quietTime is how long an owner must have placed nothing on a machine to offer it at once: one that
+// it uses again and again is offered only for jobs that have waited for busyMachineWait.
+const (
+	quietTime       = 30 * time.Second
+	busyMachineWait = 75 * time.Second
+)
+
 // transferSettleTime is how long a machine that came may take until tasks are placed there. Until
 // then nothing more is requested for as many jobs as it could serve.
 const transferSettleTime = 8 * time.Second
@@ -64,7 +71,7 @@
 	}
 	x.requests = x.newRequests(s.scheduler.jobsLeftWaiting())
 	if len(x.othersRequests) > 0 && x.now.Sub(x.receivedAt) <= updateTTL {
-		x.offers = exchange.SelectOffers(x.othersRequests, x.candidates(), x.ownWaitingTasks(), x.controller.knowledge.sizeOfKind, message.MaxTransferOffers)
+		x.offers = exchange.SelectOffers(x.othersRequests, x.candidates(x.longestWait() < busyMachineWait), x.ownWaitingTasks(), x.controller.knowledge.sizeOfKind, message.MaxTransferOffers)
 	}
 }
 
@@ -147,10 +154,23 @@
 	return out
 }
 
-// candidates are the machines here that could be offered.
-func (x *machineTransfers) candidates() []exchange.TransferOffer {
+// longestWait is the longest wait that others request for.
+func (x *machineTransfers) longestWait() time.Duration {
+	longest := time.Duration(0)
+	for _, r := range x.othersRequests {
+		longest = max(longest, r.Waited)
+	}
+	return longest
+}
+
+// candidates are the machines here that could be offered; quietOnly leaves out those on which
+// something was placed lately.
+func (x *machineTransfers) candidates(quietOnly bool) []exchange.TransferOffer {
 	var out []exchange.TransferOffer
 	for _, m := range x.controller.shardLeader.machinesByID {
+		if quietOnly && x.now.Sub(m.lastPlacedAt) < quietTime {
+			continue
+		}
 		if x.mayOffer(m) {
 			kind := exchange.Kind{MachineType: m.machineType, Zone: m.zone, Spot: m.spot}
 			out = append(out, exchange.TransferOffer{ID: m.id, Kind: kind, Free: m.free(), Attempts: len(m.attempts)})
