A comment says which tasks provenTasks counts

Cause: it said that all running ones count; those that have run for MinProofRun do. Change: the comment alone. Measured: nothing; the package builds and is formatted.

--- a/internal/controller/queue_order.go
+++ b/internal/controller/queue_order.go
@@ -132,7 +132,7 @@
 }
 
 // provenTasks counts the tasks of a job that have run for longer than any that failed, and those
-// that run at all. Each of the first allows one more beside it, so that what runs at most doubles
+// that have run for faultattribution.MinProofRun. Each of the first allows one more beside it, so that what runs at most doubles
 // before the new ones have outlasted the failures as well. A job with a mistake whose tasks fail
 // after some time has few of these, and the fewer the more have failed; one whose tasks fail at
 // once has none of either.
