--- a/internal/controller/candidate_queues.go
+++ b/internal/controller/candidate_queues.go
@@ -40,8 +40,9 @@
 type candidateQueueKey struct {
 	// secondsPerGB is how many seconds the machines need to fetch one GB of an image.
 	secondsPerGB float64
-	// neededElsewhere is set if other pending jobs depend on the machines.
-	neededElsewhere bool
+	// neededElsewhere is set if other pending jobs depend on the machines. closed is set if
+	// placement keeps the tasks off the machines for that reason; see placementRequest.opensIn.
+	neededElsewhere, closed bool
 }
 
 // candidateQueue orders machines by when a task of one kind could start there.
@@ -78,6 +79,13 @@
 	byImage map[int32]*candidateQueues
 	// avoidGPUs keeps the tasks off machines with GPUs.
 	avoidGPUs bool
+	// scarcity is the scarcity of machine types for the tasks.
+	scarcity map[string]scarcity
+}
+
+// closes reports whether placement keeps the tasks off a machine type until their job is left waiting.
+func (candidates *shapeCandidates) closes(machineType string) bool {
+	return candidates.scarcity[machineType] == scarceNow
 }
 
 // placementRequest describes a job whose tasks are to be placed in a simulation.
@@ -89,6 +97,11 @@
 	// occupancy is how long a task is expected to occupy its machine, without the image fetch.
 	occupancy time.Duration
 
+	// opensIn is when the last pending task of the job may start on machine types that are closed to
+	// it: they open once the job is left waiting, and to one task at a time. It is 0 for expected
+	// tasks.
+	opensIn time.Duration
+
 	// candidates are all machines; holders are the machines that hold or fetch the image.
 	candidates *shapeCandidates
 	holders    *candidateQueues
@@ -121,6 +134,10 @@
 	if job.Image == "" {
 		req.imageGB = 0
 	}
+	if !job.waitingSince.IsZero() {
+		tasks := max(1, sim.controller.shardLeader.scheduler.placeableTasks(job))
+		req.opensIn = max(0, later(job.waitingSince, job.lastPlacedAt).Add(time.Duration(tasks)*leftWaitingAfter).Sub(sim.now))
+	}
 	if away := job.avoidedMachine(); away != "" {
 		req.avoidedMachine = int32(slices.IndexFunc(sim.machines, func(simMachine *simulatedMachine) bool {
 			return simMachine.machine != nil && simMachine.machine.id == away
@@ -129,7 +146,7 @@
 	shape := job.taskShape()
 	req.candidates = sim.queues[shape]
 	if req.candidates == nil {
-		req.candidates = &shapeCandidates{byImage: map[int32]*candidateQueues{}, avoidGPUs: sim.controller.shardLeader.scheduler.avoidsGPUs(job)}
+		req.candidates = &shapeCandidates{byImage: map[int32]*candidateQueues{}, avoidGPUs: sim.controller.shardLeader.scheduler.avoidsGPUs(job), scarcity: sim.controller.shardLeader.scheduler.scarcityOf(&job.JobSpec)}
 		if sim.queues == nil {
 			sim.queues = map[taskShape]*shapeCandidates{}
 		}
@@ -144,6 +161,14 @@
 	return req
 }
 
+// opensOn returns opensIn if the machine is of a type that is closed to the tasks, and 0 otherwise.
+func (req *placementRequest) opensOn(simMachine *simulatedMachine) time.Duration {
+	if req.candidates.closes(simMachine.machineKind.machineType) {
+		return req.opensIn
+	}
+	return 0
+}
+
 // imageID returns the number of an image in this simulation and assigns one if the image has none.
 // futureFreeCapacity has numbered the images that the machines hold.
 func (sim *simulation) imageID(name string) int32 {
@@ -182,7 +207,7 @@
 		if !ok {
 			return
 		}
-		key := candidateQueueKey{secondsPerGB: simMachine.secondsPerGB, neededElsewhere: sim.isNeededElsewhere(req.job, simMachine.machineKind.machineType)}
+		key := candidateQueueKey{secondsPerGB: simMachine.secondsPerGB, neededElsewhere: sim.isNeededElsewhere(req.job, simMachine.machineKind.machineType), closed: req.candidates.closes(simMachine.machineKind.machineType)}
 		if held {
 			key.secondsPerGB = 0
 			if !slices.Contains(simMachine.placedImages, req.imageID) && !slices.Contains(simMachine.cached, req.imageID) {
@@ -217,7 +242,11 @@
 			if avoidNeeded && queue.neededElsewhere {
 				continue
 			}
-			if index, start, ok := sim.firstInQueue(queue, req, wait); ok {
+			earliestArrival := wait
+			if queue.closed {
+				earliestArrival = max(wait, req.opensIn)
+			}
+			if index, start, ok := sim.firstInQueue(queue, req, earliestArrival); ok {
 				if ready := start + record.DurationOfSeconds(queue.secondsPerGB*req.imageGB); best < 0 || ready < earliest || ready == earliest && index < best {
 					best, earliest = index, ready
 				}
@@ -286,7 +315,7 @@
 			continue
 		}
 		if start, ok := simMachine.earliestStart(req.need, req.job.Gang, req.candidates.avoidGPUs); ok {
-			if ready := max(start, wait) + sim.fetchTime(simMachine, req); best == nil || ready < earliest {
+			if ready := max(start, wait, req.opensOn(simMachine)) + sim.fetchTime(simMachine, req); best == nil || ready < earliest {
 				best, earliest = simMachine, ready
 			}
 		}
@@ -314,7 +343,7 @@
 	if !ok {
 		return count, from, 0
 	}
-	start = max(start, from.Sub(sim.now))
+	start = max(start, from.Sub(sim.now), req.opensOn(simMachine))
 	fetch := sim.fetchTime(simMachine, req)
 	if !slices.Contains(simMachine.placedImages, req.imageID) && !slices.Contains(simMachine.cached, req.imageID) {
 		simMachine.placedImages = append(slices.Clip(simMachine.placedImages), req.imageID)
--- a/internal/simulation/helpers_test.go
+++ b/internal/simulation/helpers_test.go
@@ -247,3 +247,42 @@
 	}
 	return 0
 }
+
+// hostType returns a machine type with eight GPUs.
+func hostType() model.MachineType {
+	return model.MachineType{
+		Name: "host", Capacity: model.Resources{CPU: 64, GPU: 8, Memory: 512}, DiskGB: 400, ImageFetchRate: 1,
+		CostPerHour: 12, SpotCostPerHour: 4, ProvisioningTime: 15 * time.Second, Zones: []string{"a"},
+	}
+}
+
+// newHostWorld returns a world with models whose cloud has the given number of hosts, and big machines without
+// GPUs. There are as many teams as controllers, each in the shard of another controller. The world counts as
+// free of faults from its start, so that the rules on waiting times apply.
+func newHostWorld(seed uint64, controllers, hosts, bigMachines int) *World {
+	settings := testSettings()
+	settings.Zones, settings.Teams = []string{"a"}, nil
+	for i := range controllers {
+		settings.Teams = append(settings.Teams, model.Team{Name: teamName(i)})
+	}
+	settings.Capabilities = controller.Capabilities{Models: true, MaxMigratingFraction: 0.1, MigrationCooldown: 5 * time.Minute}
+	types, _ := testTypes()
+	world := NewWorld(seed, controllers, settings, testCancelWithin, []model.MachineType{hostType(), types[1]}, map[string]int{"host/a/false": hosts, "big/a/false": bigMachines})
+	world.faultsEndAt = world.now
+	return world
+}
+
+// teamName returns the name of the team with an index.
+func teamName(i int) string { return fmt.Sprintf("team-%c", 'a'+i) }
+
+// modelJobSpec returns a model with the given number of replicas and of GPUs per replica.
+func modelJobSpec(id string, team, replicas int, gpus float64) model.JobSpec {
+	spec := model.JobSpec{
+		ID: id, Workload: fmt.Sprintf("model-%g", gpus), Team: teamName(team), LongRunning: true, Urgency: model.Normal, Tasks: replicas,
+		Need: model.Resources{CPU: 6 * gpus, GPU: gpus, Memory: 32 * gpus}, Image: fmt.Sprintf("model-%g", gpus), ImageGB: 10,
+	}
+	if gpus == gpusPerMachine {
+		spec.Urgency = model.Urgent
+	}
+	return spec
+}
