--- a/internal/controller/packing.go
+++ b/internal/controller/packing.go
@@ -168,7 +168,7 @@
 // brief its tasks are, and whether replicas wait.
 func (scheduler *scheduler) avoidsGPUsNow(j *job) bool {
 	profile := scheduler.currentPackingProfile()
-	return scheduler.avoidsGPUs(j) && !profile.gpuFallback[j.Workload] &&
+	return scheduler.avoidsGPUs(j) && !profile.gpuFallback[j.Workload] && !scheduler.leftWaiting(j) &&
 		(profile.replicasWaiting || j.LongRunning || scheduler.waitObjective(j.Workload) == 0 || scheduler.controller.knowledge.expectedRunTime(j) > maxBriefRunTime)
 }
 
--- a/internal/controller/placement_round.go
+++ b/internal/controller/placement_round.go
@@ -19,8 +19,8 @@
 	prewarmedPenalty = 3 * time.Second
 	// leftWaitingAfter is how long a job with pending tasks may go without a placed task before
 	// it counts as left waiting. Such a job may also use the machines that are otherwise closed
-	// to it to save cost. The operators' rule allows twice this time beside a machine with free
-	// capacity.
+	// to it, one task at a time. The operators' rule allows twice this time beside a machine with
+	// free capacity.
 	leftWaitingAfter = 45 * time.Second
 	// maxSkippedTasks bounds how many tasks of a job a round skips because they avoid the
 	// machines that have capacity.
@@ -172,7 +172,8 @@
 	// runSeconds is the expected run time in seconds.
 	runSeconds  float64
 	boundedWait bool
-	// leftWaiting allows the job to use machines under decommission.
+	// leftWaiting allows the job to use machines that are closed to other jobs: those under
+	// decommission, those that other workloads depend on, and those with GPUs.
 	leftWaiting bool
 	// scarcity is by machine type. It is nil if no other workload competes for the machine
 	// types.
@@ -266,7 +267,7 @@
 	if len(group.scarcity) > 0 {
 		typeScarcity = group.scarcity[machine.machineType]
 	}
-	if machine.decommissioning && !group.boundedWait && !group.leftWaiting && machine.reservedFor != job.ID || typeScarcity == scarceNow {
+	if machine.decommissioning && !group.boundedWait && !group.leftWaiting && machine.reservedFor != job.ID || typeScarcity == scarceNow && !group.leftWaiting {
 		return 0, false
 	}
 	score := candidate.costPenalty
@@ -345,7 +346,7 @@
 	for ; count > 0 && job.pendingTasks() > 0 && scheduler.withinQuotaLimit(job); count-- {
 		if leftWaiting && !scheduler.leftWaiting(job) {
 			// A task was placed, so the job is not left waiting any more and loses
-			// access to machines under decommission.
+			// access to the machines that are otherwise closed to it.
 			leftWaiting, candidates = false, scheduler.candidateGroupFor(round, job)
 		}
 		index := job.takePending(scheduler.now)
--- a/internal/simulation/host_waits_test.go
+++ b/internal/simulation/host_waits_test.go
@@ -44,3 +44,29 @@
 	}
 	checkNoViolations(t, world)
 }
+
+// TestWaitBesideHost submits a job while the cloud has no further machine. It guards against a job that waits
+// beside a host with free capacity for longer than the operators allow.
+func TestWaitBesideHost(t *testing.T) {
+	for _, tc := range []struct {
+		name       string
+		cpu        float64
+		largeWaits bool
+	}{
+		{"capacity that no replica could use, while a large model waits", 4, true},
+		{"capacity that replicas could use", 20, false},
+		{"capacity that replicas could use, while a large model waits", 20, true},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			t.Parallel()
+			world := newBusyHostWorld(0, tc.largeWaits)
+			job, run := urgentJob(tc.cpu)
+			world.Submit(job, run, false)
+			world.Run(2 * maxWaiting)
+			checkNoViolations(t, world)
+			if got := world.jobs[job.ID].lastState; got != "done" {
+				t.Errorf("got state %q, want done", got)
+			}
+		})
+	}
+}
