--- a/internal/controller/contact.go
+++ b/internal/controller/contact.go
@@ -240,8 +240,12 @@
 
 // unresponsive reports whether a machine has missed heartbeats and does not answer polls. A machine
 // with attempts of a former owner can be unresponsive although this controller never heard it: it
-// may have been lost before the failover.
+// may have been lost before the failover. A machine of another owner sends no heartbeats here: its owner
+// publishes that it responds.
 func (tracker *heartbeatTracker) unresponsive(m *machine) bool {
+	if m.remote {
+		return tracker.now.Sub(m.lastHeard) > remoteStatusTTL
+	}
 	if !m.expectsHeartbeats() {
 		return false
 	}
--- a/internal/controller/remote_attempts.go
+++ b/internal/controller/remote_attempts.go
@@ -18,6 +18,10 @@
 	remoteRequestInterval = time.Second
 	// maxRemoteAttempts bounds the attempts in the requests of one round.
 	maxRemoteAttempts = 2000
+	// remoteStatusTTL is how long a remote machine counts as responsive after its owner published
+	// that an attempt runs there. Owners publish it every second while the machine responds; some
+	// of these messages may be lost.
+	remoteStatusTTL = 5 * time.Second
 )
 
 // remoteAttempts exchanges the states of cross-shard attempts with other shard leaders:
@@ -143,7 +147,7 @@
 			return ""
 		}}
 		if m := leader.machines[id]; m != nil {
-			info.Zone = m.zone
+			info.Zone, info.Unresponsive = m.zone, leader.heartbeats.unresponsive(m)
 		}
 		return info, owned
 	})
@@ -174,6 +178,9 @@
 			}
 			t := &j.tasks[status.Index]
 			if m != nil && t.machine == m && t.attempt == status.Attempt {
+				if status.State == remote.Running {
+					m.lastHeard = attempts.now
+				}
 				attempts.applyRemoteAttempt(j, m, status)
 			} else if status.State == remote.Ended && j.durable(status.Index) {
 				reply.Attempts = append(reply.Attempts, remote.AttemptRequest{AttemptID: status.AttemptID, Intent: remote.Settled})
--- a/internal/remote/registry.go
+++ b/internal/remote/registry.go
@@ -73,6 +73,11 @@
 	Gone
 )
 
+// isLive reports whether the attempt is on the machine and has not ended.
+func (state State) isLive() bool {
+	return state == Fetching || state == Running || state == Checkpointing
+}
+
 // AttemptRequest is an attempt and what its job's owner requests for it.
 type AttemptRequest struct {
 	AttemptID
@@ -320,11 +325,14 @@
 }
 
 // MachineInfo is what a machine's owner adds to a status. JobOwner returns the host that
-// owns the job of an attempt without a request, or "" if no other controller owns the job.
+// owns the job of an attempt without a request, or "" if no other controller owns the job. While a
+// machine is Unresponsive, its attempts are published only once they are proven to have ended, so that
+// the owners of their jobs don't count them as running.
 type MachineInfo struct {
-	Epoch    uint64
-	Zone     string
-	JobOwner func(job string) string
+	Epoch        uint64
+	Zone         string
+	Unresponsive bool
+	JobOwner     func(job string) string
 }
 
 // DueStatuses returns the status messages that are due, by receiving host. A change is sent
@@ -385,10 +393,13 @@
 		} else if !state.gone[attempt].IsZero() {
 			status.State = Gone
 		}
+		if info.Unresponsive && status.State.isLive() {
+			continue
+		}
 		statuses[request.requester] = append(statuses[request.requester], status)
 	}
 	for attempt, report := range state.reported {
-		if state.requested[attempt] != nil {
+		if state.requested[attempt] != nil || info.Unresponsive && report.State.isLive() {
 			continue
 		}
 		if controller := info.JobOwner(attempt.Job); controller != "" {
--- a/internal/remote/registry_test.go
+++ b/internal/remote/registry_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"slices"
 	"testing"
 	"time"
@@ -327,6 +328,36 @@
 	}
 }
 
+// TestUnresponsiveMachine checks that the attempts on an unresponsive machine are not published as live, so that
+// the owners of their jobs don't count them as running, and that proofs of their end still are.
+func TestUnresponsiveMachine(t *testing.T) {
+	now := time.Unix(1_750_000_000, 0)
+	running, ended, gone := AttemptID{"j", 0, 1}, AttemptID{"j", 1, 1}, AttemptID{"j", 2, 1}
+	registry := &Registry{}
+	registry.Request(now, "a", Request{"vm", []AttemptRequest{{AttemptID: running}, {AttemptID: gone}}})
+	registry.ObserveHeartbeat(now, "vm", []ReportedAttempt{{AttemptID: running, State: Running}, {AttemptID: ended, State: Ended}}, func(string) bool { return false }, true)
+	for _, tc := range []struct {
+		unresponsive bool
+		want         map[AttemptID]State
+	}{
+		{false, map[AttemptID]State{running: Running, ended: Ended, gone: Gone}},
+		{true, map[AttemptID]State{ended: Ended, gone: Gone}},
+	} {
+		now = now.Add(resendInterval)
+		got := map[AttemptID]State{}
+		for _, machine := range registry.DueStatuses(now, func(string) (MachineInfo, bool) {
+			return MachineInfo{Epoch: 1, Unresponsive: tc.unresponsive, JobOwner: func(string) string { return "a" }}, true
+		})["a"] {
+			for _, status := range machine.Attempts {
+				got[status.AttemptID] = status.State
+			}
+		}
+		if !maps.Equal(got, tc.want) {
+			t.Errorf("unresponsive %v: got statuses %v, want %v", tc.unresponsive, got, tc.want)
+		}
+	}
+}
+
 // TestForgetObservations guards against publishing observations of an earlier epoch under
 // the next epoch. While the reads of the machine's owner lagged, it may have considered the
 // machine its own although another owner had started an attempt there that it had not seen.
