--- a/internal/controller/leader.go
+++ b/internal/controller/leader.go
@@ -86,6 +86,9 @@
 	// handedOverAt holds the machines that were handed over within the last handoverCooldown, by
 	// ID.
 	handedOverAt map[string]time.Time
+	// ownHandoverAt is when a machine was last handed over to this controller's own shard. Its
+	// requests of before do not count that machine.
+	ownHandoverAt time.Time
 	// transferQuota limits how many machines in use are transferred for each team.
 	transferQuota exchange.TransferQuota
 	// evacuations are the hosts that shard leaders are asked to evacuate for other shard
--- a/internal/controller/transfer_requests.go
+++ b/internal/controller/transfer_requests.go
@@ -139,6 +139,14 @@
 			}
 		}
 	}
+	if leader := transfers.controller.leader; leader != nil {
+		// The leader publishes no view to itself.
+		for id, assigned := range leader.sharding.unrecordedMachines {
+			if rental := leader.rentals[id]; assigned.Host == transfers.settings.Host && shardLeader.machines[id] == nil && rental != nil && transfers.now.Sub(rental.handedOverAt) < transferSettleTime {
+				out[rental.machineKind.exchangeKind()]++
+			}
+		}
+	}
 	return out
 }
 
--- a/internal/controller/transfers.go
+++ b/internal/controller/transfers.go
@@ -15,7 +15,11 @@
 func (leader *leader) exchangers() []exchange.Participant {
 	var out []exchange.Participant
 	if shardLeader := leader.controller.shardLeader; shardLeader != nil && shardLeader.ready {
-		out = append(out, exchange.Participant{Host: leader.settings.Host, Requests: shardLeader.transfers.requests, Offers: shardLeader.transfers.offers})
+		own := exchange.Participant{Host: leader.settings.Host, Offers: shardLeader.transfers.offers}
+		if shardLeader.transfers.updatedAt.After(leader.ownHandoverAt) {
+			own.Requests = shardLeader.transfers.requests
+		}
+		out = append(out, own)
 	}
 	for _, host := range sortedKeys(leader.updates) {
 		if received, ok := leader.freshUpdate(host); ok && received.update.Seq >= leader.requiredSeq[host] {
@@ -68,6 +72,9 @@
 	leader.rentals[transfer.ID].handedOverAt = leader.now
 	// The requests of the new owner count again once it knows of this machine.
 	leader.requiredSeq[transfer.To] = leader.seq + 1
+	if transfer.To == leader.settings.Host {
+		leader.ownHandoverAt = leader.now
+	}
 	leader.debug("machine handed over", "machine", transfer.ID, "from", transfer.From, "to", transfer.To)
 }
 
--- a/internal/controller/transfers_test.go
+++ b/internal/controller/transfers_test.go
@@ -221,6 +221,28 @@
 	}
 }
 
+// TestLeaderRequestsOneMachineForItself guards against a leader that transfers several machines to its own shard
+// for one waiting job: until the transfer is recorded, it owns the machine neither by the shard map nor by its own
+// list of machines.
+func TestLeaderRequestsOneMachineForItself(t *testing.T) {
+	controller := transferringLeader(t)
+	controller.putSegment(t, "b", 4, "vm-000078")
+	controller.leader.rentals["vm-000078"] = &rental{id: "vm-000078", machineKind: machineKind{"rack", "z", true}, status: "running", rentedAt: controller.now.Add(-time.Hour)}
+	controller.offerFromB("b#1", "vm-000077")
+	controller.leader.transferMachines()
+	for _, recompute := range []bool{false, true} {
+		controller.now = controller.now.Add(leaderPeriod)
+		if recompute {
+			controller.updateTransfers()
+		}
+		controller.offerFromB("b#1", "vm-000078")
+		controller.leader.transferMachines()
+		if got := len(controller.leader.sharding.unrecordedMachines); got != 1 {
+			t.Errorf("requests computed again %v: got %d transfers for one job, want 1", recompute, got)
+		}
+	}
+}
+
 // TestRequestsOfOthers checks that the leader publishes to each shard leader the requests of the
 // others, and not its own.
 func TestRequestsOfOthers(t *testing.T) {
