--- a/internal/controller/candidate_queues.go
+++ b/internal/controller/candidate_queues.go
@@ -97,9 +97,9 @@
 	// occupancy is how long a task is expected to occupy its machine, without the image fetch.
 	occupancy time.Duration
 
-	// opensIn is when the last pending task of the job may start on machine types that are closed to
-	// it: they open once the job is left waiting, and to one task at a time. It is 0 for expected
-	// tasks.
+	// opensIn is when the last pending task of a job that allows no spot machines may start on machine
+	// types that are closed to it: they open once the job is left waiting, and to one task at a time.
+	// It is 0 for expected tasks, and for jobs that allow spot machines: scarcityRelief rents these.
 	opensIn time.Duration
 
 	// candidates are all machines; holders are the machines that hold or fetch the image.
@@ -134,7 +134,7 @@
 	if job.Image == "" {
 		req.imageGB = 0
 	}
-	if !job.waitingSince.IsZero() {
+	if !job.waitingSince.IsZero() && !job.AllowSpot {
 		tasks := max(1, sim.controller.shardLeader.scheduler.placeableTasks(job))
 		req.opensIn = max(0, later(job.waitingSince, job.lastPlacedAt).Add(time.Duration(tasks)*leftWaitingAfter).Sub(sim.now))
 	}
--- a/internal/controller/placement_round.go
+++ b/internal/controller/placement_round.go
@@ -173,7 +173,7 @@
 	runSeconds  float64
 	boundedWait bool
 	// leftWaiting allows the job to use machines that are closed to other jobs: those under
-	// decommission, those that other workloads depend on, and those with GPUs.
+	// decommission and those kept for replicas.
 	leftWaiting bool
 	// scarcity is by machine type. It is nil if no other workload competes for the machine
 	// types.
@@ -267,7 +267,7 @@
 	if len(group.scarcity) > 0 {
 		typeScarcity = group.scarcity[machine.machineType]
 	}
-	if machine.decommissioning && !group.boundedWait && !group.leftWaiting && machine.reservedFor != job.ID || typeScarcity == scarceNow && !group.leftWaiting {
+	if machine.decommissioning && !group.boundedWait && !group.leftWaiting && machine.reservedFor != job.ID || typeScarcity == scarceNow && !(group.leftWaiting && candidate.packingKind != nil) {
 		return 0, false
 	}
 	score := candidate.costPenalty
