--- a/internal/controller/evacuation_target.go
+++ b/internal/controller/evacuation_target.go
@@ -30,6 +30,10 @@
 // its jobs, and one to which they can move. It bounds the transfers when no host can be emptied.
 const maxReceivedPerNeed = 2
 
+// maxRemoteHosts bounds the hosts of other shard leaders for which a plan is searched, since a search takes
+// milliseconds for a thousand hosts.
+const maxRemoteHosts = 6
+
 // lackingTarget is the free capacity, on one further machine of a kind, that a shard leader lacks for
 // the replicas of a host that it could then empty.
 type lackingTarget struct {
@@ -84,12 +88,16 @@
 		}
 		return target, true
 	}
+	tries := 0
 	for _, id := range sortedKeys(migrations.controller.shardLeader.remoteAttempts.machines) {
 		remoteMachine := *migrations.controller.shardLeader.remoteAttempts.machines[id]
 		remoteMachine.size = size
 		if (machineKind{remoteMachine.machineType, remoteMachine.zone, remoteMachine.spot}) != kind {
 			continue
 		}
+		if tries++; tries > maxRemoteHosts {
+			break
+		}
 		if plan, ok := findWithPlaceholder(problemWith(&remoteMachine, placeholder), size); ok {
 			return lackingTarget{kind: kind, need: remoteMachine.free(), downtime: plan.Cost, waited: migrations.now.Sub(neededSince)}, true
 		}
