--- a/review/standin/cut.go
+++ b/review/standin/cut.go
@@ -16,7 +16,7 @@
 func cut(opt Options, trouble bool) int {
 	const (
 		node          = 2
-		cutFor        = 28 * time.Second
+		cutFor        = 26 * time.Second
 		jobEvery      = 100 * time.Millisecond
 		unansweredFor = 75 * time.Second
 		watchFor      = 78 * time.Second
