Logs: starts and clears with their epoch, and attempts that come back

Four explanations were open: a repeat of an earlier request is executed, a controller sends the start again, a controller with a higher epoch starts it from old records, or the worker has begun a new session.

A shard leader logs "unexpected attempt runs" with the epoch that the worker has seen when a heartbeat newly lists a live attempt of a task that has a later attempt or has ended.

--- a/internal/controller/heartbeats.go
+++ b/internal/controller/heartbeats.go
@@ -169,10 +169,12 @@
 
 // applyTaskReports applies the task list of a heartbeat or poll reply that contains changes.
 func (tracker *heartbeatTracker) applyTaskReports(m *machine, heartbeat *model.Heartbeat, isHeartbeat bool) {
+	formerReports := m.lastTaskReports
 	m.lastTaskReports = heartbeat.Tasks
 	m.taskReports = make(map[taskKey]model.TaskReport, len(heartbeat.Tasks))
 	for _, report := range heartbeat.Tasks {
 		key := taskKey{report.Job, report.Index}
+		tracker.logUnexpectedAttempt(m, report, formerReports, heartbeat.Epoch)
 		// If a machine reports several attempts of one task, keep the live attempt.
 		if known, ok := m.taskReports[key]; !ok || known.Status == model.Ended {
 			m.taskReports[key] = report
@@ -192,6 +194,26 @@
 	}
 }
 
+// logUnexpectedAttempt logs that a worker newly lists a live attempt that should not run there,
+// because the task has a later attempt or has ended. A start was then executed after the attempt
+// was cleared. seen is the epoch that the worker has seen.
+func (tracker *heartbeatTracker) logUnexpectedAttempt(m *machine, report model.TaskReport, former []model.TaskReport, seen uint64) {
+	j := tracker.controller.shardLeader.jobs[report.Job]
+	if report.Status == model.Ended || j == nil || report.Index < 0 || report.Index >= len(j.tasks) {
+		return
+	}
+	t := &j.tasks[report.Index]
+	if t.machine == m && t.attempt == report.Attempt {
+		return
+	}
+	listed := slices.ContainsFunc(former, func(other model.TaskReport) bool {
+		return other.Job == report.Job && other.Index == report.Index && other.Attempt == report.Attempt
+	})
+	if !listed {
+		tracker.info("unexpected attempt runs", "job", j.ID, "task", report.Index, "attempt", report.Attempt, "newest_attempt", t.attempt, "machine", m.id, "seen_epoch", seen, "epoch", m.epoch)
+	}
+}
+
 // countMissedStarts counts, for each attempt on m whose start was sent, the heartbeats that
 // do not list the attempt.
 func countMissedStarts(m *machine) {
--- a/internal/worker/worker.go
+++ b/internal/worker/worker.go
@@ -8,12 +8,14 @@
 	"context"
 	"fmt"
 	"io"
+	"log/slog"
 	"net"
 	"net/http"
 	"time"
 
 	"github.com/micahill/micahill/internal/controller"
 	"github.com/micahill/micahill/internal/message"
+	"github.com/micahill/micahill/internal/model"
 	"github.com/vmihailenco/msgpack/v5"
 )
 
@@ -85,9 +87,23 @@
 	}
 	heartbeat := wire.Decode()
 	response.Heartbeat, response.OK = &heartbeat, status == http.StatusOK
+	if response.OK {
+		LogCommands(ctx, "command executed", request.Machine, request.Epoch, request.Commands)
+	}
 	return response
 }
 
+// LogCommands logs each command for a machine's worker, and the epoch under which it is sent, at the
+// debug level.
+func LogCommands(ctx context.Context, event, machine string, epoch uint64, commands []model.TaskCommand) {
+	if !slog.Default().Enabled(ctx, slog.LevelDebug) {
+		return
+	}
+	for _, command := range commands {
+		slog.Debug(event, "machine", machine, "epoch", epoch, "kind", command.Kind, "job", command.Job, "task", command.Index, "attempt", command.Attempt)
+	}
+}
+
 // send makes one HTTP request and returns the worker's heartbeat and the HTTP status. The status is
 // 200, or 409 if the worker has executed none of the commands. Any other status is an error.
 func (client *Client) send(ctx context.Context, request message.WorkerRequest) (*Heartbeat, int, error) {
