Absence of an attempt on a restarted worker proves nothing until a higher epoch

What callers could see: a worker restarts under the same name while one of its tasks is to stop; the network delivers the start again that the worker had answered before; the task runs after its confirmed cancellation, or beside its next attempt on another machine.

Cause: a restarted worker has forgotten its tasks and the epoch, and its incarnation matches again. The shard leader took an attempt that the worker no longer lists for gone as soon as the worker had seen the current epoch, under which the repeat is still accepted. It waited for a higher epoch only while a start had no answer.

Change: no start counts as ruled out until the restarted worker has seen an epoch above those from before its restart. That epoch is bumped for it already.

--- a/internal/controller/reconcile.go
+++ b/internal/controller/reconcile.go
@@ -71,9 +71,11 @@
 	}
 }
 
-// noStartInFlight reports whether it is certain that no start for m is in flight.
+// noStartInFlight reports whether it is certain that no start for m is in flight. A worker that has
+// restarted would also execute a start that was answered before the restart and arrives again, until
+// it has seen a higher epoch.
 func (dispatcher *dispatcher) noStartInFlight(m *machine) bool {
-	return m.hasSeenEpoch() && m.unackedStartEpoch == 0 && m.replySequence == 0 && !m.dispatchInFlight
+	return m.hasSeenEpoch() && !m.restartUnfenced() && m.unackedStartEpoch == 0 && m.replySequence == 0 && !m.dispatchInFlight
 }
 
 // waitsForStartProof reports whether an unanswered start keeps the machine from being settled: it
--- a/internal/controller/start_fence.go
+++ b/internal/controller/start_fence.go
@@ -46,6 +46,12 @@
 	return machine.seenEpoch >= machine.epoch && machine.seenEpoch <= machine.commandEpoch
 }
 
+// restartUnfenced reports whether the worker has restarted and has not yet seen an epoch above those
+// of the commands that were sent before the restart.
+func (machine *machine) restartUnfenced() bool {
+	return machine.restartEpoch != 0 && machine.seenEpoch <= machine.restartEpoch
+}
+
 // canFenceStarts reports whether an epoch above that of every earlier start to m can be used. If
 // not, it has the shard map read.
 func (dispatcher *dispatcher) canFenceStarts(m *machine) bool {
