--- a/internal/controller/epoch_bump.go
+++ b/internal/controller/epoch_bump.go
@@ -19,7 +19,7 @@
 	}
 	needed := len(failover.higherEpochSeen) > 0
 	for _, m := range leader.machinesByID {
-		needed = needed || m.restartEpoch != 0 && m.restartEpoch == m.commandEpoch || m.unackedStartEpoch != 0 && m.unackedStartEpoch == m.commandEpoch && !m.dispatchUnanswered && m.waitsForStartProof(&leader.remoteAttempts.registry)
+		needed = needed || leader.needsHigherEpoch(m)
 	}
 	if !needed {
 		return
@@ -34,6 +34,16 @@
 	})
 }
 
+// needsHigherEpoch reports whether commands that were sent under the machine's command epoch have to
+// be ruled out: an unanswered start, or all commands from before a restart of the worker. A machine
+// whose last commands got no answer is passed over: a higher epoch would not reach it either.
+func (shardLeader *shardLeader) needsHigherEpoch(m *machine) bool {
+	if m.restartEpoch != 0 && m.restartEpoch == m.commandEpoch {
+		return true
+	}
+	return m.unackedStartEpoch != 0 && m.unackedStartEpoch == m.commandEpoch && !m.dispatchUnanswered && m.waitsForStartProof(&shardLeader.remoteAttempts.registry)
+}
+
 // bumpEpoch writes the segment that gives the machines a higher epoch, for one shard at a time.
 func (failover *failover) bumpEpoch() {
 	leader := failover.controller.shardLeader
@@ -47,11 +57,7 @@
 		}
 	}
 	for _, m := range leader.machinesByID {
-		// A machine whose last commands got no answer is skipped: a higher epoch would not reach it
-		// either.
-		if m.unackedStartEpoch != 0 && m.unackedStartEpoch == m.commandEpoch && !m.dispatchUnanswered && m.waitsForStartProof(&leader.remoteAttempts.registry) {
-			add(m.id)
-		} else if m.restartEpoch != 0 && m.restartEpoch == m.commandEpoch {
+		if leader.needsHigherEpoch(m) {
 			add(m.id)
 		}
 	}
