--- a/internal/controller/heartbeats.go
+++ b/internal/controller/heartbeats.go
@@ -196,7 +196,8 @@
 
 // logUnexpectedAttempt logs that a worker newly lists a live attempt that should not run there,
 // because the task has a later attempt or has ended. A start was then executed after the attempt
-// was cleared. seen is the epoch that the worker has seen.
+// was cleared, or a former shard leader was stopping the attempt. seen is the epoch that the worker
+// has seen.
 func (tracker *heartbeatTracker) logUnexpectedAttempt(m *machine, report model.TaskReport, former []model.TaskReport, seen uint64) {
 	j := tracker.controller.shardLeader.jobs[report.Job]
 	if report.Status == model.Ended || j == nil || report.Index < 0 || report.Index >= len(j.tasks) {
