--- a/review/rig/world.go
+++ b/review/rig/world.go
@@ -362,3 +362,18 @@
 	}
 	return false
 }
+
+// runningTasks returns how many tasks of the job run.
+func (w *world) runningTasks(j *job) int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	n := 0
+	for _, id := range w.order {
+		for _, t := range w.hosts[id].tasks {
+			if t.job == j && t.status == "running" {
+				n++
+			}
+		}
+	}
+	return n
+}
