--- a/review/rig/world.go
+++ b/review/rig/world.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"net/http"
 	"os"
+	"slices"
 	"sort"
 	"sync"
 	"time"
@@ -254,8 +255,8 @@
 	if !j.cancelledAt.IsZero() && time.Since(j.cancelledAt) > w.settings.cancelAfter() {
 		w.breaks("ran_cancelled", "%s starts on %s %.1f s after its user was told", t.piece, h.id, time.Since(j.cancelledAt).Seconds())
 	}
-	if h.loaner && !j.loaner || j.site != "" && j.site != h.site {
-		w.breaks("wrong_place", "%s starts on %s", t.piece, h.id)
+	if h.loaner && !j.loaner || j.site != "" && j.site != h.site || j.flavours != nil && !slices.Contains(j.flavours, h.flavour) {
+		w.breaks("wrong_place", "%s starts on %s, a %s in %s, spot %v; its job allows types %v (nil: any), zone %q, spot %v", t.piece, h.id, h.flavour, h.site, h.loaner, j.flavours, j.site, j.loaner)
 	}
 	zones := map[string]int{}
 	cpu := map[string]float64{}
