--- a/review/rig/latin.go
+++ b/review/rig/latin.go
@@ -33,7 +33,7 @@
 func latinCase(_ string, trouble bool) {
 	settings := siamlens()
 	settings.teams = []team{{name: "rx-desk"}, {name: "chiangmai-lab"}}
-	w, _ := newWorld(settings, siamlensTypes, map[string]int{kind("counter-box", "bangna", true): 19, kind("counter-box", "bangna", false): 17, kind("lab-rack", "bangna", true): 2, kind("lab-rack", "bangna", false): 2})
+	w := newWorld(settings, siamlensTypes, map[string]int{kind("counter-box", "bangna", true): 19, kind("counter-box", "bangna", false): 17, kind("lab-rack", "bangna", true): 2, kind("lab-rack", "bangna", false): 2})
 	w.startNodes()
 	name, owner, leader := "", "", ""
 	for end := time.Now().Add(15 * time.Second); name == "" && time.Now().Before(end); time.Sleep(200 * time.Millisecond) {
--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -65,7 +65,7 @@
 }
 
 // newWorld creates the stand-ins and the nodes, which it does not start.
-func newWorld(settings *deployment, types []machineType, capacity map[string]int) (*world, *stateService) {
+func newWorld(settings *deployment, types []machineType, capacity map[string]int) *world {
 	record, err := os.Create(filepath.Join(caseDir, "record.txt"))
 	if err != nil {
 		fail("%v", err)
@@ -76,14 +76,11 @@
 		fail("%v", err)
 	}
 	state := newState(settings)
-	var stateAddrs []string
 	for i := range 3 {
 		w.nodes = append(w.nodes, &node{name: fmt.Sprintf("worker-%d", i), api: freeAddr(), back: freeAddr(), world: w})
-		stateAddrs = append(stateAddrs, serve(state.handler(i)))
 	}
-	w.writeSettings(tempDir, serve(w.serveCloud), stateAddrs)
-	go w.checkLoop()
-	return w, state
+	w.writeSettings(tempDir, serve(w.serveCloud), serve(state.serve))
+	return w
 }
 
 // startNodes starts all nodes and waits until they are healthy.
--- a/review/rig/nodes.go
+++ b/review/rig/nodes.go
@@ -35,9 +35,6 @@
 	sockets                          int
 }
 
-// cancelAfter returns how long tasks of a cancelled job may last.
-func (d *deployment) cancelAfter() time.Duration { return seconds(d.cancelS) }
-
 // node is a controller.
 type node struct {
 	name, api, back string
@@ -83,7 +80,7 @@
 }
 
 // writeSettings writes the settings of each node.
-func (w *world) writeSettings(dir, cloud string, state []string) {
+func (w *world) writeSettings(dir, cloud, state string) {
 	for i, n := range w.nodes {
 		var b strings.Builder
 		d := w.settings
@@ -93,7 +90,7 @@
 				fmt.Fprintf(&b, "[[seeds]]\nhost_name = %q\narea = %q\naddress = %q\n\n", other.name, d.zones[j%len(d.zones)], other.back)
 			}
 		}
-		fmt.Fprintf(&b, "[outside]\ncloud = %q\nstate = %q\n\n[deployment]\ninitial_size = %d\nzones = [", cloud, state[i], len(w.nodes))
+		fmt.Fprintf(&b, "[outside]\ncloud = %q\nstate = %q\n\n[deployment]\ninitial_size = %d\nzones = [", cloud, state, len(w.nodes))
 		for k, zone := range d.zones {
 			if k > 0 {
 				b.WriteString(", ")
@@ -158,23 +155,6 @@
 	n.world.logf("%s: killed", n.name)
 }
 
-func (n *node) signal(s syscall.Signal) {
-	n.process.Process.Signal(s)
-	n.world.logf("%s: %v", n.name, s)
-}
-
-// rssMB returns the memory that the process holds.
-func (n *node) rssMB() float64 {
-	text, _ := os.ReadFile(fmt.Sprintf("/proc/%d/status", n.process.Process.Pid))
-	for line := range strings.Lines(string(text)) {
-		if rest, ok := strings.CutPrefix(line, "VmRSS:"); ok {
-			kb, _ := strconv.ParseFloat(strings.Fields(rest)[0], 64)
-			return kb / 1024
-		}
-	}
-	return 0
-}
-
 // operators gets a page of the operators' interface of a node.
 func (n *node) operators(path string) string {
 	client := &http.Client{Timeout: 3 * time.Second}
--- a/review/rig/nowhere.go
+++ b/review/rig/nowhere.go
@@ -6,7 +6,7 @@
 
 // nowhereCase: a user submits a job whose list of allowed machine types is empty.
 func nowhereCase(_ string, trouble bool) {
-	w, _ := newWorld(siamlens(), siamlensTypes, map[string]int{kind("counter-box", "bangna", true): 4, kind("lab-rack", "bangna", true): 1})
+	w := newWorld(siamlens(), siamlensTypes, map[string]int{kind("counter-box", "bangna", true): 4, kind("lab-rack", "bangna", true): 1})
 	w.startNodes()
 	sound := newJob(1, 2, 4, 14, 5*time.Second)
 	w.submit(0, sound)
--- a/review/rig/quota.go
+++ b/review/rig/quota.go
@@ -13,7 +13,7 @@
 func quotaCase(_ string, trouble bool) {
 	settings := prairie()
 	settings.teams = []team{{name: "grid-ops", cpusMax: 64}}
-	w, _ := newWorld(settings, prairieTypes, map[string]int{kind("civic-rack", "city-hall", true): 4})
+	w := newWorld(settings, prairieTypes, map[string]int{kind("civic-rack", "city-hall", true): 4})
 	w.startNodes()
 	submit := func(first, count int, cpus, mem float64, urgency string, runs time.Duration) (all []*job) {
 		for i := range count {
--- a/review/rig/stale.go
+++ b/review/rig/stale.go
@@ -7,7 +7,7 @@
 // staleCase: a job's tasks run, and each node says so. A node that runs neither the team nor the
 // cluster ends and comes back. Long afterwards it is asked for the job's state again and again.
 func staleCase(_ string, trouble bool) {
-	w, _ := newWorld(siamlens(), siamlensTypes, map[string]int{kind("counter-box", "bangna", true): 4})
+	w := newWorld(siamlens(), siamlensTypes, map[string]int{kind("counter-box", "bangna", true): 4})
 	w.startNodes()
 	service := newJob(1, 2, 4, 14, time.Hour)
 	service.shape, service.expected = "standing", 0
--- a/review/rig/state.go
+++ b/review/rig/state.go
@@ -17,21 +17,16 @@
 
 // stateService is a stand-in for the state service.
 type stateService struct {
-	mu          sync.Mutex
-	settings    *deployment
-	rev         uint64
-	kv          map[string]stored
-	news        []change
-	changed     chan struct{}
-	permits     map[uint64]*permit
-	lastPermit  uint64
-	requests    *rate.Limiter
-	writes      *rate.Limiter
-	out         bool
-	refusedNode map[int]bool
-	// delay, if set, returns how long a request of a node is held before it is carried out, and
-	// whether its answer is lost.
-	delay func(node int, r *http.Request) (time.Duration, bool)
+	mu         sync.Mutex
+	settings   *deployment
+	rev        uint64
+	kv         map[string]stored
+	news       []change
+	changed    chan struct{}
+	permits    map[uint64]*permit
+	lastPermit uint64
+	requests   *rate.Limiter
+	writes     *rate.Limiter
 }
 
 type stored struct {
@@ -71,7 +66,7 @@
 
 func newState(settings *deployment) *stateService {
 	state := &stateService{
-		settings: settings, kv: map[string]stored{}, changed: make(chan struct{}), permits: map[uint64]*permit{}, refusedNode: map[int]bool{},
+		settings: settings, kv: map[string]stored{}, changed: make(chan struct{}), permits: map[uint64]*permit{},
 		requests: rate.NewLimiter(rate.Limit(settings.stateRPS), int(settings.stateRPS)), writes: rate.NewLimiter(rate.Limit(settings.stateWriteRPS), int(settings.stateWriteRPS)),
 	}
 	go state.expireLoop()
@@ -82,12 +77,10 @@
 func (state *stateService) expireLoop() {
 	for range time.Tick(20 * time.Millisecond) {
 		state.mu.Lock()
-		if !state.out {
-			now := time.Now()
-			for id, lease := range state.permits {
-				if now.After(lease.ends) {
-					state.endPermit(id)
-				}
+		now := time.Now()
+		for id, lease := range state.permits {
+			if now.After(lease.ends) {
+				state.endPermit(id)
 			}
 		}
 		state.mu.Unlock()
@@ -126,49 +119,15 @@
 	state.changed = make(chan struct{})
 }
 
-// setOut begins or ends an outage. After it, all leases have their full time again.
-func (state *stateService) setOut(out bool) {
-	state.mu.Lock()
-	defer state.mu.Unlock()
-	state.out = out
-	if !out {
-		for _, lease := range state.permits {
-			lease.ends = time.Now().Add(lease.ttl)
-		}
-	}
-	state.wake()
-}
-
-// setRefused begins or ends a spell in which one node alone gets 503.
-func (state *stateService) setRefused(node int, refused bool) {
-	state.mu.Lock()
-	defer state.mu.Unlock()
-	state.refusedNode[node] = refused
-	state.wake()
+// serve answers a request.
+func (state *stateService) serve(rw http.ResponseWriter, r *http.Request) {
+	time.Sleep(2 * time.Millisecond)
+	status, body := state.answer(r)
+	writeReply(rw, status, body)
 }
 
-func (state *stateService) unavailable(node int) bool { return state.out || state.refusedNode[node] }
-
-// handler returns the handler for the requests of one node.
-func (state *stateService) handler(node int) http.HandlerFunc {
-	return func(rw http.ResponseWriter, r *http.Request) {
-		time.Sleep(2 * time.Millisecond)
-		lost := false
-		if state.delay != nil {
-			var wait time.Duration
-			if wait, lost = state.delay(node, r); wait > 0 {
-				time.Sleep(wait)
-			}
-		}
-		status, body := state.answer(node, r)
-		if lost {
-			panic(http.ErrAbortHandler)
-		}
-		writeReply(rw, status, body)
-	}
-}
-
-func (state *stateService) answer(node int, r *http.Request) (int, any) {
+// answer carries out a request and returns the status and the body of the answer.
+func (state *stateService) answer(r *http.Request) (int, any) {
 	var txn transaction
 	if r.URL.Path == "/multi" && !readBody(r, &txn) {
 		return 400, obj{"error": "malformed"}
@@ -181,9 +140,6 @@
 	}
 	state.mu.Lock()
 	defer state.mu.Unlock()
-	if state.unavailable(node) {
-		return 503, obj{"error": "trouble"}
-	}
 	now := time.Now()
 	if !state.requests.AllowN(now, 1) || len(txn.Apply) > 0 && !state.writes.AllowN(now, len(txn.Apply)) {
 		return 429, obj{"error": "rate"}
@@ -206,7 +162,7 @@
 		}
 		return 200, body
 	case path == "/follow":
-		return state.follow(node, r)
+		return state.follow(r)
 	case path == "/multi":
 		return state.multi(&txn)
 	case path == "/grants":
@@ -259,7 +215,7 @@
 }
 
 // follow waits for changes. The caller holds mu, which follow releases while it waits.
-func (state *stateService) follow(node int, r *http.Request) (int, any) {
+func (state *stateService) follow(r *http.Request) (int, any) {
 	query := r.URL.Query()
 	from, err := strconv.ParseUint(query.Get("from"), 10, 64)
 	hold, _ := strconv.Atoi(query.Get("hold_ms"))
@@ -269,34 +225,28 @@
 	under := query.Get("under")
 	ends := time.Now().Add(time.Duration(hold) * time.Millisecond)
 	for {
-		if !state.unavailable(node) {
-			if len(state.news) == keptChanges && state.news[0].stamp > from+1 {
-				return 410, obj{"error": "too old"}
-			}
-			news := []any{}
-			first := sort.Search(len(state.news), func(i int) bool { return state.news[i].stamp > from })
-			for _, c := range state.news[first:] {
-				switch {
-				case !strings.HasPrefix(c.key, under):
-				case c.gone:
-					news = append(news, obj{"remove": c.key, "stamp": c.stamp})
-				default:
-					news = append(news, obj{"put": c.key, "value": c.value, "stamp": c.stamp})
-				}
-			}
-			if len(news) > 0 || !time.Now().Before(ends) {
-				return 200, obj{"ledger_rev": state.rev, "news": news}
+		if len(state.news) == keptChanges && state.news[0].stamp > from+1 {
+			return 410, obj{"error": "too old"}
+		}
+		news := []any{}
+		first := sort.Search(len(state.news), func(i int) bool { return state.news[i].stamp > from })
+		for _, c := range state.news[first:] {
+			switch {
+			case !strings.HasPrefix(c.key, under):
+			case c.gone:
+				news = append(news, obj{"remove": c.key, "stamp": c.stamp})
+			default:
+				news = append(news, obj{"put": c.key, "value": c.value, "stamp": c.stamp})
 			}
 		}
-		changed := state.changed
-		wait := time.Until(ends)
-		if state.unavailable(node) {
-			wait = time.Minute
+		if len(news) > 0 || !time.Now().Before(ends) {
+			return 200, obj{"ledger_rev": state.rev, "news": news}
 		}
+		changed := state.changed
 		state.mu.Unlock()
 		select {
 		case <-changed:
-		case <-time.After(wait):
+		case <-time.After(time.Until(ends)):
 		case <-r.Context().Done():
 			state.mu.Lock()
 			return 503, obj{}
--- a/review/rig/tiny.go
+++ b/review/rig/tiny.go
@@ -7,7 +7,7 @@
 // tinyCase: a job of many small tasks fits on the same machine as the two tasks of another job. The
 // report of that machine grows beyond 64 KiB.
 func tinyCase(_ string, trouble bool) {
-	w, _ := newWorld(siamlens(), siamlensTypes, map[string]int{kind("lab-rack", "bangna", false): 1})
+	w := newWorld(siamlens(), siamlensTypes, map[string]int{kind("lab-rack", "bangna", false): 1})
 	w.startNodes()
 	order := newJob(1, 2, 8, 22, 45*time.Second)
 	order.workload = "frame-trace"
--- a/review/rig/users.go
+++ b/review/rig/users.go
@@ -54,33 +54,6 @@
 	return status, text(answer["status"]), answer
 }
 
-// abortOnce asks a node once to cancel a job.
-func (w *world) abortOnce(node int, j *job) (int, string) {
-	w.mu.Lock()
-	j.asked = true
-	w.mu.Unlock()
-	status, answer := w.call(node, http.MethodPost, "/v2/runs/"+j.id+"/abort", obj{}, 5*time.Second)
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	state := text(answer["status"])
-	if status == 200 && state == "cancelled" && j.cancelledAt.IsZero() {
-		j.cancelledAt = time.Now()
-	}
-	w.logf("user: cancels %s at node %d: %d %s", j.id, node, status, state)
-	return status, state
-}
-
-// abort repeats a cancellation until it is answered, for up to 60 s.
-func (w *world) abort(node int, j *job) string {
-	for end := time.Now().Add(60 * time.Second); time.Now().Before(end); time.Sleep(time.Second) {
-		if status, state := w.abortOnce(node, j); status == 200 {
-			return state
-		}
-		node = (node + 1) % len(w.nodes)
-	}
-	return ""
-}
-
 // waitState polls every second until a job has the state, and reports whether it got it in time.
 func (w *world) waitState(j *job, want string, within time.Duration) bool {
 	last := ""
--- a/review/rig/worker.go
+++ b/review/rig/worker.go
@@ -19,9 +19,8 @@
 	loaner           bool
 	kind             machineType
 	rentedAt, upAt   time.Time
-	gone, dead       bool
-	goneAt, diedAt   time.Time
-	hungUntil        time.Time
+	gone             bool
+	goneAt           time.Time
 	started          bool
 	tenure           uint64
 	tick, epoch      uint64
@@ -33,11 +32,8 @@
 	nextReport       time.Time
 	changed          bool
 	wake             chan struct{}
-	faulty           bool
 	tooLarge, killed int
 	reports          map[int]int
-	// recallAt is when the cloud takes the machine; zero without a notice.
-	recallAt time.Time
 }
 
 // task is an attempt on a machine.
@@ -54,8 +50,6 @@
 	savedAt time.Time
 }
 
-func (t *task) key() string { return fmt.Sprintf("%s#%d", t.piece, t.try) }
-
 // onMachine reports whether the task is on its machine, as the pages count it.
 func (t *task) onMachine() bool { return t.status == "running" || t.status == "flushing" }
 
@@ -111,16 +105,12 @@
 		}
 		pieces = append(pieces, entry)
 	}
-	var recall any
-	if !h.recallAt.IsZero() {
-		recall = max(0, time.Until(h.recallAt).Seconds())
-	}
 	return obj{"host": h.id, "address": h.addr, "flavour": h.flavour, "site": h.site, "loaner": h.loaner,
-		"tenure": h.tenure, "tick": h.tick, "epoch": h.epoch, "recall_s": recall, "pieces": pieces}
+		"tenure": h.tenure, "tick": h.tick, "epoch": h.epoch, "recall_s": nil, "pieces": pieces}
 }
 
-// live2 runs the worker until the machine is gone.
-func (h *host) live2() {
+// run runs the worker until the machine is gone.
+func (h *host) run() {
 	w := h.world
 	client := &http.Client{Timeout: 4 * time.Second, Transport: &http.Transport{MaxIdleConnsPerHost: 1, DisableCompression: true}}
 	h.reports = map[int]int{}
@@ -137,11 +127,11 @@
 		now := time.Now()
 		step := now.Sub(last)
 		last = now
-		if h.gone || h.dead {
+		if h.gone {
 			w.mu.Unlock()
 			return
 		}
-		if now.Before(h.upAt) || now.Before(h.hungUntil) {
+		if now.Before(h.upAt) {
 			w.mu.Unlock()
 			continue
 		}
@@ -191,7 +181,7 @@
 			h.world.logf("%s: %s try %d starts", h.id, t.piece, t.try)
 		}
 	case "running":
-		if h.faulty || j.fails {
+		if j.fails {
 			h.finish(t, "error")
 			return
 		}
@@ -257,7 +247,7 @@
 	switch {
 	case status == 200:
 		epoch := toUint(answer["epoch"])
-		if epoch < h.epoch || tenure != h.tenure || h.leaseOver(now) || now.Before(h.hungUntil) {
+		if epoch < h.epoch || tenure != h.tenure || h.leaseOver(now) {
 			return
 		}
 		if epoch > h.epoch {
@@ -373,19 +363,11 @@
 	}
 	ok := r.URL.Path == "/status" || readBody(r, &command)
 	w := h.world
-	for {
-		w.mu.Lock()
-		if h.gone || h.dead || time.Now().Before(h.upAt) || !h.started {
-			w.mu.Unlock()
-			panic(http.ErrAbortHandler)
-		}
-		if !time.Now().Before(h.hungUntil) {
-			break
-		}
-		w.mu.Unlock()
-		time.Sleep(50 * time.Millisecond)
-	}
+	w.mu.Lock()
 	defer w.mu.Unlock()
+	if h.gone || !h.started {
+		panic(http.ErrAbortHandler)
+	}
 	if h.leaseOver(time.Now()) {
 		h.expire(time.Now())
 	}
--- a/review/rig/world.go
+++ b/review/rig/world.go
@@ -36,13 +36,11 @@
 	fails                               bool
 
 	// What the stand-ins know of the job; guarded by world.mu.
-	submitted   bool
-	acceptedAt  time.Time
-	cancelledAt time.Time // when its user was told that it is cancelled
-	asked       bool      // its user asked to cancel it
-	done        map[int]bool
-	saved       map[int]time.Duration
-	starts      int
+	submitted  bool
+	acceptedAt time.Time
+	done       map[int]bool
+	saved      map[int]time.Duration
+	starts     int
 }
 
 // body returns the submission of the job.
@@ -76,12 +74,6 @@
 	bookings map[string][]string
 	jobs     map[string]*job
 	broken   []string
-	// down is whether the cloud answers 503.
-	down bool
-	// bootAfter, if set, returns how long the boot of a machine takes.
-	bootAfter func(*host) time.Duration
-	// firstNode, if set, returns the node that a new worker reports to first.
-	firstNode func(*host) int
 	// reach, if set, says whether a worker can open a connection to a node; see setReach.
 	reach func(h *host, node int) bool
 }
@@ -117,10 +109,6 @@
 	time.Sleep(20 * time.Millisecond)
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if w.down {
-		writeReply(rw, 503, obj{"error": "trouble"})
-		return
-	}
 	switch r.Method + " " + r.URL.Path {
 	case "GET /machine_types":
 		flavours := []any{}
@@ -196,10 +184,7 @@
 			break
 		}
 		status := "running"
-		switch {
-		case h.dead && asOf.Sub(h.diedAt) > 30*time.Second:
-			status = "failed"
-		case h.upAt.After(asOf):
+		if h.upAt.After(asOf) {
 			status = "booting"
 		}
 		rows = append(rows, obj{"id": id, "address": h.addr, "flavour": h.flavour, "site": h.site, "loaner": h.loaner, "status": status, "held_s": asOf.Sub(h.rentedAt).Seconds()})
@@ -214,19 +199,13 @@
 		tasks: map[string]*task{}, images: map[string]time.Time{}, wake: make(chan struct{}, 1),
 	}
 	boot := time.Duration(h.kind.readyS * (0.8 + 0.4*rand.Float64()) * float64(time.Second))
-	if w.bootAfter != nil {
-		boot = w.bootAfter(h)
-	}
 	h.upAt = h.rentedAt.Add(boot)
 	h.addr = serve(h.serve)
 	h.node = rand.IntN(len(w.nodes))
-	if w.firstNode != nil {
-		h.node = w.firstNode(h)
-	}
 	w.hosts[h.id] = h
 	w.order = append(w.order, h.id)
 	sort.Strings(w.order)
-	go h.live2()
+	go h.run()
 	return h
 }
 
@@ -234,7 +213,7 @@
 func (w *world) elsewhere(h *host, piece string) *host {
 	for _, id := range w.order {
 		other := w.hosts[id]
-		if other == h || other.gone || other.dead || other.leaseOver(time.Now()) {
+		if other == h || other.gone || other.leaseOver(time.Now()) {
 			continue
 		}
 		for _, t := range other.tasks {
@@ -252,9 +231,6 @@
 	if other := w.elsewhere(h, t.piece); other != nil {
 		w.breaks("ran_twice", "%s try %d starts on %s while it is on %s", t.piece, t.try, h.id, other.id)
 	}
-	if !j.cancelledAt.IsZero() && time.Since(j.cancelledAt) > w.settings.cancelAfter() {
-		w.breaks("ran_cancelled", "%s starts on %s %.1f s after its user was told", t.piece, h.id, time.Since(j.cancelledAt).Seconds())
-	}
 	if h.loaner && !j.loaner || j.site != "" && j.site != h.site || j.flavours != nil && !slices.Contains(j.flavours, h.flavour) {
 		w.breaks("wrong_place", "%s starts on %s, a %s in %s, spot %v; its job allows types %v (nil: any), zone %q, spot %v", t.piece, h.id, h.flavour, h.site, h.loaner, j.flavours, j.site, j.loaner)
 	}
@@ -262,7 +238,7 @@
 	cpu := map[string]float64{}
 	for _, id := range w.order {
 		other := w.hosts[id]
-		if other.gone || other.dead || other.leaseOver(time.Now()) {
+		if other.gone || other.leaseOver(time.Now()) {
 			continue
 		}
 		for _, on := range other.tasks {
@@ -287,28 +263,6 @@
 	}
 }
 
-// checkLoop looks for cancelled tasks that are still on a machine.
-func (w *world) checkLoop() {
-	told := map[string]bool{}
-	for range time.Tick(100 * time.Millisecond) {
-		w.mu.Lock()
-		for _, id := range w.order {
-			h := w.hosts[id]
-			if h.gone || h.dead || h.leaseOver(time.Now()) {
-				continue
-			}
-			for _, t := range h.tasks {
-				key := h.id + t.key()
-				if t.onMachine() && !t.job.cancelledAt.IsZero() && time.Since(t.job.cancelledAt) > w.settings.cancelAfter() && !told[key] {
-					told[key] = true
-					w.breaks("ran_cancelled", "%s is on %s %.1f s after its user was told", t.piece, h.id, time.Since(t.job.cancelledAt).Seconds())
-				}
-			}
-		}
-		w.mu.Unlock()
-	}
-}
-
 // setReach sets which workers can open a connection to which node; nil means all.
 func (w *world) setReach(reach func(h *host, node int) bool) {
 	w.mu.Lock()
