--- a/review/rig/latin.go
+++ b/review/rig/latin.go
@@ -33,14 +33,22 @@
 func latinCase(_ string, trouble bool) {
 	settings := siamlens()
 	settings.teams = []team{{name: "rx-desk"}, {name: "chiangmai-lab"}}
-	w := newWorld(settings, siamlensTypes, map[string]int{kind("counter-box", "bangna", true): 19, kind("counter-box", "bangna", false): 17, kind("lab-rack", "bangna", true): 2, kind("lab-rack", "bangna", false): 2})
-	w.startNodes()
+	// Which controller gets a team at the start depends on which are there first. If one gets both, the
+	// case begins anew.
+	var w *world
 	name, owner, leader := "", "", ""
-	for end := time.Now().Add(15 * time.Second); name == "" && time.Now().Before(end); time.Sleep(200 * time.Millisecond) {
-		name, owner, leader = w.foreignTeam()
-	}
-	if name == "" {
-		fail("one controller runs both teams")
+	for try := 0; name == ""; try++ {
+		if try == 8 {
+			fail("one controller runs both teams, eight times")
+		}
+		if w != nil {
+			w.stop()
+		}
+		w = newWorld(settings, siamlensTypes, map[string]int{kind("counter-box", "bangna", true): 19, kind("counter-box", "bangna", false): 17, kind("lab-rack", "bangna", true): 2, kind("lab-rack", "bangna", false): 2})
+		w.startNodes()
+		for end := time.Now().Add(1500 * time.Millisecond); name == "" && time.Now().Before(end); time.Sleep(100 * time.Millisecond) {
+			name, owner, leader = w.foreignTeam()
+		}
 	}
 	w.logf("%s runs the team %s; %s leads the cluster", owner, name, leader)
 	service := newJob(1, 8, 4, 14, time.Hour)
--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -20,9 +20,6 @@
 // caseDir is the folder of the case, which gets record.txt.
 var caseDir string
 
-// tempDir holds the settings and logs of the controllers.
-var tempDir string
-
 // fail ends the program because the case could not run.
 func fail(format string, args ...any) {
 	fmt.Fprintf(os.Stderr, "rig: "+format+"\n", args...)
@@ -32,20 +29,24 @@
 // finish ends all processes and the program.
 func finish(status int) {
 	if theWorld != nil {
-		for _, n := range theWorld.nodes {
-			if n.process != nil && n.process.Process != nil {
-				n.wanted.Store(false)
-				n.process.Process.Signal(syscall.SIGCONT)
-				n.process.Process.Kill()
-				<-n.ended
-			}
+		theWorld.stop()
+	}
+	os.Exit(status)
+}
+
+// stop ends all nodes and closes the record.
+func (w *world) stop() {
+	for _, n := range w.nodes {
+		if n.process != nil && n.process.Process != nil {
+			n.wanted.Store(false)
+			n.process.Process.Kill()
+			<-n.ended
 		}
-		theWorld.record.Close()
 	}
-	if os.Getenv("RIG_KEEP") == "" && tempDir != "" {
-		os.RemoveAll(tempDir)
+	w.record.Close()
+	if os.Getenv("RIG_KEEP") == "" {
+		os.RemoveAll(w.dir)
 	}
-	os.Exit(status)
 }
 
 // siamlens returns settings like those of the deployment siamlens-orders.
@@ -72,14 +73,14 @@
 	}
 	w := &world{began: time.Now(), record: record, settings: settings, types: types, capacity: capacity, hosts: map[string]*host{}, bookings: map[string][]string{}, jobs: map[string]*job{}}
 	theWorld = w
-	if tempDir, err = os.MkdirTemp("", "rig"); err != nil {
+	if w.dir, err = os.MkdirTemp("", "rig"); err != nil {
 		fail("%v", err)
 	}
 	state := newState(settings)
 	for i := range 3 {
 		w.nodes = append(w.nodes, &node{name: fmt.Sprintf("worker-%d", i), api: freeAddr(), back: freeAddr(), world: w})
 	}
-	w.writeSettings(tempDir, serve(w.serveCloud), serve(state.serve))
+	w.writeSettings(w.dir, serve(w.serveCloud), serve(state.serve))
 	return w
 }
 
--- a/review/rig/world.go
+++ b/review/rig/world.go
@@ -65,6 +65,7 @@
 	mu       sync.Mutex
 	began    time.Time
 	record   *os.File
+	dir      string // holds the settings and logs of the nodes
 	settings *deployment
 	nodes    []*node
 	types    []machineType
