An empty list of machine types allows none

Cause: null stands for "any", so an empty list allows nothing. The check of submissions, the placement, the choice of types to rent and the lending of jobs each asked for the length of the list, and the open/ record left an empty list out.

A specification built without a decoder was accepted all the same: before, TestImpossibleJobs/an_empty_list_of_machine_types got a record instead of a refusal, and TestUnusualJobs "got accepted true, refusal status 0, want a refusal with 422".

Change: model.JobSpec.AllowsMachineType is the only place that reads the list, and only nil allows all types. The record keeps the difference; the bytes of records that are written stay the same. The simulated users who send invalid jobs send empty lists too.

--- a/internal/api/jobrequest_test.go
+++ b/internal/api/jobrequest_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"maps"
 	"math"
+	"reflect"
 	"strings"
 	"testing"
 
@@ -116,3 +117,33 @@
 		}
 	}
 }
+
+// TestMachineTypesOfJobRequest guards against a job that is started on any machine although its list of
+// allowed machine types is empty: null or no list allows all types, an empty list none.
+func TestMachineTypesOfJobRequest(t *testing.T) {
+	for _, test := range []struct {
+		name         string
+		machineTypes any
+		want         []string
+	}{
+		{"null", nil, nil},
+		{"empty", []string{}, []string{}},
+		{"listed", []string{"g8", "g4"}, []string{"g8", "g4"}},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			request := validJobRequest()
+			request["flavours"] = test.machineTypes
+			body, err := msgpack.Marshal(request)
+			if err != nil {
+				t.Fatal(err)
+			}
+			spec, err := parseJobRequest(body)
+			if err != nil || !reflect.DeepEqual(spec.MachineTypes, test.want) {
+				t.Errorf("got %#v, %v, want %#v", spec.MachineTypes, err, test.want)
+			}
+			if got, want := spec.AllowsMachineType("g8"), test.name != "empty"; got != want {
+				t.Errorf("got machine type g8 allowed %v, want %v", got, want)
+			}
+		})
+	}
+}
--- a/internal/controller/fleet_knowledge.go
+++ b/internal/controller/fleet_knowledge.go
@@ -1,7 +1,6 @@
 package controller
 
 import (
-	"slices"
 	"time"
 
 	"github.com/micahill/micahill/internal/boottime"
@@ -109,7 +108,7 @@
 func (knowledge *fleetKnowledge) fittingMachineTypes(spec *model.JobSpec) []string {
 	var out []string
 	for name, machineType := range knowledge.machineTypes {
-		if spec.Need.Fits(machineType.Capacity) && (len(spec.MachineTypes) == 0 || slices.Contains(spec.MachineTypes, name)) {
+		if spec.Need.Fits(machineType.Capacity) && spec.AllowsMachineType(name) {
 			out = append(out, name)
 		}
 	}
--- a/internal/controller/formats_test.go
+++ b/internal/controller/formats_test.go
@@ -302,13 +302,14 @@
 	}
 	rec := record.NewOpenJob(&spec, time.Unix(1_750_000_000, 0))
 	small := rec
-	small.MachineTypes = spec.MachineTypes[:3]
+	firstTypes := spec.MachineTypes[:3]
+	small.MachineTypes = &firstTypes
 	rec.Cancelled, small.Cancelled = true, true
 	rec.ShrinkToFit(2048)
 	if size, err := sizelimit.JSONSize(record.Encode(rec)); err != nil || size > 2048 || rec.Team != "ops" || rec.Tasks != 7 || rec.CPU != 2 || rec.Validate() != nil {
 		t.Errorf("got %d bytes (error %v) of %+v, want a valid record of at most 2048 with its team, tasks and CPU", size, err, rec)
 	}
-	if small.ShrinkToFit(2048); len(small.MachineTypes) != 3 || small.Image != "img" {
+	if small.ShrinkToFit(2048); small.MachineTypes == nil || len(*small.MachineTypes) != 3 || small.Image != "img" {
 		t.Errorf("got %+v of a record that fits, want it unchanged", small)
 	}
 }
--- a/internal/controller/impossible_jobs_test.go
+++ b/internal/controller/impossible_jobs_test.go
@@ -74,6 +74,7 @@
 		want   string
 	}{
 		"an unknown zone":                                  {func(s *model.JobSpec) { s.Zone = "c" }, "422 a task fits no"},
+		"an empty list of machine types":                   {func(s *model.JobSpec) { s.MachineTypes = []string{} }, "422 a task fits no"},
 		"an unknown machine type":                          {func(s *model.JobSpec) { s.MachineTypes = []string{"huge"} }, "422 a task fits no"},
 		"a machine type offered nowhere":                   {func(s *model.JobSpec) { s.MachineTypes = []string{"gone"} }, "422 a task fits no"},
 		"a GPU that no zone offers":                        {func(s *model.JobSpec) { s.Need.GPU = 1 }, "422 a task fits no"},
@@ -131,7 +132,7 @@
 		{"fits all allowed types", 5, []string{"box", "rack"}, "box rack"},
 	} {
 		_, records := submitTestJob(newRestrictedTypesPool(), func(s *model.JobSpec) { s.ImageGB, s.MachineTypes = tc.imageGB, tc.machineTypes })
-		if len(records) != 1 || strings.Join(records[0].MachineTypes, " ") != tc.want {
+		if len(records) != 1 || strings.Join(records[0].JobSpec("job-1").MachineTypes, " ") != tc.want {
 			t.Errorf("%s: got records %+v, want one with machine types %q", tc.name, records, tc.want)
 		}
 	}
--- a/internal/controller/job_validation.go
+++ b/internal/controller/job_validation.go
@@ -64,9 +64,8 @@
 	for _, name := range sortedKeys(frontend.controller.knowledge.machineTypes) {
 		machineType := frontend.controller.knowledge.machineTypes[name]
 		zones := slices.DeleteFunc(slices.Clone(machineType.Zones), func(zone string) bool { return spec.Zone != "" && spec.Zone != zone })
-		allowed := len(spec.MachineTypes) == 0 || slices.Contains(spec.MachineTypes, name)
 		switch {
-		case !allowed || len(zones) == 0 || !spec.Need.Fits(machineType.Capacity):
+		case !spec.AllowsMachineType(name) || len(zones) == 0 || !spec.Need.Fits(machineType.Capacity):
 		case machineType.DiskGB > 0 && spec.ImageGB > machineType.DiskGB:
 			eligible.excludedByDisk = true
 		default:
--- a/internal/controller/jobs.go
+++ b/internal/controller/jobs.go
@@ -358,7 +358,7 @@
 // allowsMachine reports whether the job's constraints permit its tasks on a machine of the given
 // type and zone. spot says that the machine is a spot machine.
 func (job *job) allowsMachine(machineType, zone string, spot bool) bool {
-	if len(job.MachineTypes) > 0 && !slices.Contains(job.MachineTypes, machineType) {
+	if !job.AllowsMachineType(machineType) {
 		return false
 	}
 	if job.Zone != "" && job.Zone != zone {
--- a/internal/controller/packing.go
+++ b/internal/controller/packing.go
@@ -94,7 +94,7 @@
 		if spec.Need.GPU <= roundingTolerance || tasks <= 0 {
 			return
 		}
-		shape := replicaShape{spec.Need, strings.Join(spec.MachineTypes, " ")}
+		shape := replicaShape{spec.Need, machineTypesKey(spec)}
 		total := tallies[shape]
 		total.tasks += int64(tasks)
 		total.megabytes += int64(tasks) * int64(spec.ImageGB*1000)
--- a/internal/controller/placement_round.go
+++ b/internal/controller/placement_round.go
@@ -77,11 +77,15 @@
 
 // taskShape returns the shape of the job's tasks.
 func (job *job) taskShape() taskShape {
-	shape := taskShape{workload: job.Workload, need: job.Need, zone: job.Zone, spot: job.AllowSpot}
-	if len(job.MachineTypes) > 0 {
-		shape.machineTypes = strings.Join(job.MachineTypes, " ")
+	return taskShape{workload: job.Workload, need: job.Need, machineTypes: machineTypesKey(&job.JobSpec), zone: job.Zone, spot: job.AllowSpot}
+}
+
+// machineTypesKey returns a key of the machine types that a job allows: "" if it allows all.
+func machineTypesKey(spec *model.JobSpec) string {
+	if spec.MachineTypes == nil {
+		return ""
 	}
-	return shape
+	return "only " + strings.Join(spec.MachineTypes, " ")
 }
 
 // newPlacementRound lists the usable machines with free capacity and computes the part of their
@@ -142,9 +146,9 @@
 // result is computed once per round and workload.
 func (scheduler *scheduler) scarcityFor(round *placementRound, job *job) map[string]scarcity {
 	byType, ok := round.scarcityByWorkload[job.Workload]
-	if !ok || len(job.MachineTypes) > 0 {
+	if !ok || job.MachineTypes != nil {
 		byType = scheduler.scarcityOf(&job.JobSpec)
-		if len(job.MachineTypes) == 0 {
+		if job.MachineTypes == nil {
 			round.scarcityByWorkload[job.Workload] = byType
 		}
 	}
--- a/internal/model/job.go
+++ b/internal/model/job.go
@@ -6,7 +6,10 @@
 // CPU is in virtual CPUs, GPU in GPUs, and memory in GB.
 package model
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // Urgency is the priority of a job: a job with a higher urgency is served first. Its numeric values
 // are stored.
@@ -42,7 +45,7 @@
 	// ImageGB is the size of the image.
 	Image   string
 	ImageGB float64
-	// MachineTypes are the allowed machine types; an empty list allows all.
+	// MachineTypes are the allowed machine types; nil allows all, and an empty list none.
 	MachineTypes []string
 	// Zone is the only allowed zone; "" allows all.
 	Zone string
@@ -67,6 +70,11 @@
 	Dependencies []string
 }
 
+// AllowsMachineType reports whether the tasks may run on machines of the given type.
+func (spec *JobSpec) AllowsMachineType(name string) bool {
+	return spec.MachineTypes == nil || slices.Contains(spec.MachineTypes, name)
+}
+
 // JobStatus is the stored state of a job. A queued job may be waiting or running: only the states
 // of its tasks show which.
 type JobStatus string
--- a/internal/overflow/offers.go
+++ b/internal/overflow/offers.go
@@ -193,7 +193,7 @@
 // zones or machine types may not, since these are the home cluster's.
 func isLendable(candidate Candidate, limits Limits) bool {
 	spec := &candidate.Spec
-	return !spec.LongRunning && !spec.Gang && spec.Zone == "" && !spec.SameZone && !spec.SpreadZones && len(spec.MachineTypes) == 0 &&
+	return !spec.LongRunning && !spec.Gang && spec.Zone == "" && !spec.SameZone && !spec.SpreadZones && spec.MachineTypes == nil &&
 		spec.Tasks <= limits.Tasks && candidate.LendCount < limits.MaxLends && !candidate.CoolingDown
 }
 
--- a/internal/record/golden_test.go
+++ b/internal/record/golden_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"maps"
+	"reflect"
 	"testing"
 	"time"
 
@@ -25,7 +26,7 @@
 	},
 	"open": OpenJob{
 		Workload: "train", Team: "vision", LongRunning: true, Gang: true, Urgency: int(model.Urgent), Tasks: 16,
-		CPU: 8.5, GPU: 1.25, Memory: 64.75, Image: "img-07", ImageGB: 6.2, MachineTypes: []string{"g8", "g4"}, Zone: "a",
+		CPU: 8.5, GPU: 1.25, Memory: 64.75, Image: "img-07", ImageGB: 6.2, MachineTypes: &[]string{"g8", "g4"}, Zone: "a",
 		SameZone: true, SpreadZones: true, AllowSpot: true, ExpectedSeconds: 240.5, CheckpointIntervalSeconds: 30.25, CheckpointCostSeconds: 4.5, DeadlineSeconds: 900.75, SubmittedAtMillis: 1_750_000_003_456,
 		Cancelled: true, CancelledAtMillis: 1_750_000_004_567, LentTo: "east", LendCount: 7, StopBoundMillis: 82_000, CancelRequested: true,
 		BorrowedLoan: "west/job-000077/4", PromisedMillis: 130_400, Dependencies: pipeline.EncodeNames([]string{"job-000398", "job-000402", "job-x"}),
@@ -106,3 +107,19 @@
 		}
 	}
 }
+
+// TestMachineTypesInRecord guards against an open/ record that loses the difference between a job that
+// allows all machine types and one that allows none.
+func TestMachineTypesInRecord(t *testing.T) {
+	for _, want := range [][]string{nil, {}, {"g8"}} {
+		spec := model.JobSpec{Team: "vision", Tasks: 1, MachineTypes: want}
+		stored := NewOpenJob(&spec, time.UnixMilli(1_750_000_003_456))
+		var read OpenJob
+		if err := DecodeRecord("open/job-000412", Encode(stored), &read); err != nil {
+			t.Fatal(err)
+		}
+		if got := read.JobSpec("job-000412").MachineTypes; !reflect.DeepEqual(got, want) {
+			t.Errorf("got %#v, want %#v", got, want)
+		}
+	}
+}
--- a/internal/record/job.go
+++ b/internal/record/job.go
@@ -28,13 +28,13 @@
 	Image  string  `msgpack:"i"`
 	// ImageGB is the size of the image in GB.
 	ImageGB float64 `msgpack:"ig"`
-	// MachineTypes are the allowed machine types, and Zone is the only allowed zone. An empty
-	// field allows all.
-	MachineTypes []string `msgpack:"f,omitempty"`
-	Zone         string   `msgpack:"z,omitempty"`
-	SameZone     bool     `msgpack:"sp,omitempty"`
-	SpreadZones  bool     `msgpack:"ap,omitempty"`
-	AllowSpot    bool     `msgpack:"l,omitempty"`
+	// MachineTypes are the allowed machine types; nil allows all. It is a pointer because an empty
+	// list, which allows none, would be omitted too. Zone is the only allowed zone; "" allows all.
+	MachineTypes *[]string `msgpack:"f,omitempty"`
+	Zone         string    `msgpack:"z,omitempty"`
+	SameZone     bool      `msgpack:"sp,omitempty"`
+	SpreadZones  bool      `msgpack:"ap,omitempty"`
+	AllowSpot    bool      `msgpack:"l,omitempty"`
 	// ExpectedSeconds is the user's estimate of a task's run time.
 	ExpectedSeconds           float64 `msgpack:"e"`
 	CheckpointIntervalSeconds float64 `msgpack:"se,omitempty"`
@@ -74,7 +74,7 @@
 	return OpenJob{
 		Workload: spec.Workload, Team: spec.Team, LongRunning: spec.LongRunning, Gang: spec.Gang, Urgency: int(spec.Urgency),
 		Tasks: spec.Tasks, CPU: spec.Need.CPU, GPU: spec.Need.GPU, Memory: spec.Need.Memory,
-		Image: spec.Image, ImageGB: spec.ImageGB, MachineTypes: spec.MachineTypes, Zone: spec.Zone,
+		Image: spec.Image, ImageGB: spec.ImageGB, MachineTypes: encodeMachineTypes(spec.MachineTypes), Zone: spec.Zone,
 		SameZone: spec.SameZone, SpreadZones: spec.SpreadZones, AllowSpot: spec.AllowSpot,
 		ExpectedSeconds: spec.ExpectedRunTime.Seconds(), CheckpointIntervalSeconds: spec.CheckpointInterval.Seconds(), CheckpointCostSeconds: spec.CheckpointCost.Seconds(),
 		DeadlineSeconds: spec.Deadline.Seconds(), SubmittedAtMillis: submittedAt.UnixMilli(), Dependencies: pipeline.EncodeNames(spec.Dependencies),
@@ -86,12 +86,28 @@
 	return model.JobSpec{
 		ID: id, Workload: record.Workload, Team: record.Team, LongRunning: record.LongRunning, Gang: record.Gang, Urgency: model.Urgency(record.Urgency),
 		Tasks: record.Tasks, Need: model.Resources{CPU: record.CPU, GPU: record.GPU, Memory: record.Memory}, Image: record.Image, ImageGB: record.ImageGB,
-		MachineTypes: record.MachineTypes, Zone: record.Zone, SameZone: record.SameZone, SpreadZones: record.SpreadZones, AllowSpot: record.AllowSpot,
+		MachineTypes: decodeMachineTypes(record.MachineTypes), Zone: record.Zone, SameZone: record.SameZone, SpreadZones: record.SpreadZones, AllowSpot: record.AllowSpot,
 		ExpectedRunTime: DurationOfSeconds(record.ExpectedSeconds), CheckpointInterval: DurationOfSeconds(record.CheckpointIntervalSeconds), CheckpointCost: DurationOfSeconds(record.CheckpointCostSeconds),
 		Deadline: DurationOfSeconds(record.DeadlineSeconds), Dependencies: record.DependencyNames(),
 	}
 }
 
+// encodeMachineTypes returns the allowed machine types of a specification as a field of its record.
+func encodeMachineTypes(names []string) *[]string {
+	if names == nil {
+		return nil
+	}
+	return &names
+}
+
+// decodeMachineTypes returns the allowed machine types in a record as a field of a specification.
+func decodeMachineTypes(names *[]string) []string {
+	if names == nil {
+		return nil
+	}
+	return *names
+}
+
 // DependencyNames returns the IDs of the jobs that must be done first. It returns none if the field
 // is invalid, which Validate reports.
 func (record *OpenJob) DependencyNames() []string {
--- a/internal/simulation/checks.go
+++ b/internal/simulation/checks.go
@@ -88,7 +88,7 @@
 	fit := 0
 	for _, machineType := range types {
 		for _, z := range machineType.Zones {
-			if len(spec.MachineTypes) > 0 && !slices.Contains(spec.MachineTypes, machineType.Name) || spec.Zone != "" && spec.Zone != z {
+			if !spec.AllowsMachineType(machineType.Name) || spec.Zone != "" && spec.Zone != z {
 				continue
 			}
 			machines := capacity[machineType.Name+"/"+z+"/false"]
--- a/internal/simulation/extra_faults.go
+++ b/internal/simulation/extra_faults.go
@@ -370,6 +370,9 @@
 		request.Spec.Need.CPU = 1e6
 	case 1:
 		request.Spec.MachineTypes = []string{"none"}
+		if world.invalidJobs%2 == 0 {
+			request.Spec.MachineTypes = []string{}
+		}
 	case 2:
 		request.Spec.Zone = "nowhere"
 	case 3:
--- a/internal/simulation/margins.go
+++ b/internal/simulation/margins.go
@@ -168,11 +168,7 @@
 // allowsMachine reports whether a job may use a machine. A zone that is not empty restricts the job
 // to it.
 func allowsMachine(spec *model.JobSpec, machine *Worker, zone string) bool {
-	allowed := len(spec.MachineTypes) == 0
-	for _, f := range spec.MachineTypes {
-		allowed = allowed || f == machine.MachineType
-	}
-	return allowed && (zone == "" || zone == machine.Zone) && (spec.AllowSpot || !machine.Spot)
+	return spec.AllowsMachineType(machine.MachineType) && (zone == "" || zone == machine.Zone) && (spec.AllowSpot || !machine.Spot)
 }
 
 // minResources returns the minimum of each resource.
--- a/internal/simulation/odd_jobs_test.go
+++ b/internal/simulation/odd_jobs_test.go
@@ -48,6 +48,7 @@
 	impossible := map[string]func(*model.JobSpec){
 		"no-zone":     func(spec *model.JobSpec) { spec.Zone = "c" },
 		"no-flavour":  func(spec *model.JobSpec) { spec.MachineTypes = []string{"none"} },
+		"no-flavours": func(spec *model.JobSpec) { spec.MachineTypes = []string{} },
 		"not-there":   func(spec *model.JobSpec) { spec.MachineTypes, spec.Zone = []string{"big"}, "b" },
 		"no-team":     func(spec *model.JobSpec) { spec.Team = "nobody" },
 		"too-large":   func(spec *model.JobSpec) { spec.Need.CPU = 33 },
--- a/internal/simulation/ranking_checks.go
+++ b/internal/simulation/ranking_checks.go
@@ -110,7 +110,7 @@
 			// A job that others depend on may be placed first to unblock them.
 		case checker.table.Rank(otherSpec.Workload, int(otherSpec.Urgency)) >= place:
 		case other.lastState != "queued" || world.now.Sub(other.lastStateAt) < rankingSettleTime || len(checker.placedTasks[otherID]) >= otherSpec.Tasks:
-		case !otherSpec.Need.Fits(job.spec.Need) || len(otherSpec.MachineTypes) > 0 || otherSpec.Zone != "" && otherSpec.Zone != machine.Zone || machine.Spot && !otherSpec.AllowSpot:
+		case !otherSpec.Need.Fits(job.spec.Need) || otherSpec.MachineTypes != nil || otherSpec.Zone != "" && otherSpec.Zone != machine.Zone || machine.Spot && !otherSpec.AllowSpot:
 		default:
 			world.reportViolation("ranked_before", "%s places %s on %s, while %s of %s stands before it and waits", process.name, id, machine.ID, otherID, otherSpec.Workload)
 		}
--- a/internal/simulation/users.go
+++ b/internal/simulation/users.go
@@ -291,7 +291,7 @@
 	if usage := world.teamUsage[spec.Team]; team.QuotaLimit.CPU > 0 && usage.CPU > team.QuotaLimit.CPU+1e-6 || team.QuotaLimit.GPU > 0 && usage.GPU > team.QuotaLimit.GPU+1e-6 {
 		world.reportViolation("quota", "%s uses %v", spec.Team, usage)
 	}
-	if len(spec.MachineTypes) > 0 && !slices.Contains(spec.MachineTypes, machine.MachineType) || spec.Zone != "" && spec.Zone != machine.Zone || machine.Spot && !spec.AllowSpot {
+	if !spec.AllowsMachineType(machine.MachineType) || spec.Zone != "" && spec.Zone != machine.Zone || machine.Spot && !spec.AllowSpot {
 		world.reportViolation("wrong_place", "%s on %s", name, machine.ID)
 	}
 	if spec.SameZone && len(zones) > 0 && zones[machine.Zone] == 0 {
