A job that is due at once has a deadline

What callers would see: a job with "due_s":0 was ordered and promised like a job without a deadline.

Evidence: read on the way; TestDeadlineOfJobRequest, before: "due_s 0: got deadline 0s, want 1ms".

Change: a given deadline is at least a millisecond.

--- a/internal/api/jobrequest.go
+++ b/internal/api/jobrequest.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math"
 	"reflect"
+	"time"
 
 	"github.com/go-playground/validator/v10"
 	"github.com/micahill/micahill/internal/model"
@@ -166,6 +167,9 @@
 	return idOnly.ID
 }
 
+// minDeadline is the deadline of a job that is due at once. A deadline of 0 would mean none.
+const minDeadline = time.Millisecond
+
 // spec converts a request that has passed all checks.
 func (request *jobRequest) spec() model.JobSpec {
 	spec := model.JobSpec{
@@ -180,7 +184,7 @@
 		spec.Zone = *request.Zone
 	}
 	if request.DeadlineS != nil {
-		spec.Deadline = record.DurationOfSeconds(*request.DeadlineS)
+		spec.Deadline = max(minDeadline, record.DurationOfSeconds(*request.DeadlineS))
 	}
 	return spec
 }
--- a/internal/api/jobrequest_test.go
+++ b/internal/api/jobrequest_test.go
@@ -7,6 +7,7 @@
 	"reflect"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/vmihailenco/msgpack/v5"
 )
@@ -147,3 +148,21 @@
 		})
 	}
 }
+
+// TestDeadlineOfJobRequest guards against a job that is due at once and is served as if it had no deadline.
+func TestDeadlineOfJobRequest(t *testing.T) {
+	for _, test := range []struct {
+		deadline any
+		want     time.Duration
+	}{{nil, 0}, {0, time.Millisecond}, {0.0, time.Millisecond}, {1e-9, time.Millisecond}, {900.5, 900_500 * time.Millisecond}} {
+		request := validJobRequest()
+		request["due_s"] = test.deadline
+		body, err := msgpack.Marshal(request)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if spec, err := parseJobRequest(body); err != nil || spec.Deadline != test.want {
+			t.Errorf("due_s %v: got deadline %v, %v, want %v", test.deadline, spec.Deadline, err, test.want)
+		}
+	}
+}
