--- a/internal/controller/start_fence_test.go
+++ b/internal/controller/start_fence_test.go
@@ -149,3 +149,34 @@
 		}
 	}
 }
+
+// TestClearWaitsForStartInFlight guards against a clear while a start may be in flight: the worker would start
+// the attempt again if the start arrived after the clear. No heartbeat has followed a reply with starts, or the
+// worker has not seen the epoch of this controller.
+func TestClearWaitsForStartInFlight(t *testing.T) {
+	for _, test := range []struct {
+		name   string
+		change func(machine *machine)
+		want   int
+	}{
+		{"a reply with starts that no heartbeat has followed", func(machine *machine) { machine.replySequence = machine.sequence }, 0},
+		{"a former owner's start", func(machine *machine) { machine.seenEpoch = machine.epoch - 1 }, 0},
+		{"a restarted worker", func(machine *machine) { machine.restartEpoch = machine.seenEpoch }, 0},
+		{"none", func(*machine) {}, 1},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			controller, machine := fencedPool(t, 7, 9)
+			controller.shardLeader.jobs = map[string]*job{}
+			machine.attempts = map[taskKey]*task{}
+			job := controller.addJobOn("job-000900", machine)
+			job.segmentOf(0).persistedVersion = job.segmentOf(0).version
+			controller.nextHeartbeat(0, model.TaskReport{Job: job.ID, Attempt: 1, Status: model.Ended, Cause: "done"})
+			job.segmentOf(0).persistedVersion = job.segmentOf(0).version
+			test.change(machine)
+			commands := controller.shardLeader.dispatcher.reconcile(machine)
+			if len(commands) != test.want || len(commands) > 0 && commands[0].Kind != model.ClearTask {
+				t.Errorf("got commands %v, want %d clears", commands, test.want)
+			}
+		})
+	}
+}
