The request for a heartbeat names no task of a job

Cause: the request for a heartbeat is a start that the worker refuses.

Change: the name has no index, so it is no name of a task. The simulated workers on the wire list it as they got it.

--- a/internal/simulation/live_worker.go
+++ b/internal/simulation/live_worker.go
@@ -49,7 +49,7 @@
 	}
 	tasks := []any{}
 	for _, report := range heartbeat.Tasks {
-		taskObject := obj{"piece": taskName(report.Job, report.Index), "try": report.Attempt, "status": [...]string{"fetching", "running", "flushing", "ended"}[report.Status]}
+		taskObject := obj{"piece": wireTaskName(report), "try": report.Attempt, "status": [...]string{"fetching", "running", "flushing", "ended"}[report.Status]}
 		if report.Status == model.Ended {
 			taskObject["cause"] = report.Cause
 		}
@@ -66,13 +66,33 @@
 	for _, entry := range toList(v) {
 		object := entry.(obj)
 		name := toString(object["piece"])
-		i := strings.LastIndexByte(name, '/')
+		job, index := parseWireTaskName(name)
 		gracePeriod, _ := strconv.ParseFloat(fmt.Sprint(object["wind_down_s"]), 64)
-		out = append(out, model.TaskCommand{Kind: model.TaskCommandKind(toString(object["verb"])), Job: name[:i], Index: int(toUint(name[i+1:])), Attempt: toUint(object["try"]), GracePeriod: record.DurationOfSeconds(gracePeriod)})
+		out = append(out, model.TaskCommand{Kind: model.TaskCommandKind(toString(object["verb"])), Job: job, Index: index, Attempt: toUint(object["try"]), GracePeriod: record.DurationOfSeconds(gracePeriod)})
 	}
 	return out
 }
 
+// noIndex is the index of a task whose name has none. No job has such a task.
+const noIndex = -1
+
+// wireTaskName returns the name of a reported task in the wire format.
+func wireTaskName(report model.TaskReport) string {
+	if report.Index == noIndex {
+		return report.Job
+	}
+	return taskName(report.Job, report.Index)
+}
+
+// parseWireTaskName splits the name of a task into the job and the index.
+func parseWireTaskName(name string) (job string, index int) {
+	slash := strings.LastIndexByte(name, '/')
+	if slash < 0 {
+		return name, noIndex
+	}
+	return name[:slash], int(toUint(name[slash+1:]))
+}
+
 // serveWorker returns the handler of direct requests to a machine's worker. Requests to a worker
 // that does not run fail without an answer.
 func (live *Live) serveWorker(machine *Worker) http.Handler {
--- a/internal/worker/heartbeat_request_test.go
+++ b/internal/worker/heartbeat_request_test.go
@@ -8,7 +8,7 @@
 	"github.com/micahill/micahill/internal/model"
 )
 
-// TestHeartbeatRequest checks how a heartbeat is requested: by a start that the worker refuses, since no job
+// TestHeartbeatRequest checks how a heartbeat is requested: by a start that the worker refuses, since no task
 // has such a name. The list of the worker's heartbeat shows the request instead of a task, and the reply
 // clears it. A request that arrives again must not start a task.
 func TestHeartbeatRequest(t *testing.T) {
@@ -16,8 +16,8 @@
 	request := EncodeRequest(message.WorkerRequest{Commands: []model.TaskCommand{stop}, RequestsHeartbeat: true})
 	want := []TaskCommand{
 		EncodeCommands([]model.TaskCommand{stop})[0],
-		{Kind: "clear", Task: "heartbeat-request/0", Attempt: 1},
-		{Kind: "start", Task: "heartbeat-request/0", Attempt: 1},
+		{Kind: "clear", Task: "heartbeat-request", Attempt: 1},
+		{Kind: "start", Task: "heartbeat-request", Attempt: 1},
 	}
 	if !reflect.DeepEqual(request, want) {
 		t.Errorf("got request %+v, want %+v", request, want)
@@ -26,7 +26,7 @@
 		t.Errorf("got %+v without a request for a heartbeat, want one command", without)
 	}
 	wire := Heartbeat{Machine: "vm-000231", Tasks: []TaskReport{
-		{Task: "heartbeat-request/0", Attempt: 1, Status: "ended", Cause: "unknown"},
+		{Task: "heartbeat-request", Attempt: 1, Status: "ended", Cause: "unknown"},
 		{Task: "job-000412/5", Attempt: 2, Status: "running"},
 	}}
 	heartbeat := wire.Decode()
--- a/internal/worker/wire.go
+++ b/internal/worker/wire.go
@@ -103,10 +103,11 @@
 
 // heartbeatRequestTask and heartbeatRequestAttempt name the attempt with which a controller requests
 // a heartbeat. The protocol has no command for that, but a worker sends a heartbeat when its tasks
-// change, and it lists a start that it refuses. The name has not the form of a job's ID, so no job can
-// have it and the worker refuses each start of it, however late or often it arrives.
+// change, and it lists a start that it refuses. The name has not the form of a task's name, a job's ID
+// and an index, so no task can have it and the worker refuses each start of it, however late or often
+// it arrives. Controllers of former versions omit such a task from a heartbeat.
 const (
-	heartbeatRequestTask    = "heartbeat-request/0"
+	heartbeatRequestTask    = "heartbeat-request"
 	heartbeatRequestAttempt = 1
 )
 
