--- a/internal/controller/start_fence.go
+++ b/internal/controller/start_fence.go
@@ -5,9 +5,9 @@
 // start_fence.go raises the epoch of a worker, so that the worker refuses the starts that were sent
 // to it earlier.
 //
-// A worker executes a start again if it arrives once more after the attempt was cleared, and the
-// network may deliver a request again minutes after the worker has answered it. So a clear is sent
-// only under an epoch above that of every earlier start: the worker stores the epoch before it
+// Former versions sent starts in direct requests, which the network may deliver again minutes after
+// the worker has answered them. A worker executes a start again if it arrives once more after the
+// attempt was cleared. So a clear is sent only under an epoch above that of every earlier start: the worker stores the epoch before it
 // executes the clear, and refuses a later arrival of the start.
 //
 // No write is needed for such an epoch. Each revision at which this controller owned the machine
