TestJobWithFailuresOnFaultyMachines waits for task 5 again

The fix of the late copies had replaced the wait for task 5 by one for the first tasks only, which marks machines faulty earlier with three faulty machines than before. Both waits stand now. Passes for three and five.

--- a/internal/simulation/faulty_machines_test.go
+++ b/internal/simulation/faulty_machines_test.go
@@ -29,6 +29,7 @@
 			spec := longJob("job-000002", 6)
 			spec.Need.CPU, spec.Need.Memory = 2, 4
 			world.Submit(spec, time.Hour, false)
+			world.waitUntil(3*time.Minute, func() bool { return world.jobs["job-000002"].isPlaced(5) })
 			allPlaced := func() bool {
 				for i := range faulty {
 					if !world.jobs["job-000002"].isPlaced(i) {
