--- a/internal/simulation/helpers_test.go
+++ b/internal/simulation/helpers_test.go
@@ -50,6 +50,15 @@
 	return NewWorld(seed, controllers, testSettings(), testCancelWithin, types, capacity)
 }
 
+// newWorldWithRandomFeatures returns a world of three controllers with the test settings and machine types, and
+// the features that belong to the seed.
+func newWorldWithRandomFeatures(seed uint64) *World {
+	types, capacity := testTypes()
+	settings := testSettings()
+	settings.Capabilities = randomCapabilities(seed)
+	return NewWorld(seed, 3, settings, testCancelWithin, types, capacity)
+}
+
 // newSmallWorld returns a world of three controllers whose cloud has only small machines.
 func newSmallWorld(seed uint64, set controller.Settings) *World {
 	types, _ := testTypes()
--- a/internal/simulation/repeated_requests_test.go
+++ b/internal/simulation/repeated_requests_test.go
@@ -240,10 +240,7 @@
 	for seed := range dayCount(t, 16, 4) {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			t.Parallel()
-			types, capacity := testTypes()
-			settings := testSettings()
-			settings.Capabilities = randomCapabilities(seed)
-			world := NewWorld(seed, 3, settings, testCancelWithin, types, capacity)
+			world := newWorldWithRandomFeatures(seed)
 			world.RepeatRequests(1, maxRepeatDelay, time.Hour, rand.New(rand.NewPCG(seed, 6022)))
 			if seed%2 == 1 {
 				for at := 40 * time.Second; at < 4*time.Minute; at += 30 * time.Second {
--- a/internal/simulation/restart_copies_test.go
+++ b/internal/simulation/restart_copies_test.go
@@ -151,10 +151,7 @@
 	for seed := range dayCount(t, 16, 4) {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			t.Parallel()
-			types, capacity := testTypes()
-			settings := testSettings()
-			settings.Capabilities = randomCapabilities(seed)
-			world := NewWorld(seed, 3, settings, testCancelWithin, types, capacity)
+			world := newWorldWithRandomFeatures(seed)
 			world.KeepRequests()
 			rng := rand.New(rand.NewPCG(seed, 6523))
 			for at := 40 * time.Second; at < 4*time.Minute; at += time.Minute {
--- a/internal/simulation/simulation_test.go
+++ b/internal/simulation/simulation_test.go
@@ -71,10 +71,7 @@
 	for seed := range dayCount(t, 32, 8) {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			t.Parallel()
-			types, capacity := testTypes()
-			settings := testSettings()
-			settings.Capabilities = randomCapabilities(seed)
-			world := NewWorld(seed, 3, settings, testCancelWithin, types, capacity)
+			world := newWorldWithRandomFeatures(seed)
 			switch seed % 4 {
 			case 1:
 				world.duplicateRate = 0.03
